--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -4,9 +4,9 @@
 import { houseRules } from './scripts/eslint-house-rules.mjs';
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', 'packages/wire/src/**', '**/tap-snapshots/**'] },
+  { ignores: ['**/dist/**', 'target/**', 'packages/wire/src/**', '**/tap-snapshots/**'] },
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     extends: [
       tseslint.configs.strictTypeChecked,
       tseslint.configs.stylisticTypeChecked,
@@ -45,7 +45,7 @@
     },
   },
   {
-    files: ['packages/**/tests/**/*.ts'],
+    files: ['packages/**/tests/**/*.ts', 'platform/tests/**/*.ts'],
     rules: { '@typescript-eslint/no-floating-promises': 'off' },
   },
 );
--- /dev/null
+++ b/packages/job-nodes/src/agent/agent-process.ts
@@ -0,0 +1,51 @@
+import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
+
+import type { TimeSource } from '../time/time-source.js';
+import { LeaderLink } from './leader-link.js';
+import type { MinionClient } from './minion-client.js';
+import { MinionDriver } from './minion-driver.js';
+
+/** What an agent needs from where it runs. */
+export interface AgentOptions {
+  readonly name: string;
+  readonly client: MinionClient;
+  readonly time: TimeSource;
+  readonly logger: (part: string) => PartLogger;
+  readonly knownEntries: () => readonly string[];
+  readonly findLeader: () => Promise<string | undefined>;
+}
+
+/** The process beside a minion. */
+export class AgentProcess {
+  public readonly driver: MinionDriver;
+
+  private readonly link: LeaderLink;
+
+  public constructor(options: AgentOptions) {
+    this.link = new LeaderLink({
+      agent: options.name,
+      time: options.time,
+      logger: options.logger('leader-link'),
+      knownEntries: options.knownEntries,
+      findLeader: options.findLeader,
+      onMessage: message => {
+        this.driver.take(message);
+      },
+    });
+    this.driver = new MinionDriver({
+      client: options.client,
+      time: options.time,
+      logger: options.logger('minion-driver'),
+      report: report => {
+        const sentAt = options.time.steady();
+        this.link.tell({ kind: 'report', sentAt, report });
+      },
+    });
+  }
+
+  /** Starts following the leader and driving the minion. */
+  public start(): void {
+    void this.link.run();
+    void this.driver.run();
+  }
+}
--- /dev/null
+++ b/packages/job-nodes/src/entry/internal-server.ts
@@ -0,0 +1,160 @@
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
+
+import { messageOf } from '@basilcourse/foundation/errors/message-of';
+import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
+
+import { readBody } from '../http/read-body.js';
+import { sendJson } from '../http/send-json.js';
+import { AgentSession } from '../leader/agent-session.js';
+import type { JobCall } from '../leader/job-call.js';
+import type { Leader } from '../leader/leader.js';
+import type { LeaderRecord } from '../leadership/leader-record.js';
+import type { AgentMessage } from '../lines/agent-message.js';
+import { readLines } from '../lines/line-reader.js';
+import type { TimeSource } from '../time/time-source.js';
+import type { WatchStreams } from './watch-streams.js';
+
+const LARGEST_CALL_BYTES = 1024 * 1024;
+
+const MISDIRECTED = 421;
+
+const NOT_FOUND = 404;
+
+const INTERNAL_ERROR = 500;
+
+/** What the server for other processes of the system needs. */
+export interface InternalServerOptions {
+  readonly time: TimeSource;
+  readonly logger: PartLogger;
+  readonly life: string;
+  readonly localLeader: () => Leader | undefined;
+  readonly leaderRecord: () => LeaderRecord | undefined;
+  readonly watches: WatchStreams;
+}
+
+/** Creates the server by which other processes of the system call an entry. */
+export function createInternalServer(options: InternalServerOptions): Server {
+  const server = createServer((incoming, response) => {
+    handle(options, incoming, response).catch((error: unknown) => {
+      options.logger.error('A call of another process failed.', {
+        path: incoming.url ?? '',
+        reason: messageOf(error),
+      });
+      if (!response.headersSent) {
+        sendJson(response, INTERNAL_ERROR, {});
+      }
+    });
+  });
+  server.requestTimeout = 0;
+  server.keepAliveTimeout = 30_000;
+  return server;
+}
+
+type Handler = (
+  options: InternalServerOptions,
+  url: URL,
+  incoming: IncomingMessage,
+  response: ServerResponse,
+) => Promise<void> | void;
+
+const HANDLERS: Readonly<Record<string, Handler>> = {
+  '/call': answerCall,
+  '/agent-stream': openAgentStream,
+  '/watch': openWatch,
+  '/leader': tellLeader,
+};
+
+async function handle(
+  options: InternalServerOptions,
+  incoming: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const url = new URL(incoming.url ?? '/', 'http://entry');
+  const handler = HANDLERS[url.pathname];
+  if (handler === undefined) {
+    sendJson(response, NOT_FOUND, {});
+    return;
+  }
+  await handler(options, url, incoming, response);
+}
+
+async function answerCall(
+  options: InternalServerOptions,
+  _url: URL,
+  incoming: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const body = await readBody(incoming, LARGEST_CALL_BYTES);
+  const leader = options.localLeader();
+  const call = JSON.parse(body?.toString('utf8') ?? '') as JobCall;
+  const answer = await leader?.answer(call);
+  sendJson(response, 200, answer ?? { kind: 'not-leading' });
+}
+
+function openAgentStream(
+  options: InternalServerOptions,
+  url: URL,
+  incoming: IncomingMessage,
+  response: ServerResponse,
+): void {
+  const leader = options.localLeader();
+  if (!leader?.isReady()) {
+    incoming.resume();
+    sendJson(response, MISDIRECTED, { leader: options.leaderRecord() ?? null });
+    return;
+  }
+  const agent = url.searchParams.get('agent') ?? '';
+  response.writeHead(200);
+  response.flushHeaders();
+  const session = leader.attach(
+    token => new AgentSession(agent, token, response, options.time.now()),
+  );
+  options.logger.info('An agent has joined.', {
+    agent,
+    token: session.fencingToken,
+  });
+  readLines(
+    incoming,
+    line => {
+      const message = line as AgentMessage;
+      if (message.kind === 'report') {
+        leader.report(session, message.report);
+      }
+      leader.hear(session, message.sentAt);
+    },
+    reason => {
+      options.logger.info('The stream of an agent has ended.', {
+        agent,
+        reason,
+      });
+      leader.detach(session);
+      response.destroy();
+    },
+  );
+}
+
+function openWatch(
+  options: InternalServerOptions,
+  url: URL,
+  incoming: IncomingMessage,
+  response: ServerResponse,
+): void {
+  incoming.resume();
+  response.writeHead(200);
+  response.flushHeaders();
+  options.watches.add(url.searchParams.get('address') ?? '', response);
+}
+
+function tellLeader(
+  options: InternalServerOptions,
+  _url: URL,
+  incoming: IncomingMessage,
+  response: ServerResponse,
+): void {
+  incoming.resume();
+  sendJson(response, 200, {
+    life: options.life,
+    leader: options.leaderRecord() ?? null,
+  });
+}
--- /dev/null
+++ b/packages/job-nodes/src/entry/leader-watch.ts
@@ -0,0 +1,145 @@
+import { request } from 'node:http';
+
+import { messageOf } from '@basilcourse/foundation/errors/message-of';
+import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
+import { splitAddress } from '@basilcourse/foundation/net/split-address';
+
+import { callJson } from '../http/call-json.js';
+import type { LeaderRecord } from '../leadership/leader-record.js';
+import { readLines } from '../lines/line-reader.js';
+import { pause } from '../time/pause.js';
+import type { WatchMessage } from './watch-message.js';
+
+/** A watched process that sends nothing for so long is left. */
+const SILENT_MILLISECONDS = 1600;
+
+const RETRY_MILLISECONDS = 150;
+
+const PROBE_TIMEOUT_MILLISECONDS = 500;
+
+/** What a watch needs. */
+export interface LeaderWatchOptions {
+  readonly logger: PartLogger;
+  readonly ownAddress: string;
+  readonly ownLife: string;
+  readonly leaderRecord: () => LeaderRecord | undefined;
+  /** Addresses to ask while the leader is not known or not reached. */
+  readonly otherEntries: () => readonly string[];
+  readonly onMessage: (message: WatchMessage) => void;
+  /** The process that led under this life lives no more. */
+  readonly onGone: (life: string) => void;
+}
+
+/**
+ * Watches the leader's process over an open stream, so that its end is seen at
+ * once, and learns of leaders and configurations from other entries while the
+ * store can't be reached.
+ */
+export class LeaderWatch {
+  private readonly options: LeaderWatchOptions;
+
+  private next = 0;
+
+  public constructor(options: LeaderWatchOptions) {
+    this.options = options;
+  }
+
+  /** Watches until the process ends. */
+  public async run(): Promise<void> {
+    for (;;) {
+      const record = this.options.leaderRecord();
+      if (record === undefined || record.life === this.options.ownLife) {
+        await pause(RETRY_MILLISECONDS);
+        continue;
+      }
+      const reason = await this.watch(record.address);
+      this.options.logger.info('The watch of the leader has ended.', {
+        epoch: record.epoch,
+        reason,
+      });
+      await this.probe(record);
+      await this.askAnother();
+      await pause(RETRY_MILLISECONDS);
+    }
+  }
+
+  private watch(address: string): Promise<string> {
+    const { host, port } = splitAddress(address);
+    const path = `/watch?address=${encodeURIComponent(this.options.ownAddress)}`;
+    return new Promise(resolve => {
+      let timer: NodeJS.Timeout | undefined;
+      const call = request({ host, port, path, method: 'POST', agent: false });
+      const end = (reason: string): void => {
+        clearTimeout(timer);
+        call.destroy();
+        resolve(reason);
+      };
+      const expectMore = (): void => {
+        clearTimeout(timer);
+        timer = setTimeout(() => {
+          end('silence');
+        }, SILENT_MILLISECONDS);
+      };
+      expectMore();
+      call.on('response', response => {
+        readLines(
+          response,
+          line => {
+            expectMore();
+            this.options.onMessage(line as WatchMessage);
+          },
+          end,
+        );
+      });
+      call.on('error', error => {
+        end(messageOf(error));
+      });
+      call.end();
+    });
+  }
+
+  private async probe(record: LeaderRecord): Promise<void> {
+    try {
+      const answer = (await callJson(
+        record.address,
+        '/leader',
+        {},
+        PROBE_TIMEOUT_MILLISECONDS,
+      )) as { readonly life: string };
+      if (answer.life !== record.life) {
+        this.options.onGone(record.life);
+      }
+    } catch (error) {
+      if (messageOf(error).includes('ECONNREFUSED')) {
+        this.options.onGone(record.life);
+      }
+    }
+  }
+
+  private async askAnother(): Promise<void> {
+    const entries = this.options
+      .otherEntries()
+      .filter(address => address !== this.options.ownAddress);
+    const address = entries[this.next % Math.max(1, entries.length)];
+    this.next += 1;
+    if (address === undefined) {
+      return;
+    }
+    try {
+      const answer = (await callJson(
+        address,
+        '/leader',
+        {},
+        PROBE_TIMEOUT_MILLISECONDS,
+      )) as { readonly leader: LeaderRecord | null };
+      if (answer.leader !== null) {
+        this.options.onMessage({ leader: answer.leader });
+      }
+    } catch (error) {
+      this.options.logger.info('Another entry did not answer.', {
+        address,
+        reason: messageOf(error),
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/job-nodes/src/leader/answer-call.ts
@@ -0,0 +1,108 @@
+import type { JobStatus } from '@basilcourse/jobs/model/job-status';
+import type { JobEntry } from '@basilcourse/jobs/state/job-entry';
+
+import type { JobAnswer } from './job-answer.js';
+import type { JobCall } from './job-call.js';
+import type { LeaderState } from './leader-state.js';
+
+const RETRY_AFTER_SECONDS = 1;
+
+const NOT_LEADING: JobAnswer = { kind: 'not-leading' };
+
+/** What an answer depends on. */
+export interface AnswerContext {
+  readonly state: LeaderState;
+  readonly now: number;
+  /** The store does not answer at present. */
+  readonly blocked: boolean;
+  readonly afterStored: (action: (stored: boolean) => void) => void;
+}
+
+/** Answers an entry's call, once what the answer says is stored. */
+export async function answerCall(
+  call: JobCall,
+  context: AnswerContext,
+): Promise<JobAnswer> {
+  switch (call.kind) {
+    case 'submit':
+      return submit(call, context);
+    case 'status':
+      return status(call, context);
+    case 'cancel':
+      return cancel(call, context);
+    case 'pending':
+      return pending(call.queue, context);
+  }
+}
+
+async function submit(
+  call: Extract<JobCall, { kind: 'submit' }>,
+  context: AnswerContext,
+): Promise<JobAnswer> {
+  const { state, now, blocked } = context;
+  if (!state.table.jobs.has(call.specification.identifier)) {
+    if (blocked) {
+      return {
+        kind: 'refused',
+        reason: 'the store does not answer',
+        retryAfterSeconds: RETRY_AFTER_SECONDS,
+      };
+    }
+    const { specification, queue } = call;
+    state.accept({ specification, queue, acceptedAt: now });
+  }
+  return (await stored(context)) ? { kind: 'accepted' } : NOT_LEADING;
+}
+
+function stored(context: AnswerContext): Promise<boolean> {
+  return new Promise(resolve => {
+    context.afterStored(resolve);
+  });
+}
+
+function findJob(
+  call: { readonly identifier: string; readonly queue: string },
+  { state }: AnswerContext,
+): JobEntry | undefined {
+  const job = state.table.jobs.get(call.identifier);
+  return job?.specification.queue === call.queue ? job : undefined;
+}
+
+async function status(
+  call: Extract<JobCall, { kind: 'status' }>,
+  context: AnswerContext,
+): Promise<JobAnswer> {
+  const job = findJob(call, context);
+  if (job === undefined) {
+    return { kind: 'no-such-job' };
+  }
+  const told: JobStatus = job.status;
+  const sure = job.ended === undefined || (await stored(context));
+  return sure ? { kind: 'status', status: told } : NOT_LEADING;
+}
+
+async function cancel(
+  call: Extract<JobCall, { kind: 'cancel' }>,
+  context: AnswerContext,
+): Promise<JobAnswer> {
+  const job = findJob(call, context);
+  if (job === undefined) {
+    return { kind: 'no-such-job' };
+  }
+  if (job.ended === undefined) {
+    job.end('cancelled', context.now);
+    context.state.table.changed.add(call.identifier);
+  }
+  return (await stored(context)) ? { kind: 'cancelled' } : NOT_LEADING;
+}
+
+function pending(queue: string, { state }: AnswerContext): JobAnswer {
+  let count = 0;
+  for (const job of state.table.jobs.values()) {
+    const waits = job.ended === undefined && !job.begun;
+    if (waits && job.specification.queue === queue) {
+      count += 1;
+    }
+  }
+  return { kind: 'pending', count };
+}
--- /dev/null
+++ b/packages/job-nodes/src/leader/send-starts.ts
@@ -0,0 +1,56 @@
+import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
+import type { StartOrder } from '@basilcourse/jobs/model/start-order';
+import type { PlannedStart } from '@basilcourse/jobs/plan/planned-start';
+import type { TaskEntry } from '@basilcourse/jobs/state/task-entry';
+
+import type { AgentSession } from './agent-session.js';
+import type { LeaderState } from './leader-state.js';
+
+/**
+ * Sends the orders for starts that are stored. A start whose job is over by
+ * now is taken back; one whose agent has another stream by now is left to the
+ * agent's next report.
+ */
+export function sendStarts(
+  state: LeaderState,
+  starts: readonly PlannedStart[],
+  logger: PartLogger,
+): void {
+  const orders = new Map<AgentSession, StartOrder[]>();
+  for (const { task, minion } of starts) {
+    const job = state.table.jobs.get(task.jobIdentifier);
+    const session = state.sessionOf(task);
+    if (task.phase !== 'assigned' || job === undefined) {
+      continue;
+    }
+    if (job.ended !== undefined) {
+      minion.drop(task.name, task.run);
+      task.release(0);
+      state.table.touch(task);
+    } else if (session?.fencingToken === task.orderToken) {
+      const list = orders.get(session) ?? [];
+      list.push(orderFor(task, job.specification.payload));
+      orders.set(session, list);
+      logger.info('A run is started.', {
+        task: task.name,
+        run: task.run,
+        agent: session.agent,
+        token: session.fencingToken,
+      });
+    }
+  }
+  for (const [session, list] of orders) {
+    session.send({ kind: 'starts', starts: list });
+  }
+}
+
+function orderFor(task: TaskEntry, payload: string): StartOrder {
+  return {
+    task: task.name,
+    run: task.run,
+    payload,
+    checkpoint: task.checkpoint,
+    tailTargetMilliseconds: task.specification.tailTargetMilliseconds,
+    filling: task.specification.filling,
+  };
+}
--- /dev/null
+++ b/packages/jobs/src/model/check-specification.ts
@@ -0,0 +1,26 @@
+import type { JobSpecification } from './job-specification.js';
+
+const MAXIMUM_TASKS = 10_000;
+
+const MAXIMUM_STEPS = 64;
+
+/** Returns why a job can't be accepted; undefined if it can. */
+export function checkSpecification(
+  specification: JobSpecification,
+): string | undefined {
+  const { steps } = specification;
+  if (steps.length === 0 || steps.length > MAXIMUM_STEPS) {
+    return `a job has 1 to ${MAXIMUM_STEPS} steps, found ${steps.length}`;
+  }
+  const tasks = steps.reduce((sum, step) => sum + step.taskCount, 0);
+  if (steps.some(step => step.taskCount < 1) || tasks > MAXIMUM_TASKS) {
+    return `a step has 1 task or more, and a job at most ${MAXIMUM_TASKS}`;
+  }
+  const early = steps.findIndex((step, number) =>
+    step.after.some(earlier => earlier >= number),
+  );
+  if (early >= 0) {
+    return `step ${early} names a step in "after" that is not an earlier one`;
+  }
+  return undefined;
+}
--- /dev/null
+++ b/packages/jobs/src/model/job-status.ts
@@ -0,0 +1,3 @@
+/** What callers are told of a job. */
+export type JobStatus =
+  'queued' | 'running' | 'completed' | 'failed' | 'cancelled';
--- /dev/null
+++ b/packages/jobs/src/model/running-task.ts
@@ -0,0 +1,14 @@
+/** A run that a minion lists as running. */
+export interface RunningTask {
+  readonly task: string;
+  readonly run: number;
+  /** Newest checkpoint; empty for none. */
+  readonly checkpoint: string;
+  /** Share of the work done, 0 to 100. */
+  readonly percent: number;
+  /**
+   * Of the last half second: tail latency in milliseconds for a task that
+   * serves, millicores in use for others.
+   */
+  readonly gauge: number;
+}
--- /dev/null
+++ b/packages/jobs/src/model/step-specification.ts
@@ -0,0 +1,35 @@
+/** One step of a job: a number of equal tasks. */
+export interface StepSpecification {
+  readonly taskCount: number;
+  /** Thousandths of a core that each task requests. */
+  readonly processorMillicores: number;
+  readonly memoryMegabytes: number;
+  readonly accelerators: number;
+  /** The caller's rough estimate of a task's duration. */
+  readonly estimatedMilliseconds: number;
+  /** Numbers of the steps whose tasks must all be done first. */
+  readonly after: readonly number[];
+  readonly checkpointing: boolean;
+  /** The tasks work only together and end together. */
+  readonly gang: boolean;
+  /** The tasks are slower when they span racks. */
+  readonly tightlyCoupled: boolean;
+  /** Label that the minion must have; empty for any. */
+  readonly requiredLabel: string;
+  /** Rack that holds the data; empty for any. */
+  readonly dataRack: string;
+  /** Most tasks of the step on one minion; 0 for no limit. */
+  readonly maximumPerMinion: number;
+  /** Copies may run in parallel. */
+  readonly copiesAllowed: boolean;
+  /** The tasks run until the job is cancelled. */
+  readonly longRunning: boolean;
+  /** What the tasks run; tasks of one image behave alike. */
+  readonly image: string;
+  /** Bound of the tasks' tail latency; 0 for tasks that serve nobody. */
+  readonly tailTargetMilliseconds: number;
+  /** The tasks use the processor time that others leave. */
+  readonly filling: boolean;
+  /** Tasks that may be away at one time by the system's own actions. */
+  readonly missAllowance: number;
+}
--- /dev/null
+++ b/packages/jobs/src/model/stop-order.ts
@@ -0,0 +1,5 @@
+/** Order to stop one run of a task. */
+export interface StopOrder {
+  readonly task: string;
+  readonly run: number;
+}
--- /dev/null
+++ b/packages/jobs/src/plan/urgency.ts
@@ -0,0 +1,53 @@
+import type { JobEntry } from '../state/job-entry.js';
+import { chainMilliseconds } from './chain-milliseconds.js';
+
+/** How soon a job needs room. */
+export interface Urgency {
+  /** The job can hardly be on time any more. */
+  readonly late: boolean;
+  readonly priority: number;
+  /** Latest start of what remains for the job to be on time. */
+  readonly latestStart: number;
+}
+
+/** Returns how soon a job needs room, by its objective and its estimates. */
+export function urgencyOf(job: JobEntry, now: number): Urgency {
+  const { queue, specification } = job;
+  const chains = chainMilliseconds(specification.steps);
+  const whole = Math.max(0, ...chains);
+  const remaining = remainingChain(job, chains);
+  const dueAt =
+    startOf(job) + queue.slackFactor * whole + queue.targetLatencyMilliseconds;
+  const latestStart = dueAt - remaining;
+  return { late: now > latestStart, priority: queue.priority, latestStart };
+}
+
+function startOf(job: JobEntry): number {
+  const { specification } = job;
+  if (specification.repetitions === 0) {
+    return job.acceptedAt;
+  }
+  const newest = Math.max(0, ...job.occurrences.keys());
+  return specification.firstDueAt + newest * specification.intervalMilliseconds;
+}
+
+function remainingChain(job: JobEntry, chains: readonly number[]): number {
+  let longest = 0;
+  for (const steps of job.occurrences.values()) {
+    steps.forEach((tasks, number) => {
+      if (tasks.some(task => task.phase !== 'done')) {
+        longest = Math.max(longest, chains[number] ?? 0);
+      }
+    });
+  }
+  return longest;
+}
+
+/** Orders by lateness, priority, and latest start. */
+export function compareUrgency(first: Urgency, second: Urgency): number {
+  return (
+    Number(first.late) - Number(second.late) ||
+    first.priority - second.priority ||
+    first.latestStart - second.latestStart
+  );
+}
--- /dev/null
+++ b/packages/jobs/src/reconcile/apply-report.ts
@@ -0,0 +1,199 @@
+import type { AgentReport } from '../model/agent-report.js';
+import type { RunEnd } from '../model/run-end.js';
+import type { RunningTask } from '../model/running-task.js';
+import type { StartRefusal } from '../model/start-refusal.js';
+import type { StopOrder } from '../model/stop-order.js';
+import type { JobTable } from '../state/job-table.js';
+import type { MinionEntry } from '../state/minion-entry.js';
+import type { TaskEntry } from '../state/task-entry.js';
+import { END_HANDLERS } from './end-handlers.js';
+import type { ReportOutcome } from './report-outcome.js';
+
+/** Pause of a minion that refused a start. */
+const REFUSED_PAUSE_MILLISECONDS = 400;
+
+/** Longest pause of a minion whose runs fail in a row. */
+const LONGEST_PAUSE_MILLISECONDS = 4000;
+
+const FAULTS_BEFORE_PAUSE = 3;
+
+/**
+ * Brings the table in line with what an agent reports of its minion.
+ *
+ * An assigned run that is neither listed nor ended has never begun if its
+ * order went out under an older fencing token than the lists: the minion obeys
+ * no older token any more.
+ */
+export function applyReport(
+  table: JobTable,
+  minion: MinionEntry,
+  report: AgentReport,
+  now: number,
+): ReportOutcome {
+  const ended = report.ends.filter(end => applyEnd(table, minion, end, now));
+  const stops = report.running.flatMap(running =>
+    applyRunning(table, minion, running, now),
+  );
+  for (const refusal of report.refusals) {
+    applyRefusal(table, minion, refusal, now);
+  }
+  const neverBegan = releaseUnlisted(table, minion, report, now);
+  const endsThrough = report.ends.reduce(
+    (highest, end) => Math.max(highest, end.number),
+    0,
+  );
+  return { endsThrough, stops, ended, neverBegan };
+}
+
+function applyEnd(
+  table: JobTable,
+  minion: MinionEntry,
+  end: RunEnd,
+  now: number,
+): boolean {
+  minion.drop(end.task, end.run);
+  const task = table.task(end.task);
+  const job = task && table.jobs.get(task.jobIdentifier);
+  if (!task || !job) {
+    return false;
+  }
+  if (!isCurrent(task, minion, end.run)) {
+    return acceptLateSuccess(table, task, end);
+  }
+  const began = end.reason === 'done' || end.reason === 'failed';
+  if (began) {
+    rateMinion(minion, end.reason === 'done', now);
+  }
+  END_HANDLERS[end.reason](job, task, end, now);
+  if (task.specification.gang && end.reason === 'done') {
+    finishGang(table, task);
+  }
+  job.endIfOver(now);
+  table.touch(task);
+  return true;
+}
+
+/** Counts a run given up too early that was done after all. */
+function acceptLateSuccess(
+  table: JobTable,
+  task: TaskEntry,
+  end: RunEnd,
+): boolean {
+  const counts =
+    end.reason === 'done' &&
+    task.phase === 'waiting' &&
+    !task.specification.longRunning &&
+    end.run === task.run;
+  if (counts) {
+    task.finish('done');
+    table.touch(task);
+  }
+  return counts;
+}
+
+function finishGang(table: JobTable, task: TaskEntry): void {
+  const job = table.jobs.get(task.jobIdentifier);
+  const members = job?.occurrences.get(task.occurrence)?.[task.step] ?? [];
+  for (const member of members) {
+    member.finish('done');
+  }
+}
+
+function rateMinion(minion: MinionEntry, success: boolean, now: number): void {
+  minion.faultsInRow = success ? 0 : minion.faultsInRow + 1;
+  if (minion.faultsInRow >= FAULTS_BEFORE_PAUSE) {
+    const pause = REFUSED_PAUSE_MILLISECONDS * 2 ** minion.faultsInRow;
+    minion.restsUntil = now + Math.min(pause, LONGEST_PAUSE_MILLISECONDS);
+  }
+}
+
+function applyRunning(
+  table: JobTable,
+  minion: MinionEntry,
+  running: RunningTask,
+  now: number,
+): readonly StopOrder[] {
+  const task = table.task(running.task);
+  const job = task && table.jobs.get(task.jobIdentifier);
+  if (!task || !job) {
+    return [{ task: running.task, run: running.run }];
+  }
+  minion.hold(task, running.run);
+  if (!isCurrent(task, minion, running.run) || job.ended !== undefined) {
+    return [{ task: running.task, run: running.run }];
+  }
+  noteProgress(task, running, now);
+  return [];
+}
+
+function noteProgress(
+  task: TaskEntry,
+  running: RunningTask,
+  now: number,
+): void {
+  if (task.seenRunningAt === 0) {
+    task.seenRunningAt = now;
+    task.progressAt = now;
+  }
+  if (running.percent !== task.percent) {
+    task.percent = running.percent;
+    task.progressAt = now;
+  }
+  if (running.checkpoint !== '') {
+    task.checkpoint = running.checkpoint;
+  }
+}
+
+function applyRefusal(
+  table: JobTable,
+  minion: MinionEntry,
+  refusal: StartRefusal,
+  now: number,
+): void {
+  minion.drop(refusal.task, refusal.run);
+  minion.restsUntil = now + REFUSED_PAUSE_MILLISECONDS;
+  const task = table.task(refusal.task);
+  if (task && isCurrent(task, minion, refusal.run)) {
+    task.release(now);
+    table.touch(task);
+  }
+}
+
+function releaseUnlisted(
+  table: JobTable,
+  minion: MinionEntry,
+  report: AgentReport,
+  now: number,
+): readonly string[] {
+  const listed = new Set(report.running.map(({ task, run }) => `${task}/${run}`));
+  const neverBegan: string[] = [];
+  for (const [key, { entry, run }] of minion.runs) {
+    if (listed.has(key) || mayStillBegin(entry, run, report)) {
+      continue;
+    }
+    minion.runs.delete(key);
+    if (isCurrent(entry, minion, run)) {
+      entry.release(now);
+      table.touch(entry);
+      neverBegan.push(entry.name);
+    }
+  }
+  return neverBegan;
+}
+
+function mayStillBegin(
+  entry: TaskEntry,
+  run: number,
+  report: AgentReport,
+): boolean {
+  const current = entry.run === run && entry.phase === 'assigned';
+  return current && entry.orderToken >= report.fencingToken;
+}
+
+function isCurrent(task: TaskEntry, minion: MinionEntry, run: number): boolean {
+  return (
+    task.phase === 'assigned' &&
+    task.run === run &&
+    task.incarnation === minion.incarnation
+  );
+}
--- /dev/null
+++ b/packages/jobs/src/records/apply-progress.ts
@@ -0,0 +1,61 @@
+import type { JobEntry } from '../state/job-entry.js';
+import type { JobTable } from '../state/job-table.js';
+import type { TaskEntry, TaskPhase } from '../state/task-entry.js';
+import type {
+  ProgressRecord,
+  TaskPhaseLetter,
+  TaskRow,
+} from './progress-record.js';
+
+const PHASES: Readonly<Record<TaskPhaseLetter, TaskPhase>> = {
+  w: 'waiting',
+  a: 'assigned',
+  d: 'done',
+  f: 'failed',
+};
+
+/**
+ * Puts a stored record into the table. Runs that were on a minion count as
+ * being there until its agent reports or its lease is over.
+ *
+ * @param now - Present time; the leases of unheard agents count from here.
+ */
+export function applyProgress(
+  table: JobTable,
+  job: JobEntry,
+  record: ProgressRecord,
+  now: number,
+): void {
+  job.begun = record.begun ?? false;
+  job.ended = record.ended;
+  job.endedAt = record.endedAt ?? 0;
+  for (const row of record.tasks) {
+    const [occurrence, step, index] = row;
+    job.addOccurrence(occurrence);
+    const task = job.task(occurrence, step, index);
+    if (task !== undefined) {
+      applyRow(table, task, row, record.incarnations, now);
+    }
+  }
+}
+
+function applyRow(
+  table: JobTable,
+  task: TaskEntry,
+  row: TaskRow,
+  incarnations: readonly string[],
+  now: number,
+): void {
+  const [, , , letter, run, failedRuns, position, checkpoint] = row;
+  const incarnation = incarnations[position] ?? '';
+  task.phase = PHASES[letter];
+  task.run = run;
+  task.failedRuns = failedRuns;
+  task.checkpoint = checkpoint;
+  if (task.phase === 'assigned') {
+    task.incarnation = incarnation;
+    task.assignedAt = now;
+    task.progressAt = now;
+    table.minion(incarnation, now).hold(task, run);
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/records/encode-progress.ts
@@ -0,0 +1,54 @@
+import type { JobEntry } from '../state/job-entry.js';
+import type { TaskEntry, TaskPhase } from '../state/task-entry.js';
+import type {
+  ProgressRecord,
+  TaskPhaseLetter,
+  TaskRow,
+} from './progress-record.js';
+
+const LETTERS: Readonly<Record<TaskPhase, TaskPhaseLetter>> = {
+  waiting: 'w',
+  assigned: 'a',
+  done: 'd',
+  failed: 'f',
+};
+
+/** Returns the record of how far a job is; tasks never started are left out. */
+export function encodeProgress(job: JobEntry): ProgressRecord {
+  const incarnations: string[] = [];
+  const tasks: TaskRow[] = [];
+  for (const task of job.tasks()) {
+    if (task.run > 0) {
+      tasks.push(encodeTask(task, incarnations));
+    }
+  }
+  return {
+    ...(job.ended === undefined
+      ? {}
+      : { ended: job.ended, endedAt: job.endedAt }),
+    begun: job.begun,
+    incarnations,
+    tasks,
+  };
+}
+
+function encodeTask(task: TaskEntry, incarnations: string[]): TaskRow {
+  return [
+    task.occurrence,
+    task.step,
+    task.index,
+    LETTERS[task.phase],
+    task.run,
+    task.failedRuns,
+    positionOf(task.incarnation, incarnations),
+    task.phase === 'done' ? '' : task.checkpoint,
+  ];
+}
+
+function positionOf(incarnation: string, incarnations: string[]): number {
+  if (incarnation === '') {
+    return -1;
+  }
+  const known = incarnations.indexOf(incarnation);
+  return known >= 0 ? known : incarnations.push(incarnation) - 1;
+}
--- /dev/null
+++ b/packages/jobs/src/records/job-record.ts
@@ -0,0 +1,9 @@
+import type { JobSpecification } from '../model/job-specification.js';
+import type { QueueSettings } from '../model/queue-settings.js';
+
+/** Record of an accepted job; written once. */
+export interface JobRecord {
+  readonly specification: JobSpecification;
+  readonly queue: QueueSettings;
+  readonly acceptedAt: number;
+}
--- /dev/null
+++ b/packages/jobs/src/records/progress-record.ts
@@ -0,0 +1,28 @@
+/** Record of how far a job is; replaced with each change. */
+export interface ProgressRecord {
+  /** How the job ended; absent while it has not. */
+  readonly ended?: 'completed' | 'failed' | 'cancelled';
+  readonly endedAt?: number;
+  readonly begun?: boolean;
+  /** Incarnations that the rows below name by their position here. */
+  readonly incarnations: readonly string[];
+  readonly tasks: readonly TaskRow[];
+}
+
+/**
+ * Occurrence, step, index, phase, run, failed runs, position of the
+ * incarnation (-1 for none), checkpoint.
+ */
+export type TaskRow = readonly [
+  number,
+  number,
+  number,
+  TaskPhaseLetter,
+  number,
+  number,
+  number,
+  string,
+];
+
+/** Short form of a task's phase. */
+export type TaskPhaseLetter = 'w' | 'a' | 'd' | 'f';
--- /dev/null
+++ b/packages/jobs/src/state/minion-run.ts
@@ -0,0 +1,7 @@
+import type { TaskEntry } from './task-entry.js';
+
+/** A run that is, or may be, on a minion. */
+export interface MinionRun {
+  readonly entry: TaskEntry;
+  readonly run: number;
+}
--- /dev/null
+++ b/packages/jobs/src/state/split-task-name.ts
@@ -0,0 +1,22 @@
+/** Place of a task: its job, occurrence, step and index. */
+export interface TaskPlace {
+  readonly jobIdentifier: string;
+  readonly occurrence: number;
+  readonly step: number;
+  readonly index: number;
+}
+
+/** Splits a task's name; undefined if it is not one. */
+export function splitTaskName(name: string): TaskPlace | undefined {
+  const [jobIdentifier, occurrence, step, index, ...rest] = name.split('.');
+  const numbers = [occurrence, step, index].map(Number);
+  if (
+    jobIdentifier === undefined ||
+    rest.length > 0 ||
+    !numbers.every(number => Number.isSafeInteger(number) && number >= 0)
+  ) {
+    return undefined;
+  }
+  const [first = 0, second = 0, third = 0] = numbers;
+  return { jobIdentifier, occurrence: first, step: second, index: third };
+}
