--- a/packages/job-nodes/src/agent/minion-driver.ts
+++ b/packages/job-nodes/src/agent/minion-driver.ts
@@ -12,6 +12,7 @@
 import type { MinionClient } from './minion-client.js';
 import type { MinionLife } from './minion-life.js';
 import { OrderRunner } from './order-runner.js';
+import { Pacer } from './pacer.js';
 import { WrongMinionError } from './wrong-minion-error.js';
 
 const LOOK_WAIT_MILLISECONDS = 900;
@@ -19,6 +20,12 @@
 /** While there is no lease to renew, so that a new one is given soon. */
 const UNLEASED_WAIT_MILLISECONDS = 150;
 
+/** While filling tasks are paced by their neighbours' figures. */
+const PACING_WAIT_MILLISECONDS = 250;
+
+/** Longest wait for ends to be stored. */
+const SETTLE_MILLISECONDS = 200;
+
 const RETRY_MILLISECONDS = 120;
 
 /** Refused connections in a row that show that the minion's process is gone. */
@@ -40,6 +47,8 @@
 
   private readonly orders: OrderRunner;
 
+  private readonly pacer: Pacer;
+
   private life: MinionLife | undefined;
 
   private readonly gone: string[] = [];
@@ -61,13 +70,22 @@
 
   private refusedConnections = 0;
 
+  private onSettled: () => void = () => undefined;
+
   public constructor(options: MinionDriverOptions) {
     this.options = options;
+    this.pacer = new Pacer({
+      client: options.client,
+      logger: options.logger,
+    });
     this.orders = new OrderRunner({
       client: options.client,
       time: options.time,
       logger: options.logger,
       expiry: () => this.expiry(),
+      onStarted: (life, order, fencingToken) => {
+        void this.pacer.started(life, order, this.running, fencingToken);
+      },
       onRefusal: () => {
         this.tellReport();
       },
@@ -105,7 +123,21 @@
           message.sentAt + this.leaseMilliseconds,
         );
         return;
+      case 'traits':
+        message.tasks.forEach(({ task, traits }) => {
+          this.pacer.learn(task, traits);
+        });
+        return;
+      case 'harms':
+        this.pacer.takeHarms(message.harms);
+        return;
+      case 'loads':
+        this.pacer.takeLoads(message.loads);
+        return;
       case 'starts':
+        message.starts.forEach(({ task, traits }) => {
+          this.pacer.learn(task, traits);
+        });
         this.orders.start(this.life, message.starts);
         return;
       case 'stops':
@@ -154,17 +186,35 @@
     this.listsToken = fencingToken;
     this.orders.resolveRevoked(listedRuns(result), askedAt);
     this.tellReport();
+    await this.pacer.apply(life, result.running, fencingToken, time.steady());
+    if (this.ends.length > 0) {
+      await this.settled();
+    }
   }
 
   private lookWait(): number {
     if (this.listsToken !== this.fencingToken) {
       return 0;
     }
-    return this.expiry() === undefined
-      ? UNLEASED_WAIT_MILLISECONDS
+    if (this.expiry() === undefined) {
+      return UNLEASED_WAIT_MILLISECONDS;
+    }
+    return this.pacer.needsFreshFigures(this.running)
+      ? PACING_WAIT_MILLISECONDS
       : LOOK_WAIT_MILLISECONDS;
   }
 
+  /** Waits until the ends are stored: before that a look would not wait. */
+  private async settled(): Promise<void> {
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(resolve, SETTLE_MILLISECONDS);
+      this.onSettled = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+
   private expiry(): number | undefined {
     return this.lease.expiryFor(this.grantedUntil, this.options.time.steady());
   }
@@ -191,6 +241,9 @@
     this.endsThrough = Math.max(this.endsThrough, message.endsThrough);
     this.ends = this.ends.filter(({ number }) => number > this.endsThrough);
     this.orders.settle(message.refusals);
+    if (this.ends.length === 0) {
+      this.onSettled();
+    }
   }
 
   private noteFailure(life: MinionLife, error: unknown): void {
@@ -238,6 +291,7 @@
     this.ends = [];
     this.refusedConnections = 0;
     this.orders.reset(this.fencingToken);
+    this.pacer.reset();
     this.options.logger.warn('A life of the minion is over.', { incarnation });
   }
 }
--- a/packages/job-nodes/src/agent/order-runner.ts
+++ b/packages/job-nodes/src/agent/order-runner.ts
@@ -24,6 +24,11 @@
   /** End of the lease on the minion's clock. */
   readonly expiry: () => number | undefined;
   readonly onRefusal: () => void;
+  readonly onStarted: (
+    life: MinionLife,
+    order: StartOrder,
+    fencingToken: number,
+  ) => void;
 }
 
 interface RevokedStart {
@@ -128,6 +133,8 @@
         const result = await client.start(life, order, expiresAt, token);
         if (result.kind === 'refused') {
           this.refuse(order, token, result.reason);
+        } else {
+          this.options.onStarted(life, order, token);
         }
         return;
       } catch (error) {
--- /dev/null
+++ b/packages/job-nodes/src/agent/pacer.ts
@@ -0,0 +1,277 @@
+import { messageOf } from '@basilcourse/foundation/errors/message-of';
+import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
+import type { RunningTask } from '@basilcourse/jobs/model/running-task';
+import type { TaskTraits } from '@basilcourse/jobs/model/task-traits';
+import type { ServingTask } from '@basilcourse/jobs/pace/decide-shares';
+import { decideShares } from '@basilcourse/jobs/pace/decide-shares';
+import type { HarmRow } from '@basilcourse/jobs/pace/harm-table';
+import { HarmTable } from '@basilcourse/jobs/pace/harm-table';
+import type { ServingLoad } from '@basilcourse/jobs/pace/serving-load';
+import { splitTaskName } from '@basilcourse/jobs/state/split-task-name';
+
+import type { MinionClient } from './minion-client.js';
+import type { MinionLife } from './minion-life.js';
+
+/** Figures cover half a second; a decision is taken once for each. */
+const DECIDE_EVERY_MILLISECONDS = 450;
+
+const WHOLE = 100;
+
+const MILLICORES_PER_CORE = 1000;
+
+/** Runs this far have left their start behind. */
+const AT_WORK_PERCENT = 100;
+
+/** A bound is broken for so long before neighbours are held back. */
+const PATIENCE_MILLISECONDS = 900;
+
+/** Part of its bound below which the queue of a serving task is empty. */
+const EMPTY_PART = 0.8;
+
+/** Changes of a share that are written to the log. */
+const WORTH_TELLING = 0.1;
+
+/** Of its bound, for a job of which the leader has not told the floor. */
+const UNKNOWN_FLOOR_PART = 0.2;
+
+const UNKNOWN_LOAD = 0.5;
+
+/** A task that works at less shows nothing of its full speed. */
+const LEAST_SEEN_SHARE = 0.3;
+
+/** What a pacer needs. */
+export interface PacerOptions {
+  readonly client: MinionClient;
+  readonly logger: PartLogger;
+}
+
+interface ListedServing extends ServingTask {
+  readonly task: string;
+}
+
+/** Slows filling tasks down while a neighbour that serves suffers. */
+export class Pacer {
+  private readonly options: PacerOptions;
+
+  /** What all minions have shown of images' harm. */
+  private readonly harms = new HarmTable();
+
+  /** Loads of the jobs that serve here, by job. */
+  private readonly loads = new Map<string, ServingLoad>();
+
+  private readonly traits = new Map<string, TaskTraits>();
+
+  /** Percentage that each run was last told; by task and run. */
+  private readonly told = new Map<string, number>();
+
+  /** Share at which the tasks of each filling image work. */
+  private shares: ReadonlyMap<string, number> = new Map();
+
+  /** Since when the bounds of serving tasks are broken. */
+  private brokenSince: ReadonlyMap<string, number> = new Map();
+
+  private decidedAt = Number.NEGATIVE_INFINITY;
+
+  public constructor(options: PacerOptions) {
+    this.options = options;
+  }
+
+  /** Learns what a task is. */
+  public learn(task: string, traits: TaskTraits): void {
+    this.traits.set(task, traits);
+  }
+
+  /** Some task serves beside one that fills, so figures must be fresh. */
+  public needsFreshFigures(running: readonly RunningTask[]): boolean {
+    return (
+      running.some(run => this.isFilling(run)) &&
+      running.some(run => this.targetOf(run) > 0)
+    );
+  }
+
+  /** Forgets what an earlier life of the minion was told. */
+  public reset(): void {
+    this.told.clear();
+    this.shares = new Map();
+  }
+
+  /** Takes over what all minions have shown. */
+  public takeHarms(rows: readonly HarmRow[]): void {
+    this.harms.take(rows);
+  }
+
+  /** Takes over the loads of jobs that serve here. */
+  public takeLoads(loads: readonly ServingLoad[]): void {
+    for (const load of loads) {
+      this.loads.set(load.job, load);
+    }
+  }
+
+  /** Decides by fresh lists, and tells the minion. */
+  public async apply(
+    life: MinionLife,
+    running: readonly RunningTask[],
+    fencingToken: number,
+    now: number,
+  ): Promise<void> {
+    this.forgetEnded(running);
+    if (now - this.decidedAt >= DECIDE_EVERY_MILLISECONDS) {
+      this.decidedAt = now;
+      this.decide(running, now);
+    }
+    const changed = running.filter(
+      run =>
+        this.isFilling(run) &&
+        (this.told.get(keyOf(run)) ?? WHOLE) !== this.percentageOf(run),
+    );
+    await Promise.all(changed.map(run => this.tell(life, run, fencingToken)));
+  }
+
+  /** Paces a task that has just been started, before it is listed. */
+  public async started(
+    life: MinionLife,
+    order: { readonly task: string; readonly run: number },
+    running: readonly RunningTask[],
+    fencingToken: number,
+  ): Promise<void> {
+    const fresh = { ...order, checkpoint: '', percent: 0, gauge: 0 };
+    if (!this.isFilling(fresh)) {
+      return;
+    }
+    if (this.percentageOf(fresh) < WHOLE) {
+      await this.tell(life, fresh, fencingToken);
+    }
+  }
+
+  private decide(running: readonly RunningTask[], now: number): void {
+    const serving = this.servingTasks(running);
+    const cores = this.fullCores(running);
+    const strained = this.strainedTasks(serving, now);
+    const shares = decideShares(strained, cores, this.harms);
+    for (const [image, share] of shares) {
+      const before = this.shares.get(image) ?? 1;
+      if (Math.abs(share - before) > WORTH_TELLING) {
+        this.options.logger.info('A filling image is paced.', {
+          image,
+          before,
+          share,
+          tails: serving.map(({ tail }) => tail).join(' '),
+        });
+      }
+    }
+    this.shares = shares;
+  }
+
+  /**
+   * Serving tasks whose bound has been broken for a while, until their queue
+   * is empty. Estimates alone hold nobody back: work that is slowed down stays,
+   * and does its harm later.
+   */
+  private strainedTasks(
+    serving: readonly ListedServing[],
+    now: number,
+  ): readonly ListedServing[] {
+    const since = new Map<string, number>();
+    const strained = serving.filter(task => {
+      const before = this.brokenSince.get(task.task);
+      const part = before === undefined ? 1 : EMPTY_PART;
+      if (task.tail <= task.target * part) {
+        return false;
+      }
+      since.set(task.task, before ?? now);
+      return now - (before ?? now) >= PATIENCE_MILLISECONDS;
+    });
+    this.brokenSince = since;
+    return strained;
+  }
+
+  private servingTasks(
+    running: readonly RunningTask[],
+  ): readonly ListedServing[] {
+    return running.flatMap(run => {
+      const target = this.targetOf(run);
+      const job = splitTaskName(run.task)?.jobIdentifier ?? '';
+      const known = this.loads.get(job);
+      if (target === 0 || run.percent < AT_WORK_PERCENT) {
+        return [];
+      }
+      const image = this.traits.get(run.task)?.image ?? '';
+      const floor = known?.floor ?? target * UNKNOWN_FLOOR_PART;
+      const load = known?.load ?? UNKNOWN_LOAD;
+      return [
+        { task: run.task, image, target, tail: run.gauge, floor, load },
+      ];
+    });
+  }
+
+  /** Cores that the tasks of each filling image would use at full speed. */
+  private fullCores(
+    running: readonly RunningTask[],
+  ): ReadonlyMap<string, number> {
+    const cores = new Map<string, number>();
+    for (const run of running) {
+      const traits = this.traits.get(run.task);
+      if (traits?.filling) {
+        const share = (this.told.get(keyOf(run)) ?? WHOLE) / WHOLE;
+        const seen = share > LEAST_SEEN_SHARE ? run.gauge / share : 0;
+        const millicores = Math.max(seen, traits.processorMillicores);
+        const before = cores.get(traits.image) ?? 0;
+        cores.set(traits.image, before + millicores / MILLICORES_PER_CORE);
+      }
+    }
+    return cores;
+  }
+
+  private isFilling({ task }: RunningTask): boolean {
+    return this.traits.get(task)?.filling ?? false;
+  }
+
+  private targetOf({ task }: RunningTask): number {
+    return this.traits.get(task)?.tailTargetMilliseconds ?? 0;
+  }
+
+  private percentageOf({ task }: RunningTask): number {
+    const image = this.traits.get(task)?.image ?? '';
+    return Math.round((this.shares.get(image) ?? 1) * WHOLE);
+  }
+
+  private async tell(
+    life: MinionLife,
+    running: RunningTask,
+    fencingToken: number,
+  ): Promise<void> {
+    const { task, run } = running;
+    const percentage = this.percentageOf(running);
+    try {
+      const order = { task, run };
+      await this.options.client.pace(life, order, percentage, fencingToken);
+      this.told.set(keyOf(running), percentage);
+    } catch (error) {
+      this.options.logger.warn('A pace was not taken.', {
+        task,
+        run,
+        percentage,
+        reason: messageOf(error),
+      });
+    }
+  }
+
+  private forgetEnded(running: readonly RunningTask[]): void {
+    const alive = new Set(running.map(keyOf));
+    for (const key of this.told.keys()) {
+      if (!alive.has(key)) {
+        this.told.delete(key);
+      }
+    }
+  }
+}
+
+function keyOf({
+  task,
+  run,
+}: {
+  readonly task: string;
+  readonly run: number;
+}): string {
+  return `${task}/${run}`;
+}
--- /dev/null
+++ b/packages/job-nodes/src/leader/interference-watch.ts
@@ -0,0 +1,86 @@
+import type { AgentReport } from '@basilcourse/jobs/model/agent-report';
+import { HarmTable } from '@basilcourse/jobs/pace/harm-table';
+import { learnFromReport } from '@basilcourse/jobs/pace/learn-from-report';
+import { LoadWatch } from '@basilcourse/jobs/pace/load-watch';
+import { loadOf } from '@basilcourse/jobs/pace/queue-model';
+import { HarmEstimate } from '@basilcourse/jobs/plan/harm-estimate';
+import type { JobTable } from '@basilcourse/jobs/state/job-table';
+
+import type { AgentSession } from './agent-session.js';
+
+const LOADS_EVERY_MILLISECONDS = 450;
+
+const HARMS_EVERY_MILLISECONDS = 1000;
+
+const KEEP_MILLISECONDS = 10_000;
+
+/** Learns from all agents how images harm each other, and tells them. */
+export class InterferenceWatch {
+  private readonly harms = new HarmTable();
+
+  private readonly loads = new LoadWatch();
+
+  private readonly tails = new Map<string, number>();
+
+  private readonly toldLoadsAt = new Map<string, number>();
+
+  private readonly toldHarmsAt = new Map<string, number>();
+
+  /** Returns what is known by now. */
+  public estimate(now: number): HarmEstimate {
+    return new HarmEstimate(this.harms, this.loads, now);
+  }
+
+  /** Learns from a report, and tells its agent what it needs to pace. */
+  public learn(
+    table: JobTable,
+    session: AgentSession,
+    report: AgentReport,
+    now: number,
+  ): void {
+    const { harms, loads, tails } = this;
+    learnFromReport(table, harms, loads, tails, report.running, now);
+    if (isDue(this.toldLoadsAt, session, now, LOADS_EVERY_MILLISECONDS)) {
+      this.tellLoads(table, session, report, now);
+    }
+    if (isDue(this.toldHarmsAt, session, now, HARMS_EVERY_MILLISECONDS)) {
+      session.send({ kind: 'harms', harms: harms.rows() });
+      loads.forgetOld(now, KEEP_MILLISECONDS);
+    }
+  }
+
+  private tellLoads(
+    table: JobTable,
+    session: AgentSession,
+    report: AgentReport,
+    now: number,
+  ): void {
+    const jobs = new Set(
+      report.running
+        .map(({ task }) => table.task(task))
+        .filter(entry => (entry?.specification.tailTargetMilliseconds ?? 0) > 0)
+        .map(entry => entry?.jobIdentifier ?? ''),
+    );
+    const loads = [...jobs].map(job => {
+      const floor = this.loads.floor(job);
+      const ahead = this.loads.quietTailAhead(job, now);
+      return { job, floor, load: loadOf(ahead, floor) };
+    });
+    if (loads.length > 0) {
+      session.send({ kind: 'loads', loads });
+    }
+  }
+}
+
+function isDue(
+  toldAt: Map<string, number>,
+  { agent }: AgentSession,
+  now: number,
+  every: number,
+): boolean {
+  if (now - (toldAt.get(agent) ?? Number.NEGATIVE_INFINITY) < every) {
+    return false;
+  }
+  toldAt.set(agent, now);
+  return true;
+}
--- a/packages/job-nodes/src/leader/leader-state.ts
+++ b/packages/job-nodes/src/leader/leader-state.ts
@@ -1,5 +1,7 @@
 import type { AgentReport } from '@basilcourse/jobs/model/agent-report';
 import type { QueueSettings } from '@basilcourse/jobs/model/queue-settings';
+import type { TaskTraits } from '@basilcourse/jobs/model/task-traits';
+import { traitsOf } from '@basilcourse/jobs/model/traits-of';
 import type { PlannedStart } from '@basilcourse/jobs/plan/planned-start';
 import { encodeProgress } from '@basilcourse/jobs/records/encode-progress';
 import type { JobRecord } from '@basilcourse/jobs/records/job-record';
@@ -11,6 +13,7 @@
 import type { QueueConfiguration } from '../configuration/queue-configuration.js';
 import type { StoredValue } from '../store/stored-value.js';
 import type { AgentSession } from './agent-session.js';
+import { InterferenceWatch } from './interference-watch.js';
 import { JOB_KEY_PREFIX, PROGRESS_KEY_PREFIX } from './record-keys.js';
 
 /** Fencing tokens that one epoch can give. */
@@ -26,6 +29,8 @@
 export class LeaderState {
   public readonly table = new JobTable();
 
+  public readonly interference = new InterferenceWatch();
+
   private readonly sessions = new Map<string, AgentSession>();
 
   private readonly newJobs: JobEntry[] = [];
@@ -160,6 +165,21 @@
       .map(({ incarnation }) => incarnation);
   }
 
+  /** The stream has reported this life of its minion before. */
+  public isKnownTo(session: AgentSession, report: AgentReport): boolean {
+    return session.incarnation === (report.minion?.incarnation ?? '');
+  }
+
+  /** Returns what is known of the tasks that a report lists as running. */
+  public traitsFor({ running }: AgentReport): readonly KnownTask[] {
+    return running.flatMap(({ task }) => {
+      const entry = this.table.task(task);
+      return entry === undefined
+        ? []
+        : [{ task, traits: traitsOf(entry.specification) }];
+    });
+  }
+
   /** Notes what a report says of the minion itself. */
   public takeReport(
     session: AgentSession,
@@ -235,6 +255,11 @@
   }
 }
 
+interface KnownTask {
+  readonly task: string;
+  readonly traits: TaskTraits;
+}
+
 /** Lets stops be sent again, as those of an ended stream may be lost. */
 function repeatStops(minion: MinionEntry): void {
   for (const { entry, run } of minion.runs.values()) {
--- a/packages/job-nodes/src/leader/leader.ts
+++ b/packages/job-nodes/src/leader/leader.ts
@@ -164,10 +164,14 @@
     }
     const now = this.options.time.now();
     this.forgetGone(session, report, now);
+    const known = this.state.isKnownTo(session, report);
     const minion = this.state.takeReport(session, report, now);
     if (minion === undefined) {
       return;
     }
+    if (!known) {
+      session.send({ kind: 'traits', tasks: this.state.traitsFor(report) });
+    }
     this.applyReportOf(session, minion, report, now);
   }
 
@@ -177,6 +181,7 @@
     report: AgentReport,
     now: number,
   ): void {
+    this.state.interference.learn(this.state.table, session, report, now);
     const outcome = applyReport(this.state.table, minion, report, now);
     for (const { task, run, reason } of outcome.ended) {
       this.options.logger.info('A run ended.', {
@@ -304,7 +309,11 @@
     }
     if (!this.isBlocked()) {
       const now = this.options.time.now();
-      const starts = planStarts(this.state.table, now);
+      const starts = planStarts(
+        this.state.table,
+        this.state.interference.estimate(now),
+        now,
+      );
       if (starts.length > 0) {
         this.assign(starts, now);
       }
--- a/packages/job-nodes/src/leader/send-starts.ts
+++ b/packages/job-nodes/src/leader/send-starts.ts
@@ -3,6 +3,7 @@
 import type { PlannedStart } from '@basilcourse/jobs/plan/planned-start';
 import type { TaskEntry } from '@basilcourse/jobs/state/task-entry';
 
+import { traitsOf } from '@basilcourse/jobs/model/traits-of';
 import type { AgentSession } from './agent-session.js';
 import type { LeaderState } from './leader-state.js';
 
@@ -50,7 +51,6 @@
     run: task.run,
     payload,
     checkpoint: task.checkpoint,
-    tailTargetMilliseconds: task.specification.tailTargetMilliseconds,
-    filling: task.specification.filling,
+    traits: traitsOf(task.specification),
   };
 }
--- a/packages/job-nodes/src/lines/leader-message.ts
+++ b/packages/job-nodes/src/lines/leader-message.ts
@@ -1,5 +1,8 @@
 import type { StartOrder } from '@basilcourse/jobs/model/start-order';
 import type { StopOrder } from '@basilcourse/jobs/model/stop-order';
+import type { TaskTraits } from '@basilcourse/jobs/model/task-traits';
+import type { HarmRow } from '@basilcourse/jobs/pace/harm-table';
+import type { ServingLoad } from '@basilcourse/jobs/pace/serving-load';
 
 /** What the leader sends to an agent, one message a line. */
 export type LeaderMessage =
@@ -17,6 +20,15 @@
       /** Addresses of the entries that live. */
       readonly entries: readonly string[];
     }
+  | {
+      readonly kind: 'traits';
+      /** Of runs that the agent listed. */
+      readonly tasks: readonly KnownTask[];
+    }
+  /** What all minions have shown of images' harm to each other. */
+  | { readonly kind: 'harms'; readonly harms: readonly HarmRow[] }
+  /** Loads of the jobs that serve on the agent's minion. */
+  | { readonly kind: 'loads'; readonly loads: readonly ServingLoad[] }
   | { readonly kind: 'starts'; readonly starts: readonly StartOrder[] }
   | { readonly kind: 'stops'; readonly stops: readonly StopOrder[] }
   | {
@@ -27,3 +39,8 @@
       /** Refusals that were taken in, by task and run. */
       readonly refusals: readonly string[];
     };
+
+interface KnownTask {
+  readonly task: string;
+  readonly traits: TaskTraits;
+}
--- /dev/null
+++ b/packages/jobs/src/pace/harm-table.ts
@@ -0,0 +1,45 @@
+/** Harm assumed of a pair of images that was never seen together. */
+const PRIOR_HARM = 0.03;
+
+const MOST_HARM = 1;
+
+/** Harm of one pair of images. */
+export interface HarmRow {
+  readonly serving: string;
+  readonly filling: string;
+  /** Slowdown that one busy core of the filling image adds. */
+  readonly harm: number;
+}
+
+/** How much filling images slow serving ones down, by pair. */
+export class HarmTable {
+  private readonly harms = new Map<string, HarmRow>();
+
+  /** Returns the slowdown that one busy core of the filling image adds. */
+  public harm(serving: string, filling: string): number {
+    return this.harms.get(keyOf(serving, filling))?.harm ?? PRIOR_HARM;
+  }
+
+  /** Changes the harm of a pair by a difference. */
+  public change(serving: string, filling: string, difference: number): void {
+    const changed = this.harm(serving, filling) + difference;
+    const harm = Math.min(MOST_HARM, Math.max(0, changed));
+    this.harms.set(keyOf(serving, filling), { serving, filling, harm });
+  }
+
+  /** Returns all pairs that were seen. */
+  public rows(): readonly HarmRow[] {
+    return [...this.harms.values()];
+  }
+
+  /** Takes over what another table knows. */
+  public take(rows: readonly HarmRow[]): void {
+    for (const row of rows) {
+      this.harms.set(keyOf(row.serving, row.filling), row);
+    }
+  }
+}
+
+function keyOf(serving: string, filling: string): string {
+  return `${serving} ${filling}`;
+}
--- /dev/null
+++ b/packages/jobs/src/pace/learn-from-report.ts
@@ -0,0 +1,75 @@
+import type { RunningTask } from '../model/running-task.js';
+import type { JobTable } from '../state/job-table.js';
+import type { TaskEntry } from '../state/task-entry.js';
+import type { HarmTable } from './harm-table.js';
+import { learnHarm } from './learn-harm.js';
+import type { LoadWatch } from './load-watch.js';
+import { loadOf, slowdownOf } from './queue-model.js';
+
+const MILLICORES_PER_CORE = 1000;
+
+/** Runs with this percentage are at work. */
+const AT_WORK_PERCENT = 100;
+
+/** A tail that falls from above this part of its bound outlasts its cause. */
+const LASTING_STRAIN = 0.7;
+
+interface Listed {
+  readonly entry: TaskEntry;
+  readonly running: RunningTask;
+}
+
+/**
+ * Learns loads and harm from what one minion lists.
+ *
+ * @param tailsBefore - Tails of the report before, by task; kept up here.
+ */
+export function learnFromReport(
+  table: JobTable,
+  harms: HarmTable,
+  loads: LoadWatch,
+  tailsBefore: Map<string, number>,
+  running: readonly RunningTask[],
+  now: number,
+): void {
+  const listed = running.flatMap(row => {
+    const entry = table.task(row.task);
+    return entry === undefined ? [] : [{ entry, running: row }];
+  });
+  const serving = listed.filter(isServing);
+  const cores = busyCores(listed);
+  for (const { entry, running: row } of serving) {
+    const { image, tailTargetMilliseconds } = entry.specification;
+    const job = entry.jobIdentifier;
+    loads.note(job, image, entry.name, row.gauge, now);
+    const before = tailsBefore.get(entry.name) ?? 0;
+    tailsBefore.set(entry.name, row.gauge);
+    const lasting =
+      row.gauge > LASTING_STRAIN * tailTargetMilliseconds && row.gauge < before;
+    if (cores.size > 0 && !lasting) {
+      const floor = loads.floor(job);
+      const load = loadOf(loads.quietTail(job, now), floor);
+      learnHarm(harms, image, slowdownOf(row.gauge, floor, load), cores);
+    }
+  }
+}
+
+function isServing({ entry, running }: Listed): boolean {
+  return (
+    entry.specification.tailTargetMilliseconds > 0 &&
+    running.percent >= AT_WORK_PERCENT &&
+    running.gauge > 0
+  );
+}
+
+function busyCores(listed: readonly Listed[]): ReadonlyMap<string, number> {
+  const cores = new Map<string, number>();
+  for (const { entry, running } of listed) {
+    const { filling, image } = entry.specification;
+    if (filling && running.gauge > 0) {
+      const amount = running.gauge / MILLICORES_PER_CORE;
+      cores.set(image, (cores.get(image) ?? 0) + amount);
+    }
+  }
+  return cores;
+}
--- /dev/null
+++ b/packages/jobs/src/pace/load-watch.ts
@@ -0,0 +1,102 @@
+/** Figures of one task count for so long. */
+const FRESH_MILLISECONDS = 1200;
+
+/** Part of the lowest tail ever seen that is service and not waiting. */
+const FLOOR_PART = 0.85;
+
+/** Steps between figures by which a rising load is carried on. */
+const STEPS_AHEAD = 1;
+
+const STEP_MILLISECONDS = 500;
+
+interface Figure {
+  readonly tail: number;
+  readonly at: number;
+}
+
+interface JobFigures {
+  readonly image: string;
+  readonly tails: Map<string, Figure>;
+  previous: Figure;
+  newest: Figure;
+}
+
+/**
+ * Watches the tails of jobs that serve. The tasks of one job share its load, so
+ * the lowest tail among them tells the load free of neighbours.
+ */
+export class LoadWatch {
+  private readonly jobs = new Map<string, JobFigures>();
+
+  private readonly floors = new Map<string, number>();
+
+  /** Notes the tail of one task. */
+  public note(
+    job: string,
+    image: string,
+    task: string,
+    tail: number,
+    now: number,
+  ): void {
+    if (tail <= 0) {
+      return;
+    }
+    const floor = Math.min(this.floors.get(image) ?? tail, tail * FLOOR_PART);
+    this.floors.set(image, floor);
+    const figures = this.jobs.get(job) ?? {
+      image,
+      tails: new Map<string, Figure>(),
+      previous: { tail, at: now },
+      newest: { tail, at: now },
+    };
+    this.jobs.set(job, figures);
+    figures.tails.set(task, { tail, at: now });
+    if (now - figures.newest.at >= STEP_MILLISECONDS) {
+      figures.previous = figures.newest;
+      figures.newest = { tail: lowest(figures, now), at: now };
+    }
+  }
+
+  /** Returns the tail that a task of the job has without neighbours. */
+  public quietTail(job: string, now: number): number {
+    const figures = this.jobs.get(job);
+    return figures === undefined ? 0 : lowest(figures, now);
+  }
+
+  /** Returns the quiet tail of a moment ahead, if the load goes on rising. */
+  public quietTailAhead(job: string, now: number): number {
+    const figures = this.jobs.get(job);
+    if (figures === undefined) {
+      return 0;
+    }
+    const rise = figures.newest.tail - figures.previous.tail;
+    return lowest(figures, now) + Math.max(0, rise * STEPS_AHEAD);
+  }
+
+  /** Returns the tail of a task that never waits. */
+  public floor(job: string): number {
+    const figures = this.jobs.get(job);
+    return figures === undefined ? 0 : (this.floors.get(figures.image) ?? 0);
+  }
+
+  /** Forgets jobs that were not heard of for long. */
+  public forgetOld(now: number, keepMilliseconds: number): void {
+    for (const [job, { newest }] of this.jobs) {
+      if (now - newest.at > keepMilliseconds) {
+        this.jobs.delete(job);
+      }
+    }
+  }
+}
+
+function lowest({ tails, newest }: JobFigures, now: number): number {
+  let least = Number.POSITIVE_INFINITY;
+  for (const [task, { tail, at }] of tails) {
+    if (now - at > FRESH_MILLISECONDS) {
+      tails.delete(task);
+    } else {
+      least = Math.min(least, tail);
+    }
+  }
+  return Number.isFinite(least) ? least : newest.tail;
+}
--- a/packages/jobs/src/plan/choose-minion.ts
+++ b/packages/jobs/src/plan/choose-minion.ts
@@ -1,4 +1,5 @@
 import type { TaskEntry } from '../state/task-entry.js';
+import type { HarmEstimate } from './harm-estimate.js';
 import type { RoomView } from './room-view.js';
 
 /** Share of its request that a filling task must find idle. */
@@ -6,14 +7,21 @@
 
 const RACK_BONUS = 4;
 
-const SERVING_NEIGHBOUR_COST = 0.3;
+/** Weight of expected harm against a minion's idle share. */
+const HARM_COST = 1.2;
 
-const FILLING_NEIGHBOUR_COST = 0.15;
+/** The fewer images serve on a minion, the more can fill beside them. */
+const OTHER_IMAGE_COST = 0.6;
+
+/** A bound that is broken this many times over is not worse broken more. */
+const MOST_OVER = 2;
+
+const MILLICORES_PER_CORE = 1000;
 
 /**
  * Chooses the minion for a task: one with room, near its data, and with the
- * largest idle share; tasks that fill and tasks that serve are kept apart
- * where there is a choice. Answers the load of many equal minions that are
+ * largest idle share; tasks that fill are kept from tasks that serve if their
+ * images are known to harm each other. Answers the load of many equal minions that are
  * partly filled.
  */
 export function chooseMinion(
@@ -21,12 +29,13 @@
   service: string,
   rooms: readonly RoomView[],
   preferredRack: string,
+  harm: HarmEstimate,
 ): RoomView | undefined {
   let best: RoomView | undefined;
   let bestScore = Number.NEGATIVE_INFINITY;
   for (const room of rooms) {
     if (fits(task, service, room)) {
-      const score = scoreOf(task, room, preferredRack);
+      const score = scoreOf(task, room, preferredRack, harm);
       if (score > bestScore) {
         best = room;
         bestScore = score;
@@ -62,6 +71,7 @@
   task: TaskEntry,
   room: RoomView,
   preferredRack: string,
+  harm: HarmEstimate,
 ): number {
   const { description } = room.minion;
   const whole = Math.max(1, description?.capacity.processorMillicores ?? 1);
@@ -70,11 +80,58 @@
   if (preferredRack !== '' && description?.labels.includes(preferredRack)) {
     score += RACK_BONUS;
   }
-  if (specification.filling) {
-    score -= SERVING_NEIGHBOUR_COST * room.servingCount;
-  }
   if (specification.tailTargetMilliseconds > 0) {
-    score -= FILLING_NEIGHBOUR_COST * room.fillingCount;
+    score -= OTHER_IMAGE_COST * otherImages(task, room);
+  }
+  return score - HARM_COST * harmOf(task, room, harm);
+}
+
+/** Serving images on a minion beside the task's own. */
+function otherImages(task: TaskEntry, room: RoomView): number {
+  const others = new Set(
+    room.serving.map(({ specification }) => specification.image),
+  );
+  others.delete(task.specification.image);
+  return others.size;
+}
+
+/** Harm that a task adds on a minion, or meets there; 1 for a full bound. */
+function harmOf(
+  task: TaskEntry,
+  room: RoomView,
+  harm: HarmEstimate,
+): number {
+  const { image, filling, processorMillicores, tailTargetMilliseconds } =
+    task.specification;
+  if (filling) {
+    const cores = processorMillicores / MILLICORES_PER_CORE;
+    let sum = 0;
+    for (const serving of room.serving) {
+      const before = fillingHarm(serving, room, harm);
+      const added = harm.slowdown(serving.specification.image, image, cores);
+      const bearable = harm.bearable(serving);
+      sum += cost((before + added) / bearable) - cost(before / bearable);
+    }
+    return sum;
+  }
+  return tailTargetMilliseconds > 0
+    ? cost(fillingHarm(task, room, harm) / harm.bearable(task))
+    : 0;
+}
+
+function fillingHarm(
+  serving: TaskEntry,
+  room: RoomView,
+  harm: HarmEstimate,
+): number {
+  let sum = 0;
+  for (const [image, millicores] of room.fillingMillicores) {
+    const cores = millicores / MILLICORES_PER_CORE;
+    sum += harm.slowdown(serving.specification.image, image, cores);
   }
-  return score;
+  return sum;
+}
+
+function cost(over: number): number {
+  return Math.min(MOST_OVER, over) ** 2;
 }
--- a/packages/jobs/src/plan/plan-starts.ts
+++ b/packages/jobs/src/plan/plan-starts.ts
@@ -3,6 +3,7 @@
 import type { MinionEntry } from '../state/minion-entry.js';
 import type { TaskEntry } from '../state/task-entry.js';
 import { chooseMinion } from './choose-minion.js';
+import type { HarmEstimate } from './harm-estimate.js';
 import type { PlannedStart } from './planned-start.js';
 import { RoomView } from './room-view.js';
 import { startableSteps } from './startable-tasks.js';
@@ -15,6 +16,7 @@
  */
 export function planStarts(
   table: JobTable,
+  harm: HarmEstimate,
   now: number,
 ): readonly PlannedStart[] {
   const waiting = waitingJobs(table, now);
@@ -27,7 +29,7 @@
   const starts: PlannedStart[] = [];
   for (const { job, steps } of waiting) {
     for (const tasks of steps) {
-      starts.push(...planStep(job, tasks, rooms));
+      starts.push(...planStep(job, tasks, rooms, harm));
     }
   }
   return starts;
@@ -65,13 +67,20 @@
   job: JobEntry,
   tasks: readonly TaskEntry[],
   rooms: readonly RoomView[],
+  harm: HarmEstimate,
 ): readonly PlannedStart[] {
   const gang = tasks[0]?.specification.gang ?? false;
   const candidates = gang ? rooms.map(room => room.copy()) : rooms;
   const starts: PlannedStart[] = [];
   for (const task of tasks) {
     const rack = preferredRack(task, starts);
-    const room = chooseMinion(task, job.queue.service, candidates, rack);
+    const room = chooseMinion(
+      task,
+      job.queue.service,
+      candidates,
+      rack,
+      harm,
+    );
     if (room === undefined) {
       break;
     }
--- a/packages/jobs/src/plan/room-view.ts
+++ b/packages/jobs/src/plan/room-view.ts
@@ -1,6 +1,9 @@
 import type { MinionEntry } from '../state/minion-entry.js';
 import type { TaskEntry } from '../state/task-entry.js';
 
+/** Share of their request that tasks use which serve users. */
+const BUSY_SHARE_OF_SERVING = 0.5;
+
 /** Room of one minion while a round of starts is planned. */
 export class RoomView {
   public processorMillicores: number;
@@ -13,10 +16,10 @@
   public idleMillicores: number;
 
   /** Tasks on the minion that serve users. */
-  public servingCount = 0;
+  public readonly serving: TaskEntry[] = [];
 
-  /** Tasks on the minion that fill. */
-  public fillingCount = 0;
+  /** Processor time that filling tasks ask for, by image. */
+  public readonly fillingMillicores = new Map<string, number>();
 
   public readonly minion: MinionEntry;
 
@@ -61,9 +64,17 @@
     this.processorMillicores -= demand.processorMillicores;
     this.memoryMegabytes -= demand.memoryMegabytes;
     this.accelerators -= demand.accelerators;
-    this.idleMillicores -= specification.processorMillicores;
-    this.servingCount += specification.tailTargetMilliseconds > 0 ? 1 : 0;
-    this.fillingCount += specification.filling ? 1 : 0;
+    const { processorMillicores, image } = specification;
+    const serves = specification.tailTargetMilliseconds > 0;
+    this.idleMillicores -= serves
+      ? processorMillicores * BUSY_SHARE_OF_SERVING
+      : processorMillicores;
+    if (serves) {
+      this.serving.push(entry);
+    } else if (specification.filling) {
+      const before = this.fillingMillicores.get(image) ?? 0;
+      this.fillingMillicores.set(image, before + processorMillicores);
+    }
     const key = stepKey(entry);
     this.tasksByStep.set(key, this.countOfStep(entry) + 1);
   }
