--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -4,7 +4,14 @@
 import { houseRules } from './scripts/eslint-house-rules.mjs';
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', 'target/**', 'packages/wire/src/**', '**/tap-snapshots/**'] },
+  {
+    ignores: [
+      '**/dist/**',
+      'target/**',
+      'packages/wire/src/**',
+      '**/tap-snapshots/**',
+    ],
+  },
   {
     files: ['packages/**/*.ts', 'platform/**/*.ts'],
     extends: [
--- a/packages/job-nodes/src/agent/lease-clock.ts
+++ b/packages/job-nodes/src/agent/lease-clock.ts
@@ -34,7 +34,9 @@
       return undefined;
     }
     const longest =
-      now + (grantedUntil - now) * SLOWEST_CLOCK_FACTOR + KILL_MARGIN_MILLISECONDS;
+      now +
+      (grantedUntil - now) * SLOWEST_CLOCK_FACTOR +
+      KILL_MARGIN_MILLISECONDS;
     this.overAt = Math.max(this.overAt, longest);
     return Math.floor(this.clock + (grantedUntil - this.readAt));
   }
--- a/packages/job-nodes/src/agent/minion-driver.ts
+++ b/packages/job-nodes/src/agent/minion-driver.ts
@@ -297,7 +297,9 @@
 }
 
 function listedRuns({ running, ends }: ListedRuns): ReadonlySet<string> {
-  return new Set([...running, ...ends].map(({ task, run }) => `${task}/${run}`));
+  return new Set(
+    [...running, ...ends].map(({ task, run }) => `${task}/${run}`),
+  );
 }
 
 interface ListedRuns {
--- a/packages/job-nodes/src/agent/pacer.ts
+++ b/packages/job-nodes/src/agent/pacer.ts
@@ -146,8 +146,7 @@
   private decide(running: readonly RunningTask[], now: number): void {
     const serving = this.servingTasks(running);
     const cores = this.fullCores(running);
-    const strained = this.strainedTasks(serving, now);
-    const shares = decideShares(strained, cores, this.harms);
+    const shares = decideShares(this.strainedTasks(serving, now), cores, this.harms);
     for (const [image, share] of shares) {
       const before = this.shares.get(image) ?? 1;
       if (Math.abs(share - before) > WORTH_TELLING) {
@@ -198,9 +197,7 @@
       const image = this.traits.get(run.task)?.image ?? '';
       const floor = known?.floor ?? target * UNKNOWN_FLOOR_PART;
       const load = known?.load ?? UNKNOWN_LOAD;
-      return [
-        { task: run.task, image, target, tail: run.gauge, floor, load },
-      ];
+      return [{ task: run.task, image, target, tail: run.gauge, floor, load }];
     });
   }
 
--- a/packages/job-nodes/src/leader/interference-watch.ts
+++ b/packages/job-nodes/src/leader/interference-watch.ts
@@ -66,8 +66,9 @@
       const ahead = this.loads.quietTailAhead(job, now);
       return { job, floor, load: loadOf(ahead, floor) };
     });
-    if (loads.length > 0) {
-      session.send({ kind: 'loads', loads });
+    const known = loads.filter(({ floor }) => floor > 0);
+    if (known.length > 0) {
+      session.send({ kind: 'loads', loads: known });
     }
   }
 }
--- a/packages/job-nodes/src/leader/leader-state.ts
+++ b/packages/job-nodes/src/leader/leader-state.ts
@@ -148,10 +148,7 @@
   }
 
   /** Returns the incarnations that a report shows to be over. */
-  public goneBy(
-    session: AgentSession,
-    report: AgentReport,
-  ): readonly string[] {
+  public goneBy(session: AgentSession, report: AgentReport): readonly string[] {
     const alive = report.minion?.incarnation;
     return [...this.table.minions.values()]
       .filter(({ incarnation, agent }) => {
--- a/packages/jobs/src/pace/decide-shares.ts
+++ b/packages/jobs/src/pace/decide-shares.ts
@@ -53,8 +53,8 @@
   const ascending = [...cores]
     .map(([image, amount]) => ({
       image,
-      perCore: table.harm(task.image, image),
-      whole: amount * table.harm(task.image, image),
+      perCore: table.sureHarm(task.image, image),
+      whole: amount * table.sureHarm(task.image, image),
     }))
     .sort((first, second) => first.perCore - second.perCore);
   let left = bearableHarm(task);
--- a/packages/jobs/src/pace/harm-table.ts
+++ b/packages/jobs/src/pace/harm-table.ts
@@ -3,12 +3,17 @@
 
 const MOST_HARM = 1;
 
+/** Observations after which an estimate counts as sure. */
+const SURE_AFTER = 5;
+
 /** Harm of one pair of images. */
 export interface HarmRow {
   readonly serving: string;
   readonly filling: string;
   /** Slowdown that one busy core of the filling image adds. */
   readonly harm: number;
+  /** Observations behind the estimate. */
+  readonly observations: number;
 }
 
 /** How much filling images slow serving ones down, by pair. */
@@ -20,11 +25,19 @@
     return this.harms.get(keyOf(serving, filling))?.harm ?? PRIOR_HARM;
   }
 
-  /** Changes the harm of a pair by a difference. */
+  /** Returns the same, or 0 while too little was seen of the pair. */
+  public sureHarm(serving: string, filling: string): number {
+    const row = this.harms.get(keyOf(serving, filling));
+    return row !== undefined && row.observations >= SURE_AFTER ? row.harm : 0;
+  }
+
+  /** Changes the harm of a pair by a difference that was observed. */
   public change(serving: string, filling: string, difference: number): void {
+    const key = keyOf(serving, filling);
     const changed = this.harm(serving, filling) + difference;
     const harm = Math.min(MOST_HARM, Math.max(0, changed));
-    this.harms.set(keyOf(serving, filling), { serving, filling, harm });
+    const observations = (this.harms.get(key)?.observations ?? 0) + 1;
+    this.harms.set(key, { serving, filling, harm, observations });
   }
 
   /** Returns all pairs that were seen. */
--- a/packages/jobs/src/pace/learn-from-report.ts
+++ b/packages/jobs/src/pace/learn-from-report.ts
@@ -14,6 +14,9 @@
 /** A tail that falls from above this part of its bound outlasts its cause. */
 const LASTING_STRAIN = 0.7;
 
+/** Above this many times its bound a tail no longer tells the slowdown. */
+const OVERLOADED = 1.5;
+
 interface Listed {
   readonly entry: TaskEntry;
   readonly running: RunningTask;
@@ -46,10 +49,12 @@
     tailsBefore.set(entry.name, row.gauge);
     const lasting =
       row.gauge > LASTING_STRAIN * tailTargetMilliseconds && row.gauge < before;
-    if (cores.size > 0 && !lasting) {
-      const floor = loads.floor(job);
+    const floor = loads.floor(job);
+    if (cores.size > 0 && !lasting && floor > 0) {
       const load = loadOf(loads.quietTail(job, now), floor);
-      learnHarm(harms, image, slowdownOf(row.gauge, floor, load), cores);
+      const slowdown = slowdownOf(row.gauge, floor, load);
+      const overloaded = row.gauge > OVERLOADED * tailTargetMilliseconds;
+      learnHarm(harms, image, slowdown, overloaded, cores);
     }
   }
 }
--- a/packages/jobs/src/pace/learn-harm.ts
+++ b/packages/jobs/src/pace/learn-harm.ts
@@ -14,12 +14,15 @@
  * Circuits", IRE WESCON 1960).
  *
  * @param slowdown - 1 for none.
+ * @param overloaded - The tail grows without a bound, so that it shows only the
+ * least slowdown.
  * @param cores - As of the time that the slowdown covers.
  */
 export function learnHarm(
   table: HarmTable,
   serving: string,
   slowdown: number,
+  overloaded: boolean,
   cores: FillingCores,
 ): void {
   let predicted = 0;
@@ -29,6 +32,9 @@
     norm += amount * amount;
   }
   const error = slowdown - 1 - predicted;
+  if (overloaded && error < 0) {
+    return;
+  }
   for (const [filling, amount] of cores) {
     const difference = (LEARNING_RATE * error * amount) / norm;
     table.change(serving, filling, difference);
--- a/packages/jobs/src/pace/load-watch.ts
+++ b/packages/jobs/src/pace/load-watch.ts
@@ -2,7 +2,10 @@
 const FRESH_MILLISECONDS = 1200;
 
 /** Part of the lowest tail ever seen that is service and not waiting. */
-const FLOOR_PART = 0.85;
+const FLOOR_PART = 0.8;
+
+/** The first figures of a task cover time before its start. */
+const SETTLE_MILLISECONDS = 1200;
 
 /** Steps between figures by which a rising load is carried on. */
 const STEPS_AHEAD = 1;
@@ -28,7 +31,9 @@
 export class LoadWatch {
   private readonly jobs = new Map<string, JobFigures>();
 
-  private readonly floors = new Map<string, number>();
+  private readonly lowestTails = new Map<string, number>();
+
+  private readonly firstAt = new Map<string, number>();
 
   /** Notes the tail of one task. */
   public note(
@@ -41,8 +46,13 @@
     if (tail <= 0) {
       return;
     }
-    const floor = Math.min(this.floors.get(image) ?? tail, tail * FLOOR_PART);
-    this.floors.set(image, floor);
+    const firstAt = this.firstAt.get(task) ?? now;
+    this.firstAt.set(task, firstAt);
+    if (now - firstAt < SETTLE_MILLISECONDS) {
+      return;
+    }
+    const lowestSeen = Math.min(this.lowestTails.get(image) ?? tail, tail);
+    this.lowestTails.set(image, lowestSeen);
     const figures = this.jobs.get(job) ?? {
       image,
       tails: new Map<string, Figure>(),
@@ -76,7 +86,8 @@
   /** Returns the tail of a task that never waits. */
   public floor(job: string): number {
     const figures = this.jobs.get(job);
-    return figures === undefined ? 0 : (this.floors.get(figures.image) ?? 0);
+    const seen = figures && this.lowestTails.get(figures.image);
+    return (seen ?? 0) * FLOOR_PART;
   }
 
   /** Forgets jobs that were not heard of for long. */
--- a/packages/jobs/src/plan/choose-minion.ts
+++ b/packages/jobs/src/plan/choose-minion.ts
@@ -7,15 +7,15 @@
 
 const RACK_BONUS = 4;
 
-/** Weight of expected harm against a minion's idle share. */
-const HARM_COST = 1.2;
+/** Weight of the bounds that a task endangers against a minion's idle share. */
+const HARM_COST = 1.5;
+
+/** More endangered bounds make a minion no worse. */
+const MOST_HARM = 4;
 
 /** The fewer images serve on a minion, the more can fill beside them. */
 const OTHER_IMAGE_COST = 0.6;
 
-/** A bound that is broken this many times over is not worse broken more. */
-const MOST_OVER = 2;
-
 const MILLICORES_PER_CORE = 1000;
 
 /**
@@ -45,7 +45,11 @@
   return best;
 }
 
-function fits(task: TaskEntry, service: string, room: RoomView): boolean {
+function fits(
+  task: TaskEntry,
+  service: string,
+  room: RoomView,
+): boolean {
   const { demand, specification } = task;
   const { description } = room.minion;
   const limit = specification.maximumPerMinion;
@@ -83,7 +87,7 @@
   if (specification.tailTargetMilliseconds > 0) {
     score -= OTHER_IMAGE_COST * otherImages(task, room);
   }
-  return score - HARM_COST * harmOf(task, room, harm);
+  return score - HARM_COST * Math.min(MOST_HARM, harmOf(task, room, harm));
 }
 
 /** Serving images on a minion beside the task's own. */
@@ -95,7 +99,7 @@
   return others.size;
 }
 
-/** Harm that a task adds on a minion, or meets there; 1 for a full bound. */
+/** Number of bounds that a task endangers on a minion; parts count. */
 function harmOf(
   task: TaskEntry,
   room: RoomView,
@@ -107,15 +111,13 @@
     const cores = processorMillicores / MILLICORES_PER_CORE;
     let sum = 0;
     for (const serving of room.serving) {
-      const before = fillingHarm(serving, room, harm);
       const added = harm.slowdown(serving.specification.image, image, cores);
-      const bearable = harm.bearable(serving);
-      sum += cost((before + added) / bearable) - cost(before / bearable);
+      sum += Math.min(1, added / harm.bearable(serving));
     }
     return sum;
   }
   return tailTargetMilliseconds > 0
-    ? cost(fillingHarm(task, room, harm) / harm.bearable(task))
+    ? Math.min(1, fillingHarm(task, room, harm) / harm.bearable(task))
     : 0;
 }
 
@@ -131,7 +133,3 @@
   }
   return sum;
 }
-
-function cost(over: number): number {
-  return Math.min(MOST_OVER, over) ** 2;
-}
--- a/packages/jobs/src/reconcile/apply-report.ts
+++ b/packages/jobs/src/reconcile/apply-report.ts
@@ -165,7 +165,9 @@
   report: AgentReport,
   now: number,
 ): readonly string[] {
-  const listed = new Set(report.running.map(({ task, run }) => `${task}/${run}`));
+  const listed = new Set(
+    report.running.map(({ task, run }) => `${task}/${run}`),
+  );
   const neverBegan: string[] = [];
   for (const [key, { entry, run }] of minion.runs) {
     if (listed.has(key) || mayStillBegin(entry, run, report)) {
--- a/packages/jobs/src/state/job-table.ts
+++ b/packages/jobs/src/state/job-table.ts
@@ -68,7 +68,11 @@
   }
 }
 
-function isCurrent(entry: TaskEntry, run: number, incarnation: string): boolean {
+function isCurrent(
+  entry: TaskEntry,
+  run: number,
+  incarnation: string,
+): boolean {
   return (
     entry.phase === 'assigned' &&
     entry.run === run &&
