--- a/packages/jobs/src/plan/choose-minion.ts
+++ b/packages/jobs/src/plan/choose-minion.ts
@@ -8,13 +8,13 @@
 const RACK_BONUS = 4;
 
 /** Weight of the bounds that a task endangers against a minion's idle share. */
-const HARM_COST = 1.5;
+const HARM_COST = 3;
 
 /** More endangered bounds make a minion no worse. */
 const MOST_HARM = 4;
 
 /** The fewer images serve on a minion, the more can fill beside them. */
-const OTHER_IMAGE_COST = 0.6;
+const OTHER_IMAGE_COST = 1.2;
 
 const MILLICORES_PER_CORE = 1000;
 
