--- a/packages/job-nodes/src/leader/leader-state.ts
+++ b/packages/job-nodes/src/leader/leader-state.ts
@@ -215,10 +215,6 @@
       const run = (gangRuns.get(key) ?? task.run) + 1;
       task.assign(minion.incarnation, run, minion.fencingToken, now);
       minion.hold(task, run);
-      const job = this.table.jobs.get(task.jobIdentifier);
-      if (job !== undefined) {
-        job.begun = true;
-      }
       this.table.touch(task);
     }
   }
--- a/packages/job-nodes/src/leader/leader.ts
+++ b/packages/job-nodes/src/leader/leader.ts
@@ -57,6 +57,9 @@
 
   private readonly writer: StoreWriter;
 
+  /** Starts that are stored and not sent yet. */
+  private readonly unsent: PlannedStart[] = [];
+
   private loaded = false;
 
   private closed = false;
@@ -257,6 +260,7 @@
     if (!this.isReady()) {
       return;
     }
+    this.sendUnsent();
     const now = this.options.time.now();
     const { table } = this.state;
     const { leaseMilliseconds, logger } = this.options;
@@ -324,12 +328,20 @@
   private assign(starts: readonly PlannedStart[], now: number): void {
     this.state.assign(starts, now);
     this.writer.afterStored(stored => {
-      if (stored && this.isReady()) {
-        sendStarts(this.state, starts, this.options.logger);
+      if (stored) {
+        this.unsent.push(...starts);
+        this.sendUnsent();
       }
     });
   }
 
+  /** Sends stored starts; they wait while the right to lead is in doubt. */
+  private sendUnsent(): void {
+    if (this.unsent.length > 0 && this.isReady()) {
+      sendStarts(this.state, this.unsent.splice(0), this.options.logger);
+    }
+  }
+
   private isBlocked(): boolean {
     return this.writer.blockedMilliseconds() > BLOCKED_MILLISECONDS;
   }
--- a/packages/jobs/src/reconcile/apply-report.ts
+++ b/packages/jobs/src/reconcile/apply-report.ts
@@ -60,8 +60,8 @@
   if (!isCurrent(task, minion, end.run)) {
     return acceptLateSuccess(table, task, end);
   }
-  const began = end.reason === 'done' || end.reason === 'failed';
-  if (began) {
+  job.begun = true;
+  if (end.reason === 'done' || end.reason === 'failed') {
     rateMinion(minion, end.reason === 'done', now);
   }
   END_HANDLERS[end.reason](job, task, end, now);
@@ -122,6 +122,10 @@
   if (!isCurrent(task, minion, running.run) || job.ended !== undefined) {
     return [{ task: running.task, run: running.run }];
   }
+  if (!job.begun) {
+    job.begun = true;
+    table.touch(task);
+  }
   noteProgress(task, running, now);
   return [];
 }
