--- a/packages/job-nodes/src/agent/agent-process.ts
+++ b/packages/job-nodes/src/agent/agent-process.ts
@@ -1,20 +1,7 @@
-import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
-
-import type { TimeSource } from '../time/time-source.js';
+import type { AgentOptions } from './agent-options.js';
 import { LeaderLink } from './leader-link.js';
-import type { MinionClient } from './minion-client.js';
 import { MinionDriver } from './minion-driver.js';
 
-/** What an agent needs from where it runs. */
-export interface AgentOptions {
-  readonly name: string;
-  readonly client: MinionClient;
-  readonly time: TimeSource;
-  readonly logger: (part: string) => PartLogger;
-  readonly knownEntries: () => readonly string[];
-  readonly findLeader: () => Promise<string | undefined>;
-}
-
 /** The process beside a minion. */
 export class AgentProcess {
   public readonly driver: MinionDriver;
--- a/packages/job-nodes/src/agent/leader-link.ts
+++ b/packages/job-nodes/src/agent/leader-link.ts
@@ -1,14 +1,13 @@
 import { request } from 'node:http';
 
 import { messageOf } from '@basilcourse/foundation/errors/message-of';
-import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
 import { splitAddress } from '@basilcourse/foundation/net/split-address';
 
 import type { AgentMessage } from '../lines/agent-message.js';
 import type { LeaderMessage } from '../lines/leader-message.js';
 import { readLines } from '../lines/line-reader.js';
 import { pause } from '../time/pause.js';
-import type { TimeSource } from '../time/time-source.js';
+import type { LeaderLinkOptions } from './leader-link-options.js';
 
 const BEAT_MILLISECONDS = 500;
 
@@ -19,17 +18,6 @@
 
 const MISDIRECTED = 421;
 
-/** What a link needs. */
-export interface LeaderLinkOptions {
-  readonly agent: string;
-  readonly time: TimeSource;
-  readonly logger: PartLogger;
-  readonly knownEntries: () => readonly string[];
-  /** Asks the store who leads, for when no known entry answers. */
-  readonly findLeader: () => Promise<string | undefined>;
-  readonly onMessage: (message: LeaderMessage) => void;
-}
-
 /** Keeps a stream to the leader, wherever it is. */
 export class LeaderLink {
   private readonly options: LeaderLinkOptions;
--- a/packages/job-nodes/src/agent/lease-clock.ts
+++ b/packages/job-nodes/src/agent/lease-clock.ts
@@ -10,7 +10,8 @@
 
   private readAt = Number.NaN;
 
-  private overAt = Number.NEGATIVE_INFINITY;
+  /** Infinite while a lease from before may be unknown here. */
+  private overAt = Number.POSITIVE_INFINITY;
 
   /** Notes what the minion's clock showed at the latest at a time of ours. */
   public note(clock: number, readAt: number): void {
@@ -21,7 +22,7 @@
   /** Forgets what was known of an earlier life of the minion. */
   public reset(): void {
     this.readAt = Number.NaN;
-    this.overAt = Number.NEGATIVE_INFINITY;
+    this.overAt = Number.POSITIVE_INFINITY;
   }
 
   /**
@@ -37,7 +38,9 @@
       now +
       (grantedUntil - now) * SLOWEST_CLOCK_FACTOR +
       KILL_MARGIN_MILLISECONDS;
-    this.overAt = Math.max(this.overAt, longest);
+    this.overAt = Number.isFinite(this.overAt)
+      ? Math.max(this.overAt, longest)
+      : longest;
     return Math.floor(this.clock + (grantedUntil - this.readAt));
   }
 
--- /dev/null
+++ b/packages/job-nodes/src/agent/listed-serving.ts
@@ -0,0 +1,6 @@
+import type { ServingTask } from '@basilcourse/jobs/pace/decide-shares';
+
+/** A serving task that the minion lists. */
+export interface ListedServing extends ServingTask {
+  readonly task: string;
+}
--- /dev/null
+++ b/packages/job-nodes/src/agent/minion-driver-options.ts
@@ -0,0 +1,13 @@
+import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
+import type { AgentReport } from '@basilcourse/jobs/model/agent-report';
+
+import type { TimeSource } from '../time/time-source.js';
+import type { MinionClient } from './minion-client.js';
+
+/** What a driver needs. */
+export interface MinionDriverOptions {
+  readonly client: MinionClient;
+  readonly time: TimeSource;
+  readonly logger: PartLogger;
+  readonly report: (report: AgentReport) => void;
+}
--- a/packages/job-nodes/src/agent/order-runner.ts
+++ b/packages/job-nodes/src/agent/order-runner.ts
@@ -1,13 +1,11 @@
 import { messageOf } from '@basilcourse/foundation/errors/message-of';
-import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
 import type { StartOrder } from '@basilcourse/jobs/model/start-order';
 import type { StartRefusal } from '@basilcourse/jobs/model/start-refusal';
 import type { StopOrder } from '@basilcourse/jobs/model/stop-order';
 
 import { pause } from '../time/pause.js';
-import type { TimeSource } from '../time/time-source.js';
-import type { MinionClient } from './minion-client.js';
 import type { MinionLife } from './minion-life.js';
+import type { OrderRunnerOptions } from './order-runner-options.js';
 
 /** A start without an answer is tried so often, and then revoked. */
 const START_TRIES = 2;
@@ -16,21 +14,6 @@
 
 const RETRY_MILLISECONDS = 60;
 
-/** What a runner of orders needs. */
-export interface OrderRunnerOptions {
-  readonly client: MinionClient;
-  readonly time: TimeSource;
-  readonly logger: PartLogger;
-  /** End of the lease on the minion's clock. */
-  readonly expiry: () => number | undefined;
-  readonly onRefusal: () => void;
-  readonly onStarted: (
-    life: MinionLife,
-    order: StartOrder,
-    fencingToken: number,
-  ) => void;
-}
-
 interface RevokedStart {
   readonly order: StopOrder;
   readonly token: number;
--- a/packages/job-nodes/src/agent/pacer.ts
+++ b/packages/job-nodes/src/agent/pacer.ts
@@ -1,16 +1,16 @@
 import { messageOf } from '@basilcourse/foundation/errors/message-of';
-import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
 import type { RunningTask } from '@basilcourse/jobs/model/running-task';
 import type { TaskTraits } from '@basilcourse/jobs/model/task-traits';
-import type { ServingTask } from '@basilcourse/jobs/pace/decide-shares';
 import { decideShares } from '@basilcourse/jobs/pace/decide-shares';
-import type { HarmRow } from '@basilcourse/jobs/pace/harm-table';
+import type { HarmRow } from '@basilcourse/jobs/pace/harm-row';
 import { HarmTable } from '@basilcourse/jobs/pace/harm-table';
 import type { ServingLoad } from '@basilcourse/jobs/pace/serving-load';
 import { splitTaskName } from '@basilcourse/jobs/state/split-task-name';
 
-import type { MinionClient } from './minion-client.js';
+import type { ListedServing } from './listed-serving.js';
 import type { MinionLife } from './minion-life.js';
+import type { PacerOptions } from './pacer-options.js';
+import { ServingStrain } from './serving-strain.js';
 
 /** Figures cover half a second; a decision is taken once for each. */
 const DECIDE_EVERY_MILLISECONDS = 450;
@@ -22,12 +22,6 @@
 /** Runs this far have left their start behind. */
 const AT_WORK_PERCENT = 100;
 
-/** A bound is broken for so long before neighbours are held back. */
-const PATIENCE_MILLISECONDS = 900;
-
-/** Part of its bound below which the queue of a serving task is empty. */
-const EMPTY_PART = 0.8;
-
 /** Changes of a share that are written to the log. */
 const WORTH_TELLING = 0.1;
 
@@ -39,16 +33,6 @@
 /** A task that works at less shows nothing of its full speed. */
 const LEAST_SEEN_SHARE = 0.3;
 
-/** What a pacer needs. */
-export interface PacerOptions {
-  readonly client: MinionClient;
-  readonly logger: PartLogger;
-}
-
-interface ListedServing extends ServingTask {
-  readonly task: string;
-}
-
 /** Slows filling tasks down while a neighbour that serves suffers. */
 export class Pacer {
   private readonly options: PacerOptions;
@@ -67,8 +51,7 @@
   /** Share at which the tasks of each filling image work. */
   private shares: ReadonlyMap<string, number> = new Map();
 
-  /** Since when the bounds of serving tasks are broken. */
-  private brokenSince: ReadonlyMap<string, number> = new Map();
+  private readonly strain = new ServingStrain();
 
   private decidedAt = Number.NEGATIVE_INFINITY;
 
@@ -146,7 +129,11 @@
   private decide(running: readonly RunningTask[], now: number): void {
     const serving = this.servingTasks(running);
     const cores = this.fullCores(running);
-    const shares = decideShares(this.strainedTasks(serving, now), cores, this.harms);
+    const shares = decideShares(
+      this.strain.strained(serving, now),
+      cores,
+      this.harms,
+    );
     for (const [image, share] of shares) {
       const before = this.shares.get(image) ?? 1;
       if (Math.abs(share - before) > WORTH_TELLING) {
@@ -161,29 +148,6 @@
     this.shares = shares;
   }
 
-  /**
-   * Serving tasks whose bound has been broken for a while, until their queue
-   * is empty. Estimates alone hold nobody back: work that is slowed down stays,
-   * and does its harm later.
-   */
-  private strainedTasks(
-    serving: readonly ListedServing[],
-    now: number,
-  ): readonly ListedServing[] {
-    const since = new Map<string, number>();
-    const strained = serving.filter(task => {
-      const before = this.brokenSince.get(task.task);
-      const part = before === undefined ? 1 : EMPTY_PART;
-      if (task.tail <= task.target * part) {
-        return false;
-      }
-      since.set(task.task, before ?? now);
-      return now - (before ?? now) >= PATIENCE_MILLISECONDS;
-    });
-    this.brokenSince = since;
-    return strained;
-  }
-
   private servingTasks(
     running: readonly RunningTask[],
   ): readonly ListedServing[] {
--- a/packages/job-nodes/src/configuration/queue-configuration.ts
+++ b/packages/job-nodes/src/configuration/queue-configuration.ts
@@ -1,4 +1,4 @@
-import type { QueueSettings } from '@basilcourse/jobs/model/queue-settings';
+import type { QueueEntrance } from './queue-entrance.js';
 
 /** The operators' configuration, as far as jobs need it. */
 export interface QueueConfiguration {
@@ -7,10 +7,3 @@
   readonly queues: readonly QueueEntrance[];
   readonly largestBodyBytes: number;
 }
-
-/** A queue and the way in which callers address it. */
-export interface QueueEntrance {
-  readonly host: string;
-  readonly pathPrefix: string;
-  readonly settings: QueueSettings;
-}
--- a/packages/job-nodes/src/entry/entry-process.ts
+++ b/packages/job-nodes/src/entry/entry-process.ts
@@ -1,15 +1,12 @@
 import { randomUUID } from 'node:crypto';
 import type { Server } from 'node:http';
 
-import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
 import { listenOn } from '@basilcourse/foundation/net/listen-on';
 
 import { ConfigurationHolder } from '../configuration/configuration-holder.js';
 import { Leader } from '../leader/leader.js';
 import { Leadership } from '../leadership/leadership.js';
-import type { JobStore } from '../store/job-store.js';
-import type { LeadershipLog } from '../store/leadership-log.js';
-import type { TimeSource } from '../time/time-source.js';
+import type { EntryOptions } from './entry-options.js';
 import { createInternalServer } from './internal-server.js';
 import { JobGateway } from './job-gateway.js';
 import { LeaderWatch } from './leader-watch.js';
@@ -18,20 +15,6 @@
 
 const WATCH_BEAT_MILLISECONDS = 500;
 
-/** What an entry needs from where it runs. */
-export interface EntryOptions {
-  readonly name: string;
-  /** Address for other processes of the system. */
-  readonly internalAddress: string;
-  readonly store: JobStore;
-  readonly leadershipLog: LeadershipLog;
-  readonly time: TimeSource;
-  readonly logger: (part: string) => PartLogger;
-  readonly leaseMilliseconds: number;
-  /** Addresses of entries that the settings name. */
-  readonly knownEntries: () => readonly string[];
-}
-
 /** The process that callers reach; one of all entries leads. */
 export class EntryProcess {
   public readonly configuration = new ConfigurationHolder();
--- a/packages/job-nodes/src/entry/internal-server.ts
+++ b/packages/job-nodes/src/entry/internal-server.ts
@@ -107,7 +107,7 @@
   const agent = url.searchParams.get('agent') ?? '';
   response.writeHead(200);
   response.flushHeaders();
-  const session = leader.attach(
+  const session = leader.agents.attach(
     token => new AgentSession(agent, token, response, options.time.now()),
   );
   options.logger.info('An agent has joined.', {
@@ -119,16 +119,16 @@
     line => {
       const message = line as AgentMessage;
       if (message.kind === 'report') {
-        leader.report(session, message.report);
+        leader.agents.report(session, message.report);
       }
-      leader.hear(session, message.sentAt);
+      leader.agents.hear(session, message.sentAt);
     },
     reason => {
       options.logger.info('The stream of an agent has ended.', {
         agent,
         reason,
       });
-      leader.detach(session);
+      leader.agents.detach(session);
       response.destroy();
     },
   );
--- a/packages/job-nodes/src/entry/job-gateway.ts
+++ b/packages/job-nodes/src/entry/job-gateway.ts
@@ -1,14 +1,12 @@
 import { messageOf } from '@basilcourse/foundation/errors/message-of';
-import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
 
 import { callJson } from '../http/call-json.js';
 import type { JobAnswer } from '../leader/job-answer.js';
 import type { JobCall } from '../leader/job-call.js';
-import type { Leader } from '../leader/leader.js';
 import type { LeaderRecord } from '../leadership/leader-record.js';
 import { pause } from '../time/pause.js';
-import type { TimeSource } from '../time/time-source.js';
 import type { GatewayAnswer } from './gateway-answer.js';
+import type { JobGatewayOptions } from './job-gateway-options.js';
 
 /** Pause before the leader is asked again. */
 const RETRY_MILLISECONDS = 60;
@@ -19,15 +17,6 @@
 /** Kept for the way of the answer to the caller. */
 const RESERVE_MILLISECONDS = 120;
 
-/** What a gateway needs. */
-export interface JobGatewayOptions {
-  readonly time: TimeSource;
-  readonly logger: PartLogger;
-  /** The leader in this process, if it leads. */
-  readonly localLeader: () => Leader | undefined;
-  readonly leaderRecord: () => LeaderRecord | undefined;
-}
-
 /** Passes callers' requests to the leader, wherever it is. */
 export class JobGateway {
   private readonly options: JobGatewayOptions;
--- a/packages/job-nodes/src/entry/leader-watch.ts
+++ b/packages/job-nodes/src/entry/leader-watch.ts
@@ -1,13 +1,13 @@
 import { request } from 'node:http';
 
 import { messageOf } from '@basilcourse/foundation/errors/message-of';
-import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
 import { splitAddress } from '@basilcourse/foundation/net/split-address';
 
 import { callJson } from '../http/call-json.js';
 import type { LeaderRecord } from '../leadership/leader-record.js';
 import { readLines } from '../lines/line-reader.js';
 import { pause } from '../time/pause.js';
+import type { LeaderWatchOptions } from './leader-watch-options.js';
 import type { WatchMessage } from './watch-message.js';
 
 /** A watched process that sends nothing for so long is left. */
@@ -17,19 +17,6 @@
 
 const PROBE_TIMEOUT_MILLISECONDS = 500;
 
-/** What a watch needs. */
-export interface LeaderWatchOptions {
-  readonly logger: PartLogger;
-  readonly ownAddress: string;
-  readonly ownLife: string;
-  readonly leaderRecord: () => LeaderRecord | undefined;
-  /** Addresses to ask while the leader is not known or not reached. */
-  readonly otherEntries: () => readonly string[];
-  readonly onMessage: (message: WatchMessage) => void;
-  /** The process that led under this life lives no more. */
-  readonly onGone: (life: string) => void;
-}
-
 /**
  * Watches the leader's process over an open stream, so that its end is seen at
  * once, and learns of leaders and configurations from other entries while the
--- a/packages/job-nodes/src/leader/answer-call.ts
+++ b/packages/job-nodes/src/leader/answer-call.ts
@@ -18,6 +18,12 @@
   readonly afterStored: (action: (stored: boolean) => void) => void;
 }
 
+type SubmitCall = Extract<JobCall, { readonly kind: 'submit' }>;
+
+type StatusCall = Extract<JobCall, { readonly kind: 'status' }>;
+
+type CancelCall = Extract<JobCall, { readonly kind: 'cancel' }>;
+
 /** Answers an entry's call, once what the answer says is stored. */
 export async function answerCall(
   call: JobCall,
@@ -36,7 +42,7 @@
 }
 
 async function submit(
-  call: Extract<JobCall, { kind: 'submit' }>,
+  call: SubmitCall,
   context: AnswerContext,
 ): Promise<JobAnswer> {
   const { state, now, blocked } = context;
@@ -69,7 +75,7 @@
 }
 
 async function status(
-  call: Extract<JobCall, { kind: 'status' }>,
+  call: StatusCall,
   context: AnswerContext,
 ): Promise<JobAnswer> {
   const job = findJob(call, context);
@@ -82,7 +88,7 @@
 }
 
 async function cancel(
-  call: Extract<JobCall, { kind: 'cancel' }>,
+  call: CancelCall,
   context: AnswerContext,
 ): Promise<JobAnswer> {
   const job = findJob(call, context);
--- a/packages/job-nodes/src/leader/leader-state.ts
+++ b/packages/job-nodes/src/leader/leader-state.ts
@@ -1,27 +1,20 @@
-import type { AgentReport } from '@basilcourse/jobs/model/agent-report';
 import type { QueueSettings } from '@basilcourse/jobs/model/queue-settings';
-import type { TaskTraits } from '@basilcourse/jobs/model/task-traits';
-import { traitsOf } from '@basilcourse/jobs/model/traits-of';
 import type { PlannedStart } from '@basilcourse/jobs/plan/planned-start';
 import { encodeProgress } from '@basilcourse/jobs/records/encode-progress';
 import type { JobRecord } from '@basilcourse/jobs/records/job-record';
 import type { JobEntry } from '@basilcourse/jobs/state/job-entry';
 import { JobTable } from '@basilcourse/jobs/state/job-table';
-import type { MinionEntry } from '@basilcourse/jobs/state/minion-entry';
 import type { TaskEntry } from '@basilcourse/jobs/state/task-entry';
 
 import type { QueueConfiguration } from '../configuration/queue-configuration.js';
 import type { StoredValue } from '../store/stored-value.js';
-import type { AgentSession } from './agent-session.js';
+import { AgentSessions } from './agent-sessions.js';
 import { InterferenceWatch } from './interference-watch.js';
 import { JOB_KEY_PREFIX, PROGRESS_KEY_PREFIX } from './record-keys.js';
 
 /** Fencing tokens that one epoch can give. */
 const TOKENS_PER_EPOCH = 1_000_000;
 
-/** A stream that was silent for longer is closed. */
-const SILENT_MILLISECONDS = 2000;
-
 /** Ended jobs are kept for so long. */
 const KEEP_ENDED_MILLISECONDS = 150_000;
 
@@ -31,7 +24,7 @@
 
   public readonly interference = new InterferenceWatch();
 
-  private readonly sessions = new Map<string, AgentSession>();
+  public readonly sessions = new AgentSessions(this.table);
 
   private readonly newJobs: JobEntry[] = [];
 
@@ -95,112 +88,6 @@
     return values;
   }
 
-  /** Takes up a stream; an earlier one of the agent ends. */
-  public attach(session: AgentSession): void {
-    this.sessions.get(session.agent)?.close();
-    this.sessions.set(session.agent, session);
-  }
-
-  /** Notes that a stream has ended. */
-  public detach(session: AgentSession): void {
-    session.open = false;
-    if (this.sessions.get(session.agent) === session) {
-      this.sessions.delete(session.agent);
-      const minion = this.table.minions.get(session.incarnation);
-      if (minion !== undefined) {
-        minion.connected = false;
-      }
-    }
-  }
-
-  /** Notes that an agent was heard. */
-  public hear(session: AgentSession, now: number): void {
-    session.heardAt = now;
-    const minion = this.table.minions.get(session.incarnation);
-    if (minion !== undefined) {
-      minion.heardAt = now;
-    }
-  }
-
-  /** Ends the streams of agents that are silent. */
-  public closeSilent(now: number): void {
-    for (const session of [...this.sessions.values()]) {
-      if (now - session.heardAt > SILENT_MILLISECONDS) {
-        session.close();
-        this.detach(session);
-      }
-    }
-  }
-
-  /** Ends all streams. */
-  public closeSessions(): void {
-    for (const session of this.sessions.values()) {
-      session.close();
-    }
-    this.sessions.clear();
-  }
-
-  /** Returns the stream of the agent beside a task's minion. */
-  public sessionOf(task: TaskEntry): AgentSession | undefined {
-    const minion = this.table.minions.get(task.incarnation);
-    const session = minion && this.sessions.get(minion.agent);
-    return session?.incarnation === task.incarnation ? session : undefined;
-  }
-
-  /** Returns the incarnations that a report shows to be over. */
-  public goneBy(session: AgentSession, report: AgentReport): readonly string[] {
-    const alive = report.minion?.incarnation;
-    return [...this.table.minions.values()]
-      .filter(({ incarnation, agent }) => {
-        const replaced =
-          alive !== undefined &&
-          incarnation !== alive &&
-          (agent === session.agent ||
-            incarnation.startsWith(`${session.agent}|`));
-        return replaced || report.gone.includes(incarnation);
-      })
-      .map(({ incarnation }) => incarnation);
-  }
-
-  /** The stream has reported this life of its minion before. */
-  public isKnownTo(session: AgentSession, report: AgentReport): boolean {
-    return session.incarnation === (report.minion?.incarnation ?? '');
-  }
-
-  /** Returns what is known of the tasks that a report lists as running. */
-  public traitsFor({ running }: AgentReport): readonly KnownTask[] {
-    return running.flatMap(({ task }) => {
-      const entry = this.table.task(task);
-      return entry === undefined
-        ? []
-        : [{ task, traits: traitsOf(entry.specification) }];
-    });
-  }
-
-  /** Notes what a report says of the minion itself. */
-  public takeReport(
-    session: AgentSession,
-    report: AgentReport,
-    now: number,
-  ): MinionEntry | undefined {
-    session.heardAt = now;
-    if (report.minion === null) {
-      session.incarnation = '';
-      return undefined;
-    }
-    session.incarnation = report.minion.incarnation;
-    const minion = this.table.minion(report.minion.incarnation, now);
-    minion.description = report.minion;
-    minion.agent = session.agent;
-    minion.connected = true;
-    if (minion.fencingToken !== report.fencingToken) {
-      repeatStops(minion);
-    }
-    minion.fencingToken = report.fencingToken;
-    minion.heardAt = now;
-    return minion;
-  }
-
   /** Puts tasks on the minions chosen for them. */
   public assign(starts: readonly PlannedStart[], now: number): void {
     const gangRuns = new Map<string, number>();
@@ -248,20 +135,6 @@
   }
 }
 
-interface KnownTask {
-  readonly task: string;
-  readonly traits: TaskTraits;
-}
-
-/** Lets stops be sent again, as those of an ended stream may be lost. */
-function repeatStops(minion: MinionEntry): void {
-  for (const { entry, run } of minion.runs.values()) {
-    if (entry.run === run) {
-      entry.stopping = false;
-    }
-  }
-}
-
 function jobValue(job: JobEntry): StoredValue {
   const { specification, queue, acceptedAt } = job;
   const record: JobRecord = { specification, queue, acceptedAt };
--- a/packages/job-nodes/src/leader/send-starts.ts
+++ b/packages/job-nodes/src/leader/send-starts.ts
@@ -1,9 +1,9 @@
 import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
 import type { StartOrder } from '@basilcourse/jobs/model/start-order';
+import { traitsOf } from '@basilcourse/jobs/model/traits-of';
 import type { PlannedStart } from '@basilcourse/jobs/plan/planned-start';
 import type { TaskEntry } from '@basilcourse/jobs/state/task-entry';
 
-import { traitsOf } from '@basilcourse/jobs/model/traits-of';
 import type { AgentSession } from './agent-session.js';
 import type { LeaderState } from './leader-state.js';
 
@@ -20,7 +20,7 @@
   const orders = new Map<AgentSession, StartOrder[]>();
   for (const { task, minion } of starts) {
     const job = state.table.jobs.get(task.jobIdentifier);
-    const session = state.sessionOf(task);
+    const session = state.sessions.of(task);
     if (task.phase !== 'assigned' || job === undefined) {
       continue;
     }
--- /dev/null
+++ b/packages/job-nodes/src/leader/store-writer-options.ts
@@ -0,0 +1,17 @@
+import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
+
+import type { JobStore } from '../store/job-store.js';
+import type { StoredValue } from '../store/stored-value.js';
+import type { TimeSource } from '../time/time-source.js';
+
+/** What a writer needs. */
+export interface StoreWriterOptions {
+  readonly store: JobStore;
+  readonly epoch: number;
+  readonly time: TimeSource;
+  readonly logger: PartLogger;
+  /** Returns the values that have changed since the last call. */
+  readonly collect: () => readonly StoredValue[];
+  /** A leader with a higher epoch writes now. */
+  readonly onFenced: () => void;
+}
--- a/packages/job-nodes/src/leader/store-writer.ts
+++ b/packages/job-nodes/src/leader/store-writer.ts
@@ -1,28 +1,14 @@
 import { messageOf } from '@basilcourse/foundation/errors/message-of';
-import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
 
-import type { JobStore } from '../store/job-store.js';
 import type { StoredValue } from '../store/stored-value.js';
 import { pause } from '../time/pause.js';
-import type { TimeSource } from '../time/time-source.js';
+import type { StoreWriterOptions } from './store-writer-options.js';
 
 /** Changes are gathered for so long before they are stored together. */
 const GATHER_MILLISECONDS = 12;
 
 const RETRY_MILLISECONDS = 60;
 
-/** What a writer needs. */
-export interface StoreWriterOptions {
-  readonly store: JobStore;
-  readonly epoch: number;
-  readonly time: TimeSource;
-  readonly logger: PartLogger;
-  /** Returns the values that have changed since the last call. */
-  readonly collect: () => readonly StoredValue[];
-  /** A leader with a higher epoch writes now. */
-  readonly onFenced: () => void;
-}
-
 /**
  * Stores changes in order, one call at a time, and then does what had to wait
  * for them. A call without an answer is repeated under its number until it has
--- a/packages/job-nodes/src/leadership/leadership.ts
+++ b/packages/job-nodes/src/leadership/leadership.ts
@@ -1,11 +1,9 @@
 import { messageOf } from '@basilcourse/foundation/errors/message-of';
-import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
 
-import type { LeadershipLog } from '../store/leadership-log.js';
 import { pause } from '../time/pause.js';
-import type { TimeSource } from '../time/time-source.js';
 import { shouldClaim } from './decide-claim.js';
 import type { LeaderRecord } from './leader-record.js';
+import type { LeadershipOptions } from './leadership-options.js';
 
 const RENEW_EVERY_MILLISECONDS = 500;
 
@@ -16,19 +14,6 @@
 
 const RETRY_MILLISECONDS = 200;
 
-/** Who this process is, and what happens as the lead changes. */
-export interface LeadershipOptions {
-  readonly name: string;
-  readonly life: string;
-  readonly address: string;
-  readonly log: LeadershipLog;
-  readonly time: TimeSource;
-  readonly logger: PartLogger;
-  readonly onWon: (epoch: number) => void;
-  readonly onLost: (reason: string) => void;
-  readonly onLeader: (record: LeaderRecord) => void;
-}
-
 /** Follows who leads, claims the lead, and renews it. */
 export class Leadership {
   /** Newest record known. */
@@ -133,13 +118,14 @@
   }
 
   private followFor(): number {
-    const free =
-      this.record === undefined ||
-      this.record.resigned ||
-      this.record.life === this.goneLife;
+    const free = this.record?.resigned !== false || this.isProvenGone();
     return free ? Math.min(50, FOLLOW_MILLISECONDS) : FOLLOW_MILLISECONDS;
   }
 
+  private isProvenGone(): boolean {
+    return this.record?.life === this.goneLife;
+  }
+
   private mayClaim(): boolean {
     const { name, life, time } = this.options;
     return shouldClaim({
@@ -147,8 +133,7 @@
       silentMilliseconds: time.steady() - this.readAt,
       ownName: name,
       ownLife: life,
-      provenGone:
-        this.record !== undefined && this.record.life === this.goneLife,
+      provenGone: this.isProvenGone(),
       courtesyMilliseconds: this.courtesyMilliseconds,
     });
   }
--- a/packages/job-nodes/src/lines/leader-message.ts
+++ b/packages/job-nodes/src/lines/leader-message.ts
@@ -1,7 +1,7 @@
 import type { StartOrder } from '@basilcourse/jobs/model/start-order';
 import type { StopOrder } from '@basilcourse/jobs/model/stop-order';
 import type { TaskTraits } from '@basilcourse/jobs/model/task-traits';
-import type { HarmRow } from '@basilcourse/jobs/pace/harm-table';
+import type { HarmRow } from '@basilcourse/jobs/pace/harm-row';
 import type { ServingLoad } from '@basilcourse/jobs/pace/serving-load';
 
 /** What the leader sends to an agent, one message a line. */
--- a/packages/jobs/src/pace/harm-table.ts
+++ b/packages/jobs/src/pace/harm-table.ts
@@ -1,3 +1,4 @@
+import type { HarmRow } from './harm-row.js';
 /** Harm assumed of a pair of images that was never seen together. */
 const PRIOR_HARM = 0.03;
 
@@ -6,15 +7,6 @@
 /** Observations after which an estimate counts as sure. */
 const SURE_AFTER = 5;
 
-/** Harm of one pair of images. */
-export interface HarmRow {
-  readonly serving: string;
-  readonly filling: string;
-  /** Slowdown that one busy core of the filling image adds. */
-  readonly harm: number;
-  /** Observations behind the estimate. */
-  readonly observations: number;
-}
 
 /** How much filling images slow serving ones down, by pair. */
 export class HarmTable {
--- a/packages/jobs/src/pace/load-watch.ts
+++ b/packages/jobs/src/pace/load-watch.ts
@@ -20,8 +20,8 @@
 interface JobFigures {
   readonly image: string;
   readonly tails: Map<string, Figure>;
-  previous: Figure;
-  newest: Figure;
+  readonly previous: Figure;
+  readonly newest: Figure;
 }
 
 /**
@@ -62,8 +62,11 @@
     this.jobs.set(job, figures);
     figures.tails.set(task, { tail, at: now });
     if (now - figures.newest.at >= STEP_MILLISECONDS) {
-      figures.previous = figures.newest;
-      figures.newest = { tail: lowest(figures, now), at: now };
+      this.jobs.set(job, {
+        ...figures,
+        previous: figures.newest,
+        newest: { tail: lowest(figures, now), at: now },
+      });
     }
   }
 
--- a/packages/jobs/src/plan/choose-minion.ts
+++ b/packages/jobs/src/plan/choose-minion.ts
@@ -45,11 +45,7 @@
   return best;
 }
 
-function fits(
-  task: TaskEntry,
-  service: string,
-  room: RoomView,
-): boolean {
+function fits(task: TaskEntry, service: string, room: RoomView): boolean {
   const { demand, specification } = task;
   const { description } = room.minion;
   const limit = specification.maximumPerMinion;
@@ -100,11 +96,7 @@
 }
 
 /** Number of bounds that a task endangers on a minion; parts count. */
-function harmOf(
-  task: TaskEntry,
-  room: RoomView,
-  harm: HarmEstimate,
-): number {
+function harmOf(task: TaskEntry, room: RoomView, harm: HarmEstimate): number {
   const { image, filling, processorMillicores, tailTargetMilliseconds } =
     task.specification;
   if (filling) {
--- a/packages/jobs/src/plan/plan-starts.ts
+++ b/packages/jobs/src/plan/plan-starts.ts
@@ -74,13 +74,7 @@
   const starts: PlannedStart[] = [];
   for (const task of tasks) {
     const rack = preferredRack(task, starts);
-    const room = chooseMinion(
-      task,
-      job.queue.service,
-      candidates,
-      rack,
-      harm,
-    );
+    const room = chooseMinion(task, job.queue.service, candidates, rack, harm);
     if (room === undefined) {
       break;
     }
