--- a/packages/job-nodes/src/agent/minion-driver.ts
+++ b/packages/job-nodes/src/agent/minion-driver.ts
@@ -42,6 +42,8 @@
 
   private leaseMilliseconds = 0;
 
+  private stopped = false;
+
   private grantedUntil = Number.NEGATIVE_INFINITY;
 
   public constructor(options: MinionDriverOptions) {
@@ -121,9 +123,14 @@
     }
   }
 
-  /** Looks at the minion, again and again, until the process ends. */
+  /** Ends the looking. */
+  public stop(): void {
+    this.stopped = true;
+  }
+
+  /** Looks at the minion, again and again, until it is stopped. */
   public async run(): Promise<void> {
-    for (;;) {
+    while (!this.isStopped()) {
       const { life } = this;
       if (life === undefined || this.fencingToken === 0) {
         await pause(RETRY_MILLISECONDS / 2);
@@ -173,6 +180,10 @@
       : LOOK_WAIT_MILLISECONDS;
   }
 
+  private isStopped(): boolean {
+    return this.stopped;
+  }
+
   private expiry(): number | undefined {
     return this.lease.expiryFor(this.grantedUntil, this.options.time.steady());
   }
--- /dev/null
+++ b/packages/job-nodes/tests/support/fake-minion.ts
@@ -0,0 +1,239 @@
+import { PeerRefusedError } from '@basilcourse/foundation/errors/peer-refused-error';
+import { PeerUnreachableError } from '@basilcourse/foundation/errors/peer-unreachable-error';
+import type { RandomSource } from '@basilcourse/foundation/random/random-source';
+import type { EndReason } from '@basilcourse/jobs/model/end-reason';
+import type { RunEnd } from '@basilcourse/jobs/model/run-end';
+
+import type { MinionClient } from '../../src/agent/minion-client.js';
+import type { MinionLife } from '../../src/agent/minion-life.js';
+import { WrongMinionError } from '../../src/agent/wrong-minion-error.js';
+import { pause } from '../../src/time/pause.js';
+import type { Witness } from './witness.js';
+
+const STOP_MILLISECONDS = 40;
+
+const ANSWER_TIMEOUT_MILLISECONDS = 60;
+
+const CHECK_MILLISECONDS = 15;
+
+interface Run {
+  readonly task: string;
+  readonly run: number;
+  readonly endsAt: number;
+}
+
+/** What is drawn for each run and each order. */
+export interface FakeMinionFaults {
+  readonly random: RandomSource;
+  /** Share of the starts that get no answer and are carried out late. */
+  readonly lateShare: () => number;
+  readonly workMilliseconds: () => number;
+}
+
+/** A minion as its agent calls it: fenced, leased, with listed ends. */
+export class FakeMinion implements MinionClient {
+  public life: MinionLife;
+
+  private readonly witness: Witness;
+
+  private readonly faults: FakeMinionFaults;
+
+  private fencingToken = 0;
+
+  private leaseUntil = Number.POSITIVE_INFINITY;
+
+  private readonly runs = new Map<string, Run>();
+
+  private readonly highestRuns = new Map<string, number>();
+
+  private ends: RunEnd[] = [];
+
+  private nextEnd = 1;
+
+  private births = 0;
+
+  public constructor(
+    name: string,
+    witness: Witness,
+    faults: FakeMinionFaults,
+    capacity: number,
+  ) {
+    this.witness = witness;
+    this.faults = faults;
+    this.life = makeLife(name, 0, capacity);
+    setInterval(() => {
+      this.check();
+    }, CHECK_MILLISECONDS).unref();
+  }
+
+  /** Ends this life with all that runs, and begins another. */
+  public crash(): void {
+    for (const run of this.runs.values()) {
+      this.witness.ended(this.seen(run), false);
+    }
+    this.runs.clear();
+    this.highestRuns.clear();
+    this.ends = [];
+    this.nextEnd = 1;
+    this.fencingToken = 0;
+    this.births += 1;
+    const { capacity } = this.life.description;
+    const [name = ''] = this.life.identifier.split('#');
+    this.life = makeLife(name, this.births, capacity.processorMillicores);
+  }
+
+  public start: MinionClient['start'] = async (life, order, expiresAt, token) => {
+    const { random, lateShare } = this.faults;
+    if (random.next() < lateShare()) {
+      void pause(200 + random.next() * 1500).then(() => {
+        this.begin(life, order, expiresAt, token);
+      });
+      await pause(ANSWER_TIMEOUT_MILLISECONDS);
+      throw new PeerUnreachableError('minion.start', 'fake', 'no answer');
+    }
+    await pause(1);
+    this.checkLife(life);
+    return this.begin(life, order, expiresAt, token);
+  };
+
+  public stop: MinionClient['stop'] = async (life, { task, run }, token) => {
+    await pause(1);
+    this.checkLife(life);
+    this.checkToken('minion.stop', token);
+    this.raiseRun(task, run);
+    if (this.runs.get(task)?.run === run) {
+      await pause(STOP_MILLISECONDS);
+      this.end(task, run, 'stopped');
+    }
+  };
+
+  public look: MinionClient['look'] = async (life, look) => {
+    await pause(1);
+    this.checkLife(life);
+    this.checkToken('minion.look', look.fencingToken);
+    for (const { number, task, reason } of this.ends) {
+      if (number <= look.endsThrough && reason === 'done') {
+        this.witness.notedDone.add(task);
+      }
+    }
+    this.ends = this.ends.filter(({ number }) => number > look.endsThrough);
+    if (look.expiresAt !== undefined) {
+      const before = Number.isFinite(this.leaseUntil) ? this.leaseUntil : 0;
+      this.leaseUntil = Math.max(before, look.expiresAt);
+    }
+    const until = performance.now() + look.waitMilliseconds;
+    while (this.ends.length === 0 && performance.now() < until) {
+      await pause(5);
+      this.checkLife(life);
+    }
+    return {
+      clock: performance.now(),
+      running: [...this.runs.values()].map(({ task, run, endsAt }) => ({
+        task,
+        run,
+        checkpoint: '',
+        percent: Math.round(Math.max(0, 100 - (endsAt - performance.now()) / 10)),
+        gauge: 0,
+      })),
+      ends: this.ends.slice(),
+    };
+  };
+
+  public pace: MinionClient['pace'] = async () => {
+    await pause(1);
+  };
+
+  private begin(
+    life: MinionLife,
+    { task, run }: { readonly task: string; readonly run: number },
+    expiresAt: number,
+    token: number,
+  ): Awaited<ReturnType<MinionClient['start']>> {
+    if (life.identifier !== this.life.identifier || token < this.fencingToken) {
+      return { kind: 'refused', reason: 'fence' };
+    }
+    this.fencingToken = token;
+    if (this.runs.get(task)?.run === run) {
+      return { kind: 'started' };
+    }
+    if (run <= (this.highestRuns.get(task) ?? 0)) {
+      return { kind: 'refused', reason: 'old' };
+    }
+    if (expiresAt <= performance.now()) {
+      return { kind: 'refused', reason: 'late' };
+    }
+    const before = Number.isFinite(this.leaseUntil) ? this.leaseUntil : 0;
+    this.leaseUntil = Math.max(before, expiresAt);
+    this.raiseRun(task, run);
+    const endsAt = performance.now() + this.faults.workMilliseconds();
+    this.runs.set(task, { task, run, endsAt });
+    this.witness.started({ task, run, minion: this.life.identifier });
+    return { kind: 'started' };
+  }
+
+  private check(): void {
+    const now = performance.now();
+    for (const { task, run, endsAt } of [...this.runs.values()]) {
+      if (now >= endsAt) {
+        this.end(task, run, this.faults.random.next() < 0.05 ? 'failed' : 'done');
+      } else if (now >= this.leaseUntil) {
+        this.end(task, run, 'lapsed');
+      }
+    }
+  }
+
+  private end(task: string, run: number, reason: EndReason): void {
+    const known = this.runs.get(task);
+    if (known?.run !== run) {
+      return;
+    }
+    this.runs.delete(task);
+    this.witness.ended(this.seen(known), reason === 'done');
+    this.ends.push({ number: this.nextEnd, task, run, reason, checkpoint: '' });
+    this.nextEnd += 1;
+  }
+
+  private seen({ task, run }: Run): {
+    readonly task: string;
+    readonly run: number;
+    readonly minion: string;
+  } {
+    return { task, run, minion: this.life.identifier };
+  }
+
+  private raiseRun(task: string, run: number): void {
+    this.highestRuns.set(task, Math.max(run, this.highestRuns.get(task) ?? 0));
+  }
+
+  private checkLife(life: MinionLife): void {
+    if (life.identifier !== this.life.identifier) {
+      throw new WrongMinionError('minion.call', this.life.identifier);
+    }
+  }
+
+  private checkToken(step: string, token: number): void {
+    if (token < this.fencingToken) {
+      throw new PeerRefusedError(step, this.life.identifier, 409, 'fence');
+    }
+    this.fencingToken = token;
+  }
+}
+
+function makeLife(name: string, birth: number, capacity: number): MinionLife {
+  return {
+    identifier: `${name}#${birth}`,
+    description: {
+      incarnation: `${name}|${name}#${birth}|${birth}`,
+      service: 'service',
+      zone: 'zone',
+      capacity: {
+        processorMillicores: capacity,
+        memoryMegabytes: 10_000,
+        accelerators: 0,
+      },
+      labels: ['kind', 'rack'],
+      draining: false,
+      remainingMilliseconds: 0,
+    },
+  };
+}
--- a/packages/jobs/src/reconcile/apply-report.ts
+++ b/packages/jobs/src/reconcile/apply-report.ts
@@ -58,7 +58,7 @@
     return false;
   }
   if (!isCurrent(task, minion, end.run)) {
-    return acceptLateSuccess(table, task, end);
+    return acceptLateSuccess(table, task, end, now);
   }
   job.begun = true;
   if (end.reason === 'done' || end.reason === 'failed') {
@@ -78,6 +78,7 @@
   table: JobTable,
   task: TaskEntry,
   end: RunEnd,
+  now: number,
 ): boolean {
   const counts =
     end.reason === 'done' &&
@@ -86,6 +87,7 @@
     end.run === task.run;
   if (counts) {
     task.finish('done');
+    table.jobs.get(task.jobIdentifier)?.endIfOver(now);
     table.touch(task);
   }
   return counts;
--- /dev/null
+++ b/packages/jobs/tests/reconcile/apply-report.test.ts
@@ -0,0 +1,184 @@
+import t from 'tap';
+
+import type { AgentReport } from '../../src/model/agent-report.js';
+import type { EndReason } from '../../src/model/end-reason.js';
+import type { RunEnd } from '../../src/model/run-end.js';
+import { applyReport } from '../../src/reconcile/apply-report.js';
+import { JobTable } from '../../src/state/job-table.js';
+import { addJob } from '../support/add-job.js';
+import { addMinion } from '../support/add-minion.js';
+import { firstTask } from '../support/first-task.js';
+import { makeStep } from '../support/make-step.js';
+import { startOn } from '../support/start-on.js';
+
+function makeReport(fields: Partial<AgentReport> = {}): AgentReport {
+  return {
+    fencingToken: 1,
+    minion: null,
+    running: [],
+    ends: [],
+    refusals: [],
+    gone: [],
+    ...fields,
+  };
+}
+
+function makeEnd(task: string, run: number, reason: EndReason): RunEnd {
+  return { number: 1, task, run, reason, checkpoint: 'kept' };
+}
+
+function listed(task: string, run: number): AgentReport['running'][number] {
+  return { task, run, checkpoint: '', percent: 5, gauge: 0 };
+}
+
+t.test('the end of a current run', t => {
+  const cases: readonly [EndReason, string, number][] = [
+    ['done', 'done', 0],
+    ['failed', 'waiting', 1],
+    ['stopped', 'waiting', 0],
+    ['lapsed', 'waiting', 0],
+    ['broken', 'waiting', 0],
+    ['alone', 'waiting', 0],
+  ];
+  for (const [reason, phase, failedRuns] of cases) {
+    const table = new JobTable();
+    const minion = addMinion(table, 'a');
+    const task = firstTask(addJob(table, 'j', [makeStep()]));
+    startOn(minion, task);
+    const ends = [makeEnd(task.name, 1, reason)];
+    applyReport(table, minion, makeReport({ ends }), 0);
+    t.equal(task.phase, phase, `${reason}: the phase`);
+    t.equal(task.failedRuns, failedRuns, `${reason}: failed runs`);
+    t.equal(minion.runs.size, 0, `${reason}: the room is free`);
+    t.ok(table.changed.has('j'), `${reason}: the change is to be stored`);
+  }
+  t.end();
+});
+
+t.test('only faults use up the attempts of a task', t => {
+  const table = new JobTable();
+  const minion = addMinion(table, 'a');
+  const job = addJob(table, 'j', [makeStep()]);
+  const task = firstTask(job);
+  for (const reason of ['lapsed', 'failed', 'stopped', 'failed'] as const) {
+    t.equal(job.status === 'failed', false);
+    startOn(minion, task);
+    const ends = [makeEnd(task.name, task.run, reason)];
+    applyReport(table, minion, makeReport({ ends }), 0);
+  }
+  t.equal(job.status, 'failed');
+  t.end();
+});
+
+t.test('a task that lasts starts again however it ends', t => {
+  for (const reason of ['done', 'failed', 'lapsed'] as const) {
+    const table = new JobTable();
+    const minion = addMinion(table, 'a');
+    const job = addJob(table, 'j', [makeStep({ longRunning: true })]);
+    const task = firstTask(job);
+    for (let run = 1; run <= 5; run += 1) {
+      startOn(minion, task);
+      const ends = [makeEnd(task.name, run, reason)];
+      applyReport(table, minion, makeReport({ ends }), 0);
+    }
+    t.equal(task.phase, 'waiting', reason);
+    t.equal(job.ended, undefined, reason);
+  }
+  t.end();
+});
+
+t.test('an end of an earlier run changes nothing of a later one', t => {
+  const table = new JobTable();
+  const old = addMinion(table, 'old');
+  const minion = addMinion(table, 'new');
+  const task = firstTask(addJob(table, 'j', [makeStep()]));
+  startOn(old, task);
+  table.forgetMinion('old', 0);
+  startOn(minion, task);
+  const ends = [makeEnd(task.name, 1, 'done')];
+  applyReport(table, table.minion('old', 0), makeReport({ ends }), 0);
+  t.equal(task.phase, 'assigned');
+  t.equal(task.run, 2);
+  t.end();
+});
+
+t.test('a run given up too early that was done counts, if none followed', t => {
+  const table = new JobTable();
+  const minion = addMinion(table, 'a');
+  const job = addJob(table, 'j', [makeStep()]);
+  const task = firstTask(job);
+  startOn(minion, task);
+  table.forgetMinion('a', 0);
+  const ends = [makeEnd(task.name, 1, 'done')];
+  applyReport(table, table.minion('a', 0), makeReport({ ends }), 0);
+  t.equal(job.status, 'completed');
+  t.end();
+});
+
+t.test('an order of this stream may still begin, one of an older not', t => {
+  const table = new JobTable();
+  const minion = addMinion(table, 'a');
+  const task = firstTask(addJob(table, 'j', [makeStep()]));
+  startOn(minion, task, 7);
+  applyReport(table, minion, makeReport({ fencingToken: 7 }), 0);
+  t.equal(task.phase, 'assigned');
+  const outcome = applyReport(table, minion, makeReport({ fencingToken: 8 }), 0);
+  t.equal(task.phase, 'waiting');
+  t.same(outcome.neverBegan, [task.name]);
+  t.equal(task.run, 1, 'the number stays used');
+  t.end();
+});
+
+t.test('runs that have no business there are stopped and counted', t => {
+  const table = new JobTable();
+  const minion = addMinion(table, 'a');
+  const job = addJob(table, 'j', [makeStep()]);
+  const task = firstTask(job);
+  startOn(addMinion(table, 'b'), task);
+  const running = [listed(task.name, 9), listed('unknown.0.0.0', 1)];
+  const outcome = applyReport(table, minion, makeReport({ running }), 0);
+  t.same(outcome.stops, [
+    { task: task.name, run: 9 },
+    { task: 'unknown.0.0.0', run: 1 },
+  ]);
+  t.equal(minion.used.processorMillicores, 1000);
+  t.end();
+});
+
+t.test('a job is begun once a run is listed, not when it is assigned', t => {
+  const table = new JobTable();
+  const minion = addMinion(table, 'a');
+  const job = addJob(table, 'j', [makeStep()]);
+  const task = firstTask(job);
+  startOn(minion, task);
+  t.equal(job.status, 'queued');
+  const running = [listed(task.name, 1)];
+  applyReport(table, minion, makeReport({ running }), 0);
+  t.equal(job.status, 'running');
+  t.end();
+});
+
+t.test('a refusal sets the task free and rests the minion', t => {
+  const table = new JobTable();
+  const minion = addMinion(table, 'a');
+  const task = firstTask(addJob(table, 'j', [makeStep()]));
+  startOn(minion, task);
+  const refusals = [{ task: task.name, run: 1, reason: 'room' }];
+  applyReport(table, minion, makeReport({ refusals }), 50);
+  t.equal(task.phase, 'waiting');
+  t.ok(minion.restsUntil > 50);
+  t.end();
+});
+
+t.test('one end done stands for the whole gang', t => {
+  const table = new JobTable();
+  const minion = addMinion(table, 'a');
+  const job = addJob(table, 'j', [makeStep({ gang: true, taskCount: 3 })]);
+  for (let index = 0; index < 3; index += 1) {
+    startOn(minion, firstTask(job, 0, index));
+  }
+  const ends = [makeEnd('j.0.0.1', 1, 'done')];
+  applyReport(table, minion, makeReport({ ends }), 0);
+  t.equal(job.status, 'completed');
+  t.end();
+});
