--- a/packages/job-nodes/src/agent/listed-serving.ts
+++ b/packages/job-nodes/src/agent/listed-serving.ts
@@ -1,6 +1,9 @@
 import type { ServingTask } from '@basilcourse/jobs/pace/decide-shares';
 
 /** A serving task that the minion lists. */
-export interface ListedServing extends ServingTask {
+export interface ListedServing extends Omit<
+  ServingTask,
+  'strainedMilliseconds'
+> {
   readonly task: string;
 }
--- a/packages/job-nodes/src/agent/pacer.ts
+++ b/packages/job-nodes/src/agent/pacer.ts
@@ -2,6 +2,7 @@
 import type { RunningTask } from '@basilcourse/jobs/model/running-task';
 import type { TaskTraits } from '@basilcourse/jobs/model/task-traits';
 import { decideShares } from '@basilcourse/jobs/pace/decide-shares';
+import type { FillingDemand } from '@basilcourse/jobs/pace/filling-demand';
 import type { HarmRow } from '@basilcourse/jobs/pace/harm-row';
 import { HarmTable } from '@basilcourse/jobs/pace/harm-table';
 import type { ServingLoad } from '@basilcourse/jobs/pace/serving-load';
@@ -128,10 +129,10 @@
 
   private decide(running: readonly RunningTask[], now: number): void {
     const serving = this.servingTasks(running);
-    const cores = this.fullCores(running);
+    const filling = this.fillingDemand(running);
     const shares = decideShares(
-      this.strain.strained(serving, now),
-      cores,
+      this.strain.add(serving, now),
+      filling,
       this.harms,
     );
     for (const [image, share] of shares) {
@@ -165,22 +166,25 @@
     });
   }
 
-  /** Cores that the tasks of each filling image would use at full speed. */
-  private fullCores(
+  /** What the tasks of each filling image would use at full speed. */
+  private fillingDemand(
     running: readonly RunningTask[],
-  ): ReadonlyMap<string, number> {
-    const cores = new Map<string, number>();
+  ): ReadonlyMap<string, FillingDemand> {
+    const demand = new Map<string, FillingDemand>();
     for (const run of running) {
       const traits = this.traits.get(run.task);
       if (traits?.filling) {
         const share = (this.told.get(keyOf(run)) ?? WHOLE) / WHOLE;
         const seen = share > LEAST_SEEN_SHARE ? run.gauge / share : 0;
         const millicores = Math.max(seen, traits.processorMillicores);
-        const before = cores.get(traits.image) ?? 0;
-        cores.set(traits.image, before + millicores / MILLICORES_PER_CORE);
+        const before = demand.get(traits.image)?.cores ?? 0;
+        demand.set(traits.image, {
+          cores: before + millicores / MILLICORES_PER_CORE,
+          coresPerTask: traits.processorMillicores / MILLICORES_PER_CORE,
+        });
       }
     }
-    return cores;
+    return demand;
   }
 
   private isFilling({ task }: RunningTask): boolean {
--- a/packages/job-nodes/src/agent/serving-strain.ts
+++ b/packages/job-nodes/src/agent/serving-strain.ts
@@ -1,36 +1,35 @@
-import type { ListedServing } from './listed-serving.js';
+import type { ServingTask } from '@basilcourse/jobs/pace/decide-shares';
 
-/** A bound is broken for so long before neighbours are held back. */
-const PATIENCE_MILLISECONDS = 900;
+import type { ListedServing } from './listed-serving.js';
 
 /** Part of its bound below which the queue of a serving task is empty. */
 const EMPTY_PART = 0.8;
 
-/** Tells which serving tasks are over their bounds and stay so. */
+/** Tells for how long the bounds of serving tasks are broken. */
 export class ServingStrain {
   /** Since when the bounds of serving tasks are broken. */
   private brokenSince: ReadonlyMap<string, number> = new Map();
 
   /**
-   * Returns the tasks whose bounds have been broken for a while, until their
-   * queues are empty. Estimates alone hold nobody back: work that is slowed
-   * down stays, and does its harm later.
+   * Adds to each task for how long its bound has been broken; a broken one is
+   * kept again only once its queue is empty.
    */
-  public strained(
+  public add(
     serving: readonly ListedServing[],
     now: number,
-  ): readonly ListedServing[] {
+  ): readonly ServingTask[] {
     const since = new Map<string, number>();
-    const strained = serving.filter(task => {
+    const found = serving.map(task => {
       const before = this.brokenSince.get(task.task);
       const part = before === undefined ? 1 : EMPTY_PART;
       if (task.tail <= task.target * part) {
-        return false;
+        return { ...task, strainedMilliseconds: 0 };
       }
-      since.set(task.task, before ?? now);
-      return now - (before ?? now) >= PATIENCE_MILLISECONDS;
+      const first = before ?? now;
+      since.set(task.task, first);
+      return { ...task, strainedMilliseconds: now - first };
     });
     this.brokenSince = since;
-    return strained;
+    return found;
   }
 }
--- a/packages/job-nodes/tests/live/invariants.test.ts
+++ b/packages/job-nodes/tests/live/invariants.test.ts
@@ -44,9 +44,8 @@
 
 /** One drawn fault. */
 async function doFault(world: JobWorld): Promise<void> {
-  const place = world.agents[
-    Math.floor(world.random.next() * world.agents.length)
-  ];
+  const place =
+    world.agents[Math.floor(world.random.next() * world.agents.length)];
   if (place === undefined) {
     return;
   }
--- a/packages/job-nodes/tests/support/fake-minion.ts
+++ b/packages/job-nodes/tests/support/fake-minion.ts
@@ -82,7 +82,12 @@
     this.life = makeLife(name, this.births, capacity.processorMillicores);
   }
 
-  public start: MinionClient['start'] = async (life, order, expiresAt, token) => {
+  public start: MinionClient['start'] = async (
+    life,
+    order,
+    expiresAt,
+    token,
+  ) => {
     const { random, lateShare } = this.faults;
     if (random.next() < lateShare()) {
       void pause(200 + random.next() * 1500).then(() => {
@@ -132,7 +137,9 @@
         task,
         run,
         checkpoint: '',
-        percent: Math.round(Math.max(0, 100 - (endsAt - performance.now()) / 10)),
+        percent: Math.round(
+          Math.max(0, 100 - (endsAt - performance.now()) / 10),
+        ),
         gauge: 0,
       })),
       ends: this.ends.slice(),
@@ -175,7 +182,11 @@
     const now = performance.now();
     for (const { task, run, endsAt } of [...this.runs.values()]) {
       if (now >= endsAt) {
-        this.end(task, run, this.faults.random.next() < 0.05 ? 'failed' : 'done');
+        this.end(
+          task,
+          run,
+          this.faults.random.next() < 0.05 ? 'failed' : 'done',
+        );
       } else if (now >= this.leaseUntil) {
         this.end(task, run, 'lapsed');
       }
--- a/packages/jobs/src/pace/harm-row.ts
+++ b/packages/jobs/src/pace/harm-row.ts
@@ -1,4 +1,3 @@
-
 /** Harm of one pair of images. */
 export interface HarmRow {
   readonly serving: string;
--- a/packages/jobs/src/pace/harm-table.ts
+++ b/packages/jobs/src/pace/harm-table.ts
@@ -7,7 +7,6 @@
 /** Observations after which an estimate counts as sure. */
 const SURE_AFTER = 5;
 
-
 /** How much filling images slow serving ones down, by pair. */
 export class HarmTable {
   private readonly harms = new Map<string, HarmRow>();
--- a/packages/jobs/tests/pace/harm.test.ts
+++ b/packages/jobs/tests/pace/harm.test.ts
@@ -73,16 +73,22 @@
     tail: 60,
     floor: 10,
     load: 0.6,
+    strainedMilliseconds: 1000,
   };
+  const demand = { cores: 4, coresPerTask: 2 };
   const cores = new Map([
-    ['heavy', 4],
-    ['light', 4],
-    ['unknown', 4],
+    ['heavy', demand],
+    ['light', demand],
+    ['unknown', demand],
   ]);
   const shares = decideShares([task], cores, table);
   t.equal(shares.get('light'), 1);
   t.equal(shares.get('unknown'), 1);
   t.ok((shares.get('heavy') ?? 1) < 0.2);
   t.same([...decideShares([], cores, table).values()], [1, 1, 1]);
+  const fresh = { ...task, strainedMilliseconds: 0 };
+  t.same([...decideShares([fresh], cores, table).values()], [1, 1, 1]);
+  const lasting = { ...task, strainedMilliseconds: 1700 };
+  t.same([...decideShares([lasting], cores, table).values()], [0, 0, 0]);
   t.end();
 });
--- a/packages/jobs/tests/reconcile/apply-report.test.ts
+++ b/packages/jobs/tests/reconcile/apply-report.test.ts
@@ -122,7 +122,12 @@
   startOn(minion, task, 7);
   applyReport(table, minion, makeReport({ fencingToken: 7 }), 0);
   t.equal(task.phase, 'assigned');
-  const outcome = applyReport(table, minion, makeReport({ fencingToken: 8 }), 0);
+  const outcome = applyReport(
+    table,
+    minion,
+    makeReport({ fencingToken: 8 }),
+    0,
+  );
   t.equal(task.phase, 'waiting');
   t.same(outcome.neverBegan, [task.name]);
   t.equal(task.run, 1, 'the number stays used');
--- a/packages/jobs/tests/reconcile/watch-runs.test.ts
+++ b/packages/jobs/tests/reconcile/watch-runs.test.ts
@@ -37,7 +37,9 @@
   const minion = addMinion(table, 'a');
   const plain = firstTask(addJob(table, 'p', [makeStep()]));
   const filling = firstTask(addJob(table, 'f', [makeStep({ filling: true })]));
-  const lasting = firstTask(addJob(table, 'l', [makeStep({ longRunning: true })]));
+  const lasting = firstTask(
+    addJob(table, 'l', [makeStep({ longRunning: true })]),
+  );
   for (const task of [plain, filling, lasting]) {
     startOn(minion, task);
     task.seenRunningAt = 1;
@@ -56,8 +58,12 @@
     draining: true,
     remainingMilliseconds: 500,
   });
-  const lasting = firstTask(addJob(table, 'l', [makeStep({ longRunning: true })]));
-  const saved = firstTask(addJob(table, 's', [makeStep({ checkpointing: true })]));
+  const lasting = firstTask(
+    addJob(table, 'l', [makeStep({ longRunning: true })]),
+  );
+  const saved = firstTask(
+    addJob(table, 's', [makeStep({ checkpointing: true })]),
+  );
   const plain = firstTask(addJob(table, 'p', [makeStep()]));
   for (const task of [lasting, saved, plain]) {
     startOn(minion, task);
