--- a/packages/job-nodes/src/leader/store-writer.ts
+++ b/packages/job-nodes/src/leader/store-writer.ts
@@ -19,6 +19,9 @@
 
   private actions: ((stored: boolean) => void)[] = [];
 
+  /** Actions that wait for the call under way. */
+  private underWay: ((stored: boolean) => void)[] = [];
+
   private running = false;
 
   private closed = false;
@@ -55,7 +58,8 @@
   /** Stops; actions that still wait are told that nothing is sure. */
   public close(): void {
     this.closed = true;
-    this.actions.splice(0).forEach(action => {
+    const waiting = [...this.underWay.splice(0), ...this.actions.splice(0)];
+    waiting.forEach(action => {
       action(false);
     });
   }
@@ -70,11 +74,11 @@
   private async run(): Promise<void> {
     while (!this.closed) {
       await pause(GATHER_MILLISECONDS);
-      const actions = this.actions;
+      this.underWay = this.actions;
       this.actions = [];
       const values = this.options.collect();
       const stored = values.length === 0 || (await this.store(values));
-      actions.forEach(action => {
+      this.underWay.splice(0).forEach(action => {
         action(stored);
       });
       if (!stored) {
--- a/packages/job-nodes/tests/support/fake-minion.ts
+++ b/packages/job-nodes/tests/support/fake-minion.ts
@@ -1,6 +1,5 @@
 import { PeerRefusedError } from '@basilcourse/foundation/errors/peer-refused-error';
 import { PeerUnreachableError } from '@basilcourse/foundation/errors/peer-unreachable-error';
-import type { RandomSource } from '@basilcourse/foundation/random/random-source';
 import type { EndReason } from '@basilcourse/jobs/model/end-reason';
 import type { RunEnd } from '@basilcourse/jobs/model/run-end';
 
@@ -8,6 +7,7 @@
 import type { MinionLife } from '../../src/agent/minion-life.js';
 import { WrongMinionError } from '../../src/agent/wrong-minion-error.js';
 import { pause } from '../../src/time/pause.js';
+import type { FakeMinionFaults } from './fake-minion-faults.js';
 import type { Witness } from './witness.js';
 
 const STOP_MILLISECONDS = 40;
@@ -22,14 +22,6 @@
   readonly endsAt: number;
 }
 
-/** What is drawn for each run and each order. */
-export interface FakeMinionFaults {
-  readonly random: RandomSource;
-  /** Share of the starts that get no answer and are carried out late. */
-  readonly lateShare: () => number;
-  readonly workMilliseconds: () => number;
-}
-
 /** A minion as its agent calls it: fenced, leased, with listed ends. */
 export class FakeMinion implements MinionClient {
   public life: MinionLife;
--- a/packages/job-nodes/tests/support/job-world.ts
+++ b/packages/job-nodes/tests/support/job-world.ts
@@ -13,6 +13,7 @@
 import type { LeaderMessage } from '../../src/lines/leader-message.js';
 import { anchoredTime } from '../../src/time/anchored-time.js';
 import { pause } from '../../src/time/pause.js';
+import { AgentPlace } from './agent-place.js';
 import { FakeMinion } from './fake-minion.js';
 import { MemoryStore } from './memory-store.js';
 import { quietLogger } from './quiet-logger.js';
@@ -33,14 +34,6 @@
   targetLatencyMilliseconds: 500,
 };
 
-interface AgentPlace {
-  readonly name: string;
-  readonly minion: FakeMinion;
-  driver: MinionDriver;
-  session: AgentSession | undefined;
-  cutUntil: number;
-}
-
 /** Real leaders and drivers, over fake minions, a store and links. */
 export class JobWorld {
   public readonly store: MemoryStore;
@@ -122,7 +115,7 @@
   /** A minion's life ends, and its next one begins. */
   public crashMinion(place: AgentPlace): void {
     place.minion.crash();
-    place.driver.meet(place.minion.life);
+    place.driver?.meet(place.minion.life);
   }
 
   /** An agent can't reach the leader for a while. */
@@ -169,16 +162,10 @@
       },
       CAPACITY,
     );
-    const place: Omit<AgentPlace, 'driver'> = {
-      name,
-      minion,
-      session: undefined,
-      cutUntil: 0,
-    };
-    const whole = place as AgentPlace;
-    whole.driver = this.createDriver(whole);
-    whole.driver.meet(minion.life);
-    return whole;
+    const place = new AgentPlace(name, minion);
+    place.driver = this.createDriver(place);
+    place.driver.meet(minion.life);
+    return place;
   }
 
   private createDriver(place: AgentPlace): MinionDriver {
@@ -219,7 +206,7 @@
         const message = JSON.parse(chunk.toString('utf8')) as LeaderMessage;
         setTimeout(() => {
           if (place.driver === driver && performance.now() >= place.cutUntil) {
-            driver.take(message);
+            driver?.take(message);
           }
         }, 1);
         callback();
--- a/packages/job-nodes/tests/support/witness.ts
+++ b/packages/job-nodes/tests/support/witness.ts
@@ -1,11 +1,6 @@
 import type { StepSpecification } from '@basilcourse/jobs/model/step-specification';
 
-/** A run on a fake minion. */
-export interface WitnessedRun {
-  readonly task: string;
-  readonly run: number;
-  readonly minion: string;
-}
+import type { WitnessedRun } from './witnessed-run.js';
 
 /** Sees every start and end on all fake minions, and notes what is wrong. */
 export class Witness {
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -17,7 +17,7 @@
 function readTestFiles() {
   const found = spawnSync(
     'find',
-    ['packages', '-path', '*/dist/tests/*', '-name', '*.test.js'],
+    ['packages', 'platform', '-path', '*/dist/tests/*', '-name', '*.test.js'],
     { encoding: 'utf8' },
   ).stdout;
   return found
