--- a/packages/job-nodes/src/leader/interference-watch.ts
+++ b/packages/job-nodes/src/leader/interference-watch.ts
@@ -1,4 +1,5 @@
 import type { AgentReport } from '@basilcourse/jobs/model/agent-report';
+import { HarmLearner } from '@basilcourse/jobs/pace/harm-learner';
 import { HarmTable } from '@basilcourse/jobs/pace/harm-table';
 import { learnFromReport } from '@basilcourse/jobs/pace/learn-from-report';
 import { LoadWatch } from '@basilcourse/jobs/pace/load-watch';
@@ -12,12 +13,18 @@
 
 const HARMS_EVERY_MILLISECONDS = 1000;
 
+const UPDATE_EVERY_MILLISECONDS = 300;
+
 const KEEP_MILLISECONDS = 10_000;
 
 /** Learns from all agents how images harm each other, and tells them. */
 export class InterferenceWatch {
   private readonly harms = new HarmTable();
 
+  private readonly learner = new HarmLearner(this.harms);
+
+  private updatedAt = Number.NEGATIVE_INFINITY;
+
   private readonly loads = new LoadWatch();
 
   private readonly tails = new Map<string, number>();
@@ -38,8 +45,12 @@
     report: AgentReport,
     now: number,
   ): void {
-    const { harms, loads, tails } = this;
-    learnFromReport(table, harms, loads, tails, report.running, now);
+    const { harms, learner, loads, tails } = this;
+    learnFromReport(table, learner, loads, tails, report.running, now);
+    if (now - this.updatedAt >= UPDATE_EVERY_MILLISECONDS) {
+      this.updatedAt = now;
+      learner.update();
+    }
     if (isDue(this.toldLoadsAt, session, now, LOADS_EVERY_MILLISECONDS)) {
       this.tellLoads(table, session, report, now);
     }
--- /dev/null
+++ b/packages/jobs/src/pace/filling-cores.ts
@@ -0,0 +1,2 @@
+/** Busy cores of the filling images on one minion. */
+export type FillingCores = ReadonlyMap<string, number>;
--- a/packages/jobs/src/pace/harm-table.ts
+++ b/packages/jobs/src/pace/harm-table.ts
@@ -1,5 +1,4 @@
 import type { HarmRow } from './harm-row.js';
-/** Harm assumed of a pair of images that was never seen together. */
 const PRIOR_HARM = 0.03;
 
 const MOST_HARM = 1;
@@ -9,6 +8,9 @@
 
 /** How much filling images slow serving ones down, by pair. */
 export class HarmTable {
+  /** Harm assumed of a pair that was never seen together. */
+  public readonly prior = PRIOR_HARM;
+
   private readonly harms = new Map<string, HarmRow>();
 
   /** Returns the slowdown that one busy core of the filling image adds. */
@@ -22,13 +24,16 @@
     return row !== undefined && row.observations >= SURE_AFTER ? row.harm : 0;
   }
 
-  /** Changes the harm of a pair by a difference that was observed. */
-  public change(serving: string, filling: string, difference: number): void {
-    const key = keyOf(serving, filling);
-    const changed = this.harm(serving, filling) + difference;
-    const harm = Math.min(MOST_HARM, Math.max(0, changed));
-    const observations = (this.harms.get(key)?.observations ?? 0) + 1;
-    this.harms.set(key, { serving, filling, harm, observations });
+  /** Sets the harm of a pair, as it was found by some observations. */
+  public set(
+    serving: string,
+    filling: string,
+    found: number,
+    observations: number,
+  ): void {
+    const harm = Math.min(MOST_HARM, Math.max(0, found));
+    const row = { serving, filling, harm, observations };
+    this.harms.set(keyOf(serving, filling), row);
   }
 
   /** Returns all pairs that were seen. */
--- a/packages/jobs/src/pace/learn-from-report.ts
+++ b/packages/jobs/src/pace/learn-from-report.ts
@@ -1,8 +1,7 @@
 import type { RunningTask } from '../model/running-task.js';
 import type { JobTable } from '../state/job-table.js';
 import type { TaskEntry } from '../state/task-entry.js';
-import type { HarmTable } from './harm-table.js';
-import { learnHarm } from './learn-harm.js';
+import type { HarmLearner } from './harm-learner.js';
 import type { LoadWatch } from './load-watch.js';
 import { loadOf, slowdownOf } from './queue-model.js';
 
@@ -29,7 +28,7 @@
  */
 export function learnFromReport(
   table: JobTable,
-  harms: HarmTable,
+  learner: HarmLearner,
   loads: LoadWatch,
   tailsBefore: Map<string, number>,
   running: readonly RunningTask[],
@@ -54,7 +53,7 @@
       const load = loadOf(loads.quietTail(job, now), floor);
       const slowdown = slowdownOf(row.gauge, floor, load);
       const overloaded = row.gauge > OVERLOADED * tailTargetMilliseconds;
-      learnHarm(harms, image, slowdown, overloaded, cores);
+      learner.observe(image, slowdown, overloaded, cores);
     }
   }
 }
