--- a/packages/jobs/src/plan/choose-minion.ts
+++ b/packages/jobs/src/plan/choose-minion.ts
@@ -2,9 +2,6 @@
 import type { HarmEstimate } from './harm-estimate.js';
 import type { RoomView } from './room-view.js';
 
-/** Share of its request that a filling task must find idle. */
-const LEAST_IDLE_SHARE_FOR_FILLING = 0.7;
-
 const RACK_BONUS = 4;
 
 /** Weight of the bounds that a task endangers against a minion's idle share. */
@@ -61,10 +58,9 @@
   );
 }
 
+/** A filling task finds its whole request idle; it waits otherwise. */
 function hasIdleTime(task: TaskEntry, room: RoomView): boolean {
-  const least =
-    task.specification.processorMillicores * LEAST_IDLE_SHARE_FOR_FILLING;
-  return room.idleMillicores >= least;
+  return room.idleMillicores >= task.specification.processorMillicores;
 }
 
 function scoreOf(
