feat(jobs): a filling task waits a while for a moment at which it harms less

Cause: tasks that fill were started where they broke bounds, though a minion where they harm nobody was free a second later.

--- a/packages/jobs/src/plan/choose-minion.ts
+++ b/packages/jobs/src/plan/choose-minion.ts
@@ -4,6 +4,9 @@
 
 const RACK_BONUS = 4;
 
+/** Bounds that a task may endanger while it can wait for a better moment. */
+const MOST_HARM_OF_PATIENT = 0.8;
+
 /** Weight of the bounds that a task endangers against a minion's idle share. */
 const HARM_COST = 3;
 
@@ -20,6 +23,8 @@
  * largest idle share; tasks that fill are kept from tasks that serve if their
  * images are known to harm each other. Answers the load of many equal minions that are
  * partly filled.
+ *
+ * @param mayWait - The task may wait for a moment at which it harms less.
  */
 export function chooseMinion(
   task: TaskEntry,
@@ -27,11 +32,13 @@
   rooms: readonly RoomView[],
   preferredRack: string,
   harm: HarmEstimate,
+  mayWait: boolean,
 ): RoomView | undefined {
+  const mostHarm = mayWait ? MOST_HARM_OF_PATIENT : Number.POSITIVE_INFINITY;
   let best: RoomView | undefined;
   let bestScore = Number.NEGATIVE_INFINITY;
   for (const room of rooms) {
-    if (fits(task, service, room)) {
+    if (fits(task, service, room) && harmOf(task, room, harm) <= mostHarm) {
       const score = scoreOf(task, room, preferredRack, harm);
       if (score > bestScore) {
         best = room;
--- a/packages/jobs/src/plan/plan-starts.ts
+++ b/packages/jobs/src/plan/plan-starts.ts
@@ -10,6 +10,12 @@
 import type { Urgency } from './urgency.js';
 import { compareUrgency, urgencyOf } from './urgency.js';
 
+/** Longest wait of a task for a better moment. */
+const MOST_WAIT_MILLISECONDS = 1200;
+
+/** A job that has to start sooner to be on time does not wait. */
+const WAIT_RESERVE_MILLISECONDS = 1000;
+
 /**
  * Plans a round of starts: jobs by urgency, the tasks of each as far as there
  * is room. The members of a gang start together or not at all.
@@ -27,14 +33,27 @@
     .filter(minion => mayTakeStarts(minion, now))
     .map(minion => new RoomView(minion));
   const starts: PlannedStart[] = [];
-  for (const { job, steps } of waiting) {
+  for (const { job, steps, urgency } of waiting) {
+    const mayWait = canWait(steps, urgency, now);
     for (const tasks of steps) {
-      starts.push(...planStep(job, tasks, rooms, harm));
+      starts.push(...planStep(job, tasks, rooms, harm, mayWait));
     }
   }
   return starts;
 }
 
+/** A filling task may wait for a moment at which it harms less. */
+function canWait(
+  steps: WaitingJob['steps'],
+  { latestStart }: Urgency,
+  now: number,
+): boolean {
+  const isNew = (task: TaskEntry): boolean =>
+    now - task.waitingSince < MOST_WAIT_MILLISECONDS;
+  const inTime = latestStart - now > WAIT_RESERVE_MILLISECONDS;
+  return inTime && steps.some(tasks => tasks.some(isNew));
+}
+
 interface WaitingJob {
   readonly job: JobEntry;
   readonly steps: readonly (readonly TaskEntry[])[];
@@ -68,13 +87,21 @@
   tasks: readonly TaskEntry[],
   rooms: readonly RoomView[],
   harm: HarmEstimate,
+  mayWait: boolean,
 ): readonly PlannedStart[] {
   const gang = tasks[0]?.specification.gang ?? false;
   const candidates = gang ? rooms.map(room => room.copy()) : rooms;
   const starts: PlannedStart[] = [];
   for (const task of tasks) {
     const rack = preferredRack(task, starts);
-    const room = chooseMinion(task, job.queue.service, candidates, rack, harm);
+    const room = chooseMinion(
+      task,
+      job.queue.service,
+      candidates,
+      rack,
+      harm,
+      mayWait,
+    );
     if (room === undefined) {
       break;
     }
--- a/packages/jobs/src/plan/startable-tasks.ts
+++ b/packages/jobs/src/plan/startable-tasks.ts
@@ -12,6 +12,9 @@
       const after = job.specification.steps[number]?.after ?? [];
       const ready = after.every(earlier => isDone(steps[earlier]));
       const waiting = ready ? tasks.filter(task => mayStart(task, now)) : [];
+      waiting.forEach(task => {
+        task.waitingSince ||= now;
+      });
       if (waiting.length > 0) {
         startable.push(waiting);
       }
--- a/packages/jobs/src/state/task-entry.ts
+++ b/packages/jobs/src/state/task-entry.ts
@@ -33,6 +33,9 @@
 
   public progressAt = 0;
 
+  /** When the task was first seen to be able to start; 0 if it was not. */
+  public waitingSince = 0;
+
   /** Not started again before this time. */
   public notBefore = 0;
 
@@ -89,6 +92,7 @@
     this.incarnation = incarnation;
     this.orderToken = orderToken;
     this.seenRunningAt = 0;
+    this.waitingSince = 0;
     this.assignedAt = now;
     this.percent = 0;
     this.progressAt = now;
--- /dev/null
+++ b/packages/jobs/tests/plan/wait.test.ts
@@ -0,0 +1,59 @@
+import t from 'tap';
+
+import { HarmTable } from '../../src/pace/harm-table.js';
+import { JobTable } from '../../src/state/job-table.js';
+import { addJob } from '../support/add-job.js';
+import { addMinion } from '../support/add-minion.js';
+import { firstTask } from '../support/first-task.js';
+import { makeStep } from '../support/make-step.js';
+import { plan } from '../support/plan.js';
+import { startOn } from '../support/start-on.js';
+
+function harmfulTable(): {
+  readonly table: JobTable;
+  readonly harms: HarmTable;
+} {
+  const table = new JobTable();
+  const minion = addMinion(table, 'a');
+  const serving = addJob(table, 's', [
+    makeStep({
+      image: 'frail',
+      tailTargetMilliseconds: 50,
+      longRunning: true,
+    }),
+  ]);
+  startOn(minion, firstTask(serving));
+  const harms = new HarmTable();
+  harms.set('frail', 'heavy', 0.9, 9);
+  return { table, harms };
+}
+
+const HEAVY = makeStep({
+  filling: true,
+  image: 'heavy',
+  estimatedMilliseconds: 4000,
+});
+
+t.test('a harmful task waits for a while, and no longer', t => {
+  const { table, harms } = harmfulTable();
+  addJob(table, 'f', [HEAVY], { slackFactor: 3 }, 1);
+  t.same(plan(table, 1, harms), []);
+  t.same(plan(table, 1100, harms), []);
+  t.same(plan(table, 1300, harms), ['f.0.0.0 on a']);
+  t.end();
+});
+
+t.test('a task that has to start to be on time does not wait', t => {
+  const { table, harms } = harmfulTable();
+  addJob(table, 'f', [HEAVY], { slackFactor: 1 }, 1);
+  t.same(plan(table, 1, harms), ['f.0.0.0 on a']);
+  t.end();
+});
+
+t.test('a harmless task does not wait', t => {
+  const { table, harms } = harmfulTable();
+  harms.set('frail', 'heavy', 0, 9);
+  addJob(table, 'f', [HEAVY], { slackFactor: 3 }, 1);
+  t.same(plan(table, 1, harms), ['f.0.0.0 on a']);
+  t.end();
+});
