--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -51,6 +51,31 @@
       eqeqeq: 'error',
     },
   },
+  {
+    files: ['packages/**/*.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        { patterns: ['@basilcourse/platform', '@basilcourse/platform/*'] },
+      ],
+    },
+  },
+  {
+    files: ['packages/jobs/**/*.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            '@basilcourse/platform',
+            '@basilcourse/platform/*',
+            '@basilcourse/job-nodes/*',
+            'node:*',
+          ],
+        },
+      ],
+    },
+  },
   {
     files: ['packages/**/tests/**/*.ts', 'platform/tests/**/*.ts'],
     rules: { '@typescript-eslint/no-floating-promises': 'off' },
--- a/packages/job-nodes/tests/leader/leader.test.ts
+++ b/packages/job-nodes/tests/leader/leader.test.ts
@@ -2,7 +2,6 @@
 
 import { seededRandom } from '@basilcourse/foundation/random/seeded-random';
 import type { AgentReport } from '@basilcourse/jobs/model/agent-report';
-import type { JobSpecification } from '@basilcourse/jobs/model/job-specification';
 import t from 'tap';
 
 import { AgentSession } from '../../src/leader/agent-session.js';
@@ -12,39 +11,11 @@
 import { anchoredTime } from '../../src/time/anchored-time.js';
 import { pause } from '../../src/time/pause.js';
 import { QUEUE } from '../support/job-world.js';
+import { makeSpecification, makeStep } from '../support/make-specification.js';
 import { MemoryStore } from '../support/memory-store.js';
 import { quietLogger } from '../support/quiet-logger.js';
 
-const SPECIFICATION: JobSpecification = {
-  identifier: 'job',
-  queue: 'queue',
-  payload: 'text',
-  steps: [
-    {
-      taskCount: 2,
-      processorMillicores: 100,
-      memoryMegabytes: 10,
-      accelerators: 0,
-      estimatedMilliseconds: 100,
-      after: [],
-      checkpointing: false,
-      gang: false,
-      tightlyCoupled: false,
-      requiredLabel: '',
-      dataRack: '',
-      maximumPerMinion: 0,
-      copiesAllowed: false,
-      longRunning: false,
-      image: '',
-      tailTargetMilliseconds: 0,
-      filling: false,
-      missAllowance: 0,
-    },
-  ],
-  repetitions: 0,
-  firstDueAt: 0,
-  intervalMilliseconds: 0,
-};
+const SPECIFICATION = makeSpecification('job', [makeStep(2, 100)]);
 
 class Bench {
   public valid = true;
--- a/packages/job-nodes/tests/live/invariants.test.ts
+++ b/packages/job-nodes/tests/live/invariants.test.ts
@@ -3,6 +3,7 @@
 
 import { pause } from '../../src/time/pause.js';
 import { JobWorld } from '../support/job-world.js';
+import { makeSpecification, makeStep } from '../support/make-specification.js';
 
 const SEEDS = [1, 2, 3, 4, 5, 6];
 
@@ -11,35 +12,11 @@
 const FINISH_MILLISECONDS = 15_000;
 
 function makeJob(seed: number, number: number): JobSpecification {
-  const step = {
-    taskCount: 2 + (number % 4),
-    processorMillicores: 400 + 150 * (number % 5),
-    memoryMegabytes: 10,
-    accelerators: 0,
-    estimatedMilliseconds: 200,
-    after: [],
-    checkpointing: false,
-    gang: false,
-    tightlyCoupled: false,
-    requiredLabel: '',
-    dataRack: '',
-    maximumPerMinion: 0,
-    copiesAllowed: false,
-    longRunning: false,
-    image: '',
-    tailTargetMilliseconds: 0,
-    filling: false,
-    missAllowance: 0,
-  };
-  return {
-    identifier: `job-${seed}-${number}`,
-    queue: 'queue',
-    payload: '',
-    steps: [step, { ...step, after: [0] }],
-    repetitions: 0,
-    firstDueAt: 0,
-    intervalMilliseconds: 0,
-  };
+  const step = makeStep(2 + (number % 4), 400 + 150 * (number % 5));
+  return makeSpecification(`job-${seed}-${number}`, [
+    step,
+    { ...step, after: [0] },
+  ]);
 }
 
 /** One drawn fault. */
