test(job-nodes): a stream stays with the leader that took it up

Cause: the test world sent reports of a stream of the earlier leader to its successor, which no process can do (a stream ends in one process); the successor then took an order of the earlier one for never begun.

--- a/packages/job-nodes/tests/support/job-world.ts
+++ b/packages/job-nodes/tests/support/job-world.ts
@@ -174,10 +174,10 @@
       time: this.time,
       logger: quietLogger,
       report: report => {
-        const { session, driver: current } = place;
+        const { session, leader, driver: current } = place;
         if (session?.open && current === driver) {
-          this.leader.agents.report(session, report);
-          this.leader.agents.hear(session, this.time.steady());
+          leader?.agents.report(session, report);
+          leader?.agents.hear(session, this.time.steady());
         }
       },
     });
@@ -192,7 +192,7 @@
         continue;
       }
       if (place.session?.open) {
-        this.leader.agents.hear(place.session, this.time.steady());
+        place.leader?.agents.hear(place.session, this.time.steady());
       } else if (this.leader.isReady()) {
         this.connect(place);
       }
@@ -212,14 +212,15 @@
         callback();
       },
     });
-    place.session = this.leader.agents.attach(
+    place.leader = this.leader;
+    place.session = place.leader.agents.attach(
       token => new AgentSession(place.name, token, output, this.time.now()),
     );
   }
 
   private disconnect(place: AgentPlace): void {
     if (place.session !== undefined) {
-      this.leader.agents.detach(place.session);
+      place.leader?.agents.detach(place.session);
       place.session.close();
       place.session = undefined;
     }
