fix(leadership): no two claims share an epoch

The former leader read its own record as the newest, and claimed epoch 2 again; two leaders wrote with one epoch, and each refused the other's sequence numbers.

--- a/packages/job-nodes/src/leadership/leader-record.ts
+++ b/packages/job-nodes/src/leadership/leader-record.ts
@@ -1,6 +1,6 @@
 /** Record of who leads; the newest one counts. */
 export interface LeaderRecord {
-  /** Rises with each change of the leader. */
+  /** Offset that follows the claim; no two claims share one, and it rises. */
   readonly epoch: number;
   readonly name: string;
   /** Drawn at each start of a process. */
--- a/packages/job-nodes/src/leadership/leadership.ts
+++ b/packages/job-nodes/src/leadership/leadership.ts
@@ -36,6 +36,8 @@
 
   private stopping = false;
 
+  private ended = false;
+
   private goneLife = '';
 
   private known = false;
@@ -67,9 +69,14 @@
     this.lose(reason);
   }
 
-  /** Follows, claims and renews until the process ends. */
+  /** Ends the following. */
+  public stop(): void {
+    this.ended = true;
+  }
+
+  /** Follows, claims and renews until it is stopped. */
   public async run(): Promise<void> {
-    for (;;) {
+    while (!this.isEnded()) {
       try {
         await this.step();
       } catch (error) {
@@ -101,6 +108,10 @@
     }
   }
 
+  private isEnded(): boolean {
+    return this.ended;
+  }
+
   private async step(): Promise<void> {
     if (this.leading) {
       await this.renew();
@@ -140,7 +151,9 @@
 
   private async claim(): Promise<void> {
     const { name, life, address, log, time } = this.options;
-    const epoch = (this.record?.epoch ?? 0) + 1;
+    // The place of the claim is its alone, and after all that was claimed
+    // before; a late renewal of an earlier leader may hide the newest claim.
+    const epoch = this.end + 1;
     const record = { epoch, name, life, address, resigned: false };
     const sentAt = time.steady();
     const won = await log.claim(record, this.end);
