--- a/packages/job-nodes/src/agent/agent-process.ts
+++ b/packages/job-nodes/src/agent/agent-process.ts
@@ -23,6 +23,9 @@
       client: options.client,
       time: options.time,
       logger: options.logger('minion-driver'),
+      onFenced: () => {
+        this.link.leave('the minion obeys a later leader');
+      },
       report: report => {
         const sentAt = options.time.steady();
         this.link.tell({ kind: 'report', sentAt, report });
--- /dev/null
+++ b/packages/job-nodes/src/agent/fenced-error.ts
@@ -0,0 +1,10 @@
+import { StepError } from '@basilcourse/foundation/errors/step-error';
+
+/** The minion has seen a higher fencing token, and obeys this one no more. */
+export class FencedError extends StepError {
+  public override readonly name = 'FencedError';
+
+  public constructor(step: string, peer: string) {
+    super(step, peer, 'a higher fencing token was seen');
+  }
+}
--- a/packages/job-nodes/src/agent/leader-link.ts
+++ b/packages/job-nodes/src/agent/leader-link.ts
@@ -24,6 +24,8 @@
 
   private send: ((message: AgentMessage) => void) | undefined;
 
+  private endStream: (reason: string) => void = () => undefined;
+
   private entries: readonly string[] = [];
 
   private candidate = 0;
@@ -39,6 +41,11 @@
     this.send?.(message);
   }
 
+  /** Ends the present stream, and looks for the leader again. */
+  public leave(reason: string): void {
+    this.endStream(reason);
+  }
+
   /** Finds the leader and follows it until the process ends. */
   public async run(): Promise<void> {
     let next: string | undefined;
@@ -107,6 +114,7 @@
           end('silence');
         }, SILENT_MILLISECONDS);
       };
+      this.endStream = end;
       expectMore();
       call.on('error', error => {
         end(messageOf(error));
--- a/packages/job-nodes/src/agent/minion-driver-options.ts
+++ b/packages/job-nodes/src/agent/minion-driver-options.ts
@@ -9,5 +9,7 @@
   readonly client: MinionClient;
   readonly time: TimeSource;
   readonly logger: PartLogger;
+  /** The minion obeys the token of the present stream no more. */
+  readonly onFenced: () => void;
   readonly report: (report: AgentReport) => void;
 }
--- a/packages/job-nodes/src/agent/minion-driver.ts
+++ b/packages/job-nodes/src/agent/minion-driver.ts
@@ -1,10 +1,10 @@
 import { messageOf } from '@basilcourse/foundation/errors/message-of';
-import type { RunEnd } from '@basilcourse/jobs/model/run-end';
-import type { RunningTask } from '@basilcourse/jobs/model/running-task';
 
 import type { LeaderMessage } from '../lines/leader-message.js';
 import { pause } from '../time/pause.js';
+import { FencedError } from './fenced-error.js';
 import { LeaseClock } from './lease-clock.js';
+import { lookWait } from './look-wait.js';
 import type { MinionDriverOptions } from './minion-driver-options.js';
 import type { MinionLife } from './minion-life.js';
 import { MinionLists } from './minion-lists.js';
@@ -12,14 +12,6 @@
 import { OrderRunner } from './order-runner.js';
 import { Pacer } from './pacer.js';
 
-const LOOK_WAIT_MILLISECONDS = 900;
-
-/** While there is no lease to renew, so that a new one is given soon. */
-const UNLEASED_WAIT_MILLISECONDS = 150;
-
-/** While filling tasks are paced by their neighbours' figures. */
-const PACING_WAIT_MILLISECONDS = 250;
-
 const RETRY_MILLISECONDS = 120;
 
 /** Carries orders to the minion, renews its lease, and reports its lists. */
@@ -40,6 +32,9 @@
 
   private fencingToken = 0;
 
+  /** Highest token that the minion refused for a higher one. */
+  private fencedToken = 0;
+
   private leaseMilliseconds = 0;
 
   private stopped = false;
@@ -132,15 +127,20 @@
   public async run(): Promise<void> {
     while (!this.isStopped()) {
       const { life } = this;
-      if (life === undefined || this.fencingToken === 0) {
+      if (life === undefined || !this.hasUsableToken()) {
         await pause(RETRY_MILLISECONDS / 2);
         continue;
       }
+      const { fencingToken } = this;
       try {
         await this.look(life);
         this.vitals.noteAnswer();
       } catch (error) {
         this.noteFailure(life, error);
+        if (error instanceof FencedError) {
+          this.fencedToken = fencingToken;
+          this.options.onFenced();
+        }
         await pause(RETRY_MILLISECONDS);
       }
     }
@@ -154,30 +154,27 @@
       fencingToken,
       expiresAt: this.expiry(),
       endsThrough: this.lists.endsThrough,
-      waitMilliseconds: this.lookWait(),
+      waitMilliseconds: lookWait({
+        listsAreCurrent: this.lists.fencingToken === fencingToken,
+        leased: this.expiry() !== undefined,
+        pacing: this.pacer.needsFreshFigures(this.lists.running),
+      }),
     });
     if (this.life?.description.incarnation !== life.description.incarnation) {
       return;
     }
     this.lease.note(result.clock, time.steady());
     this.lists.take(result.running, result.ends, fencingToken);
-    this.orders.resolveRevoked(listedRuns(result), askedAt);
+    this.orders.resolveRevoked(this.lists.listedRuns(), askedAt);
     this.tellReport();
     await this.pacer.apply(life, result.running, fencingToken, time.steady());
     // Until the ends are stored, a look would not wait for new ones.
     await this.lists.settled();
   }
 
-  private lookWait(): number {
-    if (this.lists.fencingToken !== this.fencingToken) {
-      return 0;
-    }
-    if (this.expiry() === undefined) {
-      return UNLEASED_WAIT_MILLISECONDS;
-    }
-    return this.pacer.needsFreshFigures(this.lists.running)
-      ? PACING_WAIT_MILLISECONDS
-      : LOOK_WAIT_MILLISECONDS;
+  /** A token that the minion has refused is not used again. */
+  private hasUsableToken(): boolean {
+    return this.fencingToken > this.fencedToken;
   }
 
   private isStopped(): boolean {
@@ -190,11 +187,12 @@
 
   private tellReport(): void {
     const { life } = this;
-    if (this.lists.fencingToken !== this.fencingToken) {
+    const read = this.lists.fencingToken === this.fencingToken;
+    if (life !== undefined && !read) {
       return;
     }
     this.options.report({
-      fencingToken: this.lists.fencingToken,
+      fencingToken: this.fencingToken,
       minion: life?.description ?? null,
       running: life === undefined ? [] : this.lists.running,
       ends: life === undefined ? [] : this.lists.ends,
@@ -229,6 +227,7 @@
   }
 
   private forget(incarnation: string): void {
+    this.fencedToken = 0;
     this.vitals.noteGone(incarnation);
     this.lease.reset();
     this.lists.reset();
@@ -237,14 +236,3 @@
     this.options.logger.warn('A life of the minion is over.', { incarnation });
   }
 }
-
-function listedRuns({ running, ends }: ListedRuns): ReadonlySet<string> {
-  return new Set(
-    [...running, ...ends].map(({ task, run }) => `${task}/${run}`),
-  );
-}
-
-interface ListedRuns {
-  readonly running: readonly RunningTask[];
-  readonly ends: readonly RunEnd[];
-}
--- a/packages/job-nodes/src/agent/minion-lists.ts
+++ b/packages/job-nodes/src/agent/minion-lists.ts
@@ -29,6 +29,13 @@
     this.fencingToken = fencingToken;
   }
 
+  /** Task and run of everything that runs, or has ended and is not stored. */
+  public listedRuns(): ReadonlySet<string> {
+    return new Set(
+      [...this.running, ...this.ends].map(({ task, run }) => `${task}/${run}`),
+    );
+  }
+
   /** Forgets ends that are stored. */
   public settle(endsThrough: number): void {
     this.endsThrough = Math.max(this.endsThrough, endsThrough);
@@ -57,5 +64,6 @@
     this.running = [];
     this.ends = [];
     this.endsThrough = 0;
+    this.fencingToken = 0;
   }
 }
--- a/packages/job-nodes/src/agent/order-runner.ts
+++ b/packages/job-nodes/src/agent/order-runner.ts
@@ -4,16 +4,17 @@
 import type { StopOrder } from '@basilcourse/jobs/model/stop-order';
 
 import { pause } from '../time/pause.js';
+import { FencedError } from './fenced-error.js';
 import type { MinionLife } from './minion-life.js';
 import type { OrderRunnerOptions } from './order-runner-options.js';
 
 /** A start without an answer is tried so often, and then revoked. */
 const START_TRIES = 2;
 
-const STOP_TRIES = 4;
-
 const RETRY_MILLISECONDS = 60;
 
+const LONGEST_RETRY_MILLISECONDS = 500;
+
 interface RevokedStart {
   readonly order: StopOrder;
   readonly token: number;
@@ -32,6 +33,9 @@
 
   private fencingToken = 0;
 
+  /** Rises with each stream and each life; orders of earlier ones end. */
+  private generation = 0;
+
   public constructor(options: OrderRunnerOptions) {
     this.options = options;
   }
@@ -44,6 +48,7 @@
   /** Forgets orders of an earlier stream or an earlier life. */
   public reset(fencingToken: number): void {
     this.fencingToken = fencingToken;
+    this.generation += 1;
     this.refused.clear();
     this.revoked.clear();
     this.stopping.clear();
@@ -90,7 +95,12 @@
       const key = keyOf(order);
       if (life !== undefined && !this.stopping.has(key)) {
         this.stopping.add(key);
-        void this.stopOne(life, order, this.fencingToken).finally(() => {
+        void this.stopOne(
+          life,
+          order,
+          this.fencingToken,
+          this.generation,
+        ).finally(() => {
           this.stopping.delete(key);
         });
       }
@@ -106,26 +116,33 @@
       this.refuse(order, token, 'the minion takes no starts');
       return;
     }
+    const { generation } = this;
+    let unanswered = false;
     for (let tries = 1; tries <= START_TRIES; tries += 1) {
       const expiresAt = this.options.expiry();
-      if (expiresAt === undefined || token !== this.fencingToken) {
+      if (expiresAt === undefined || generation !== this.generation) {
         break;
       }
       try {
         const { client } = this.options;
         const result = await client.start(life, order, expiresAt, token);
-        if (result.kind === 'refused') {
-          this.refuse(order, token, result.reason);
-        } else {
+        if (result.kind === 'started') {
           this.options.onStarted(life, order, token);
+          return;
+        }
+        if (!unanswered) {
+          this.refuse(order, token, result.reason);
+          return;
         }
-        return;
+        // The try without an answer may have begun, or may begin yet.
+        break;
       } catch (error) {
+        unanswered = true;
         this.warn('A start got no answer.', order, error);
         await pause(RETRY_MILLISECONDS);
       }
     }
-    if (await this.stopOne(life, order, token)) {
+    if (await this.stopOne(life, order, token, generation)) {
       this.revoked.set(keyOf(order), {
         order,
         token,
@@ -134,19 +151,28 @@
     }
   }
 
-  /** Returns true once the run has ended or can never begin. */
+  /**
+   * Stops a run, again until the minion answers. Returns true once the run has
+   * ended or can never begin; false if another stream or life follows first.
+   */
   private async stopOne(
     life: MinionLife,
     order: StopOrder,
     token: number,
+    generation: number,
   ): Promise<boolean> {
-    for (let tries = 1; tries <= STOP_TRIES; tries += 1) {
+    let wait = RETRY_MILLISECONDS;
+    while (generation === this.generation) {
       try {
         await this.options.client.stop(life, order, token);
-        return true;
+        return generation === this.generation;
       } catch (error) {
         this.warn('A stop got no answer.', order, error);
-        await pause(RETRY_MILLISECONDS);
+        if (error instanceof FencedError) {
+          return false;
+        }
+        await pause(wait);
+        wait = Math.min(LONGEST_RETRY_MILLISECONDS, wait * 2);
       }
     }
     return false;
--- a/packages/job-nodes/src/leader/agent-sessions.ts
+++ b/packages/job-nodes/src/leader/agent-sessions.ts
@@ -22,7 +22,11 @@
 
   /** Takes up a stream; an earlier one of the agent ends. */
   public attach(session: AgentSession): void {
-    this.sessions.get(session.agent)?.close();
+    const earlier = this.sessions.get(session.agent);
+    if (earlier !== undefined) {
+      earlier.close();
+      this.detach(earlier);
+    }
     this.sessions.set(session.agent, session);
   }
 
@@ -31,10 +35,7 @@
     session.open = false;
     if (this.sessions.get(session.agent) === session) {
       this.sessions.delete(session.agent);
-      const minion = this.table.minions.get(session.incarnation);
-      if (minion !== undefined) {
-        minion.connected = false;
-      }
+      this.disconnect(session.incarnation);
     }
   }
 
@@ -108,8 +109,12 @@
     report: AgentReport,
     now: number,
   ): MinionEntry | undefined {
+    if (!session.open) {
+      return undefined;
+    }
     session.heardAt = now;
     if (report.minion === null) {
+      this.disconnect(session.incarnation);
       session.incarnation = '';
       return undefined;
     }
@@ -125,6 +130,13 @@
     minion.heardAt = now;
     return minion;
   }
+
+  private disconnect(incarnation: string): void {
+    const minion = this.table.minions.get(incarnation);
+    if (minion !== undefined) {
+      minion.connected = false;
+    }
+  }
 }
 
 interface KnownTask {
--- /dev/null
+++ b/packages/job-nodes/tests/leader/agent-sessions.test.ts
@@ -0,0 +1,81 @@
+import { PassThrough } from 'node:stream';
+
+import type { AgentReport } from '@basilcourse/jobs/model/agent-report';
+import { JobTable } from '@basilcourse/jobs/state/job-table';
+import t from 'tap';
+
+import { AgentSession } from '../../src/leader/agent-session.js';
+import { AgentSessions } from '../../src/leader/agent-sessions.js';
+
+const INCARNATION = 'agent|minion|1';
+
+function makeReport(
+  fencingToken: number,
+  fields: Partial<AgentReport> = {},
+): AgentReport {
+  return {
+    fencingToken,
+    minion: {
+      incarnation: INCARNATION,
+      service: 's',
+      zone: 'z',
+      capacity: {
+        processorMillicores: 1000,
+        memoryMegabytes: 1000,
+        accelerators: 0,
+      },
+      labels: [],
+      draining: false,
+      remainingMilliseconds: 0,
+    },
+    running: [],
+    ends: [],
+    refusals: [],
+    gone: [],
+    ...fields,
+  };
+}
+
+function makeSession(token: number): AgentSession {
+  return new AgentSession('agent', token, new PassThrough(), 0);
+}
+
+t.test(
+  'a stream that ends before its first report leaves no minion connected',
+  t => {
+    const table = new JobTable();
+    const sessions = new AgentSessions(table);
+    const first = makeSession(1);
+    sessions.attach(first);
+    sessions.takeReport(first, makeReport(1), 0);
+    const second = makeSession(2);
+    sessions.attach(second);
+    sessions.detach(first);
+    sessions.detach(second);
+    t.equal(table.minion(INCARNATION, 0).connected, false);
+    t.end();
+  },
+);
+
+t.test('a closed stream reports nothing any more', t => {
+  const table = new JobTable();
+  const sessions = new AgentSessions(table);
+  const session = makeSession(1);
+  sessions.attach(session);
+  sessions.takeReport(session, makeReport(1), 0);
+  sessions.closeSilent(10_000);
+  t.equal(sessions.takeReport(session, makeReport(1), 10_000), undefined);
+  t.equal(table.minion(INCARNATION, 0).connected, false);
+  t.end();
+});
+
+t.test('an agent without a minion leaves the earlier one unconnected', t => {
+  const table = new JobTable();
+  const sessions = new AgentSessions(table);
+  const session = makeSession(1);
+  sessions.attach(session);
+  sessions.takeReport(session, makeReport(1), 0);
+  sessions.takeReport(session, makeReport(1, { minion: null }), 0);
+  t.equal(table.minion(INCARNATION, 0).connected, false);
+  t.end();
+});
--- a/packages/job-nodes/tests/support/fake-minion.ts
+++ b/packages/job-nodes/tests/support/fake-minion.ts
@@ -1,8 +1,8 @@
-import { PeerRefusedError } from '@basilcourse/foundation/errors/peer-refused-error';
 import { PeerUnreachableError } from '@basilcourse/foundation/errors/peer-unreachable-error';
 import type { EndReason } from '@basilcourse/jobs/model/end-reason';
 import type { RunEnd } from '@basilcourse/jobs/model/run-end';
 
+import { FencedError } from '../../src/agent/fenced-error.js';
 import type { MinionClient } from '../../src/agent/minion-client.js';
 import type { MinionLife } from '../../src/agent/minion-life.js';
 import { WrongMinionError } from '../../src/agent/wrong-minion-error.js';
@@ -216,7 +216,7 @@
 
   private checkToken(step: string, token: number): void {
     if (token < this.fencingToken) {
-      throw new PeerRefusedError(step, this.life.identifier, 409, 'fence');
+      throw new FencedError(step, this.life.identifier);
     }
     this.fencingToken = token;
   }
--- a/packages/job-nodes/tests/support/job-world.ts
+++ b/packages/job-nodes/tests/support/job-world.ts
@@ -173,6 +173,7 @@
       client: place.minion,
       time: this.time,
       logger: quietLogger,
+      onFenced: () => undefined,
       report: report => {
         const { session, leader, driver: current } = place;
         if (session?.open && current === driver) {
