fix(leader): a lease given before an agent's first report counts for its minion

Cause: grants before the first report on a new stream extended the lease of what runs, and were not noted for the minion; after a cut link that came back for a moment the leader could take a lease for over that was not, and start its tasks elsewhere. Test fails first (agent-sessions.test.ts).

--- a/packages/job-nodes/src/leader/agent-sessions.ts
+++ b/packages/job-nodes/src/leader/agent-sessions.ts
@@ -39,11 +39,13 @@
     }
   }
 
-  /** Notes that an agent was heard. */
+  /**
+   * Notes that an agent was heard, and so may extend its minion's lease. Before
+   * its first report that may be any life that is known beside it.
+   */
   public hear(session: AgentSession, now: number): void {
     session.heardAt = now;
-    const minion = this.table.minions.get(session.incarnation);
-    if (minion !== undefined) {
+    for (const minion of this.leasedBy(session)) {
       minion.heardAt = now;
     }
   }
@@ -77,13 +79,12 @@
   public goneBy(session: AgentSession, report: AgentReport): readonly string[] {
     const alive = report.minion?.incarnation;
     return [...this.table.minions.values()]
-      .filter(({ incarnation, agent }) => {
+      .filter(minion => {
         const replaced =
           alive !== undefined &&
-          incarnation !== alive &&
-          (agent === session.agent ||
-            incarnation.startsWith(`${session.agent}|`));
-        return replaced || report.gone.includes(incarnation);
+          minion.incarnation !== alive &&
+          isBeside(session.agent, minion);
+        return replaced || report.gone.includes(minion.incarnation);
       })
       .map(({ incarnation }) => incarnation);
   }
@@ -131,6 +132,16 @@
     return minion;
   }
 
+  private leasedBy(session: AgentSession): readonly MinionEntry[] {
+    if (session.incarnation === '') {
+      return [...this.table.minions.values()].filter(minion =>
+        isBeside(session.agent, minion),
+      );
+    }
+    const minion = this.table.minions.get(session.incarnation);
+    return minion === undefined ? [] : [minion];
+  }
+
   private disconnect(incarnation: string): void {
     const minion = this.table.minions.get(incarnation);
     if (minion !== undefined) {
@@ -139,6 +150,11 @@
   }
 }
 
+/** A minion's incarnation begins with the name of the agent beside it. */
+function isBeside(agent: string, { incarnation }: MinionEntry): boolean {
+  return incarnation.startsWith(`${agent}|`);
+}
+
 interface KnownTask {
   readonly task: string;
   readonly traits: TaskTraits;
--- a/packages/job-nodes/tests/leader/agent-sessions.test.ts
+++ b/packages/job-nodes/tests/leader/agent-sessions.test.ts
@@ -79,3 +79,19 @@
   t.equal(table.minion(INCARNATION, 0).connected, false);
   t.end();
 });
+
+t.test(
+  'a lease that is given before the first report counts for its minion',
+  t => {
+    const table = new JobTable();
+    const sessions = new AgentSessions(table);
+    table.minion(INCARNATION, 0);
+    table.minion('other|minion|1', 0);
+    const session = makeSession(2);
+    sessions.attach(session);
+    sessions.hear(session, 5900);
+    t.equal(table.minion(INCARNATION, 0).heardAt, 5900);
+    t.equal(table.minion('other|minion|1', 0).heardAt, 0);
+    t.end();
+  },
+);
