--- a/packages/job-nodes/src/agent/minion-driver.ts
+++ b/packages/job-nodes/src/agent/minion-driver.ts
@@ -107,7 +107,7 @@
         message.starts.forEach(({ task, traits }) => {
           this.pacer.learn(task, traits);
         });
-        this.orders.start(this.life, message.starts);
+        this.orders.start(this.lifeNamed(message.incarnation), message.starts);
         return;
       case 'stops':
         this.orders.stop(this.life, message.stops);
@@ -172,6 +172,12 @@
     await this.lists.settled();
   }
 
+  /** The present life, if it is the one that is meant. */
+  private lifeNamed(incarnation: string): MinionLife | undefined {
+    const same = this.life?.description.incarnation === incarnation;
+    return same ? this.life : undefined;
+  }
+
   /** A token that the minion has refused is not used again. */
   private hasUsableToken(): boolean {
     return this.fencingToken > this.fencedToken;
--- a/packages/job-nodes/src/leader/send-starts.ts
+++ b/packages/job-nodes/src/leader/send-starts.ts
@@ -41,7 +41,8 @@
     }
   }
   for (const [session, list] of orders) {
-    session.send({ kind: 'starts', starts: list });
+    const { incarnation } = session;
+    session.send({ kind: 'starts', incarnation, starts: list });
   }
 }
 
--- a/packages/job-nodes/src/lines/leader-message.ts
+++ b/packages/job-nodes/src/lines/leader-message.ts
@@ -29,7 +29,12 @@
   | { readonly kind: 'harms'; readonly harms: readonly HarmRow[] }
   /** Loads of the jobs that serve on the agent's minion. */
   | { readonly kind: 'loads'; readonly loads: readonly ServingLoad[] }
-  | { readonly kind: 'starts'; readonly starts: readonly StartOrder[] }
+  | {
+      readonly kind: 'starts';
+      /** The life of the minion that the starts are for. */
+      readonly incarnation: string;
+      readonly starts: readonly StartOrder[];
+    }
   | { readonly kind: 'stops'; readonly stops: readonly StopOrder[] }
   | {
       readonly kind: 'settled';
--- a/packages/job-nodes/tests/agent/minion-driver.test.ts
+++ b/packages/job-nodes/tests/agent/minion-driver.test.ts
@@ -32,6 +32,7 @@
   readonly driver: MinionDriver;
   readonly reports: AgentReport[];
   readonly looks: number[];
+  readonly starts: string[];
   readonly fenced: () => number;
 }
 
@@ -40,7 +41,12 @@
   const reports: AgentReport[] = [];
   const looks: number[] = [];
   let fenced = 0;
+  const starts: string[] = [];
   const client = {
+    start: (life: MinionLife, { task }: { readonly task: string }) => {
+      starts.push(`${task} on ${life.identifier}`);
+      return Promise.resolve({ kind: 'started' });
+    },
     look: async (
       _life: MinionLife,
       look: { readonly fencingToken: number },
@@ -63,7 +69,7 @@
     report: report => reports.push(report),
   });
   void driver.run();
-  return { driver, reports, looks, fenced: () => fenced };
+  return { driver, reports, looks, starts, fenced: () => fenced };
 }
 
 function welcome(driver: MinionDriver, fencingToken: number): void {
@@ -120,3 +126,45 @@
   t.equal(reports.at(-1)?.minion, null);
   t.same(reports.at(-1)?.gone, ['agent|minion|1']);
 });
+
+t.test(
+  'an order for an earlier life is not carried out on the next',
+  async t => {
+    const { driver, starts } = drive(0);
+    t.teardown(() => {
+      driver.stop();
+    });
+    welcome(driver, 1);
+    driver.take({ kind: 'grant', sentAt: performance.now(), entries: [] });
+    driver.meet(makeLife(1));
+    await pause(150);
+    driver.meet(makeLife(2));
+    await pause(150);
+    const order = {
+      task: 'j.0.0.0',
+      run: 1,
+      payload: '',
+      checkpoint: '',
+      traits: {
+        image: '',
+        tailTargetMilliseconds: 0,
+        filling: false,
+        processorMillicores: 100,
+      },
+    };
+    driver.take({
+      kind: 'starts',
+      incarnation: 'agent|minion|1',
+      starts: [order],
+    });
+    await pause(50);
+    t.same(starts, []);
+    driver.take({
+      kind: 'starts',
+      incarnation: 'agent|minion|2',
+      starts: [{ ...order, run: 2 }],
+    });
+    await pause(50);
+    t.same(starts, ['j.0.0.0 on minion-2']);
+  },
+);
--- a/packages/job-nodes/tests/support/fake-minion.ts
+++ b/packages/job-nodes/tests/support/fake-minion.ts
@@ -8,7 +8,9 @@
 import { WrongMinionError } from '../../src/agent/wrong-minion-error.js';
 import { pause } from '../../src/time/pause.js';
 import type { FakeMinionFaults } from './fake-minion-faults.js';
+import { makeLife } from './make-life.js';
 import type { Witness } from './witness.js';
+import type { WitnessedRun } from './witnessed-run.js';
 
 const STOP_MILLISECONDS = 40;
 
@@ -101,10 +103,7 @@
     this.checkLife(life);
     this.checkToken('minion.stop', token);
     this.raiseRun(task, run);
-    this.witness.note(
-      { task, run, minion: this.life.identifier },
-      `is stopped by ${token}`,
-    );
+    this.witness.note(this.seen({ task, run }), `is stopped by ${token}`);
     if (this.runs.get(task)?.run === run) {
       await pause(STOP_MILLISECONDS);
       this.end(task, run, 'stopped');
@@ -123,8 +122,7 @@
     }
     this.ends = this.ends.filter(({ number }) => number > look.endsThrough);
     if (look.expiresAt !== undefined) {
-      const before = Number.isFinite(this.leaseUntil) ? this.leaseUntil : 0;
-      this.leaseUntil = Math.max(before, look.expiresAt);
+      this.extendLease(look.expiresAt);
     }
     const until = performance.now() + look.waitMilliseconds;
     while (this.ends.length === 0 && performance.now() < until) {
@@ -169,19 +167,23 @@
     if (expiresAt <= performance.now()) {
       return { kind: 'refused', reason: 'late' };
     }
-    this.markLapsed();
-    const before = Number.isFinite(this.leaseUntil) ? this.leaseUntil : 0;
-    this.leaseUntil = Math.max(before, expiresAt);
+    this.extendLease(expiresAt);
     this.raiseRun(task, run);
     const endsAt = performance.now() + this.faults.workMilliseconds();
     this.runs.set(task, { task, run, endsAt });
-    const seen = { task, run, minion: this.life.identifier };
+    const seen = this.seen({ task, run });
     const left = Math.round(this.leaseUntil - performance.now());
     this.witness.note(seen, `by ${token}, lease for ${left}`);
     this.witness.started(seen);
     return { kind: 'started' };
   }
 
+  private extendLease(expiresAt: number): void {
+    this.markLapsed();
+    const before = Number.isFinite(this.leaseUntil) ? this.leaseUntil : 0;
+    this.leaseUntil = Math.max(before, expiresAt);
+  }
+
   /** Ends that are listed while the lease lapses do not stand. */
   private markLapsed(): void {
     if (performance.now() >= this.leaseUntil) {
@@ -191,7 +193,7 @@
 
   private noteEnd({ number, task, run, reason }: RunEnd, token: number): void {
     const stands = !this.lapsedEnds.has(number);
-    const seen = { task, run, minion: this.life.identifier };
+    const seen = this.seen({ task, run });
     this.witness.note(seen, `is noted by ${token}, stands: ${stands}`);
     if (reason === 'done' && stands) {
       this.witness.notedDone.add(task);
@@ -225,11 +227,7 @@
     this.nextEnd += 1;
   }
 
-  private seen({ task, run }: Run): {
-    readonly task: string;
-    readonly run: number;
-    readonly minion: string;
-  } {
+  private seen({ task, run }: Omit<Run, 'endsAt'>): WitnessedRun {
     return { task, run, minion: this.life.identifier };
   }
 
@@ -250,22 +248,3 @@
     this.fencingToken = token;
   }
 }
-
-function makeLife(name: string, birth: number, capacity: number): MinionLife {
-  return {
-    identifier: `${name}#${birth}`,
-    description: {
-      incarnation: `${name}|${name}#${birth}|${birth}`,
-      service: 'service',
-      zone: 'zone',
-      capacity: {
-        processorMillicores: capacity,
-        memoryMegabytes: 10_000,
-        accelerators: 0,
-      },
-      labels: ['kind', 'rack'],
-      draining: false,
-      remainingMilliseconds: 0,
-    },
-  };
-}
