refactor(foundation): one caller over HTTP

Cause: the change had written a caller three times (peers, minion, store) beside the project's JSON client. All four build on one exchange now, with one timeout and one bound on answers.

--- a/packages/foundation/src/http/json-call.ts
+++ b/packages/foundation/src/http/json-call.ts
@@ -1,12 +1,6 @@
+import type { HttpExchange } from './http-exchange.js';
+
 /** One JSON call over HTTP/1.1. */
-export interface JsonCall {
-  /** Step named in errors, in the form `part.action`. */
-  readonly step: string;
-  /** IP number and port. */
-  readonly address: string;
-  readonly method: 'GET' | 'POST' | 'DELETE';
-  readonly path: string;
+export interface JsonCall extends Omit<HttpExchange, 'body'> {
   readonly body?: unknown;
-  readonly headers?: Readonly<Record<string, string>>;
-  readonly timeoutMilliseconds: number;
 }
--- a/packages/job-nodes/src/entry/job-gateway.ts
+++ b/packages/job-nodes/src/entry/job-gateway.ts
@@ -1,6 +1,6 @@
 import { messageOf } from '@basilcourse/foundation/errors/message-of';
 
-import { callJson } from '../http/call-json.js';
+import { callPeer } from '../http/call-peer.js';
 import type { JobAnswer } from '../leader/job-answer.js';
 import type { JobCall } from '../leader/job-call.js';
 import type { LeaderRecord } from '../leadership/leader-record.js';
@@ -66,7 +66,7 @@
     }
     const timeout = Math.min(left, CALL_TIMEOUT_MILLISECONDS);
     try {
-      return (await callJson(
+      return (await callPeer(
         record.address,
         '/call',
         call,
--- a/packages/job-nodes/src/entry/leader-watch.ts
+++ b/packages/job-nodes/src/entry/leader-watch.ts
@@ -3,7 +3,7 @@
 import { messageOf } from '@basilcourse/foundation/errors/message-of';
 import { splitAddress } from '@basilcourse/foundation/net/split-address';
 
-import { callJson } from '../http/call-json.js';
+import { callPeer } from '../http/call-peer.js';
 import type { LeaderRecord } from '../leadership/leader-record.js';
 import { readLines } from '../lines/line-reader.js';
 import { pause } from '../time/pause.js';
@@ -87,7 +87,7 @@
 
   private async probe(record: LeaderRecord): Promise<void> {
     try {
-      const answer = (await callJson(
+      const answer = (await callPeer(
         record.address,
         '/leader',
         {},
@@ -113,7 +113,7 @@
       return;
     }
     try {
-      const answer = (await callJson(
+      const answer = (await callPeer(
         address,
         '/leader',
         {},
