--- a/packages/job-nodes/src/agent/pacer.ts
+++ b/packages/job-nodes/src/agent/pacer.ts
@@ -1,4 +1,5 @@
 import { messageOf } from '@basilcourse/foundation/errors/message-of';
+import { BoundedMap } from '@basilcourse/foundation/util/bounded-map';
 import type { RunningTask } from '@basilcourse/jobs/model/running-task';
 import type { TaskTraits } from '@basilcourse/jobs/model/task-traits';
 import { decideShares } from '@basilcourse/jobs/pace/decide-shares';
@@ -16,6 +17,9 @@
 /** Figures cover half a second; a decision is taken once for each. */
 const DECIDE_EVERY_MILLISECONDS = 450;
 
+/** Tasks, and jobs, of which something is remembered. */
+const MOST_TASKS = 2000;
+
 const WHOLE = 100;
 
 const MILLICORES_PER_CORE = 1000;
@@ -42,9 +46,9 @@
   private readonly harms = new HarmTable();
 
   /** Loads of the jobs that serve here, by job. */
-  private readonly loads = new Map<string, ServingLoad>();
+  private readonly loads = new BoundedMap<ServingLoad>(MOST_TASKS);
 
-  private readonly traits = new Map<string, TaskTraits>();
+  private readonly traits = new BoundedMap<TaskTraits>(MOST_TASKS);
 
   /** Percentage that each run was last told; by task and run. */
   private readonly told = new Map<string, number>();
--- a/packages/job-nodes/src/leader/interference-watch.ts
+++ b/packages/job-nodes/src/leader/interference-watch.ts
@@ -1,3 +1,4 @@
+import { BoundedMap } from '@basilcourse/foundation/util/bounded-map';
 import type { AgentReport } from '@basilcourse/jobs/model/agent-report';
 import { HarmLearner } from '@basilcourse/jobs/pace/harm-learner';
 import { HarmTable } from '@basilcourse/jobs/pace/harm-table';
@@ -9,6 +10,9 @@
 
 import type { AgentSession } from './agent-session.js';
 
+/** Tasks whose last tail is remembered. */
+const MOST_TASKS = 20_000;
+
 const LOADS_EVERY_MILLISECONDS = 450;
 
 const HARMS_EVERY_MILLISECONDS = 1000;
@@ -27,7 +31,7 @@
 
   private readonly loads = new LoadWatch();
 
-  private readonly tails = new Map<string, number>();
+  private readonly tails = new BoundedMap<number>(MOST_TASKS);
 
   private readonly toldLoadsAt = new Map<string, number>();
 
--- a/packages/jobs/src/pace/learn-from-report.ts
+++ b/packages/jobs/src/pace/learn-from-report.ts
@@ -1,3 +1,5 @@
+import type { BoundedMap } from '@basilcourse/foundation/util/bounded-map';
+
 import type { RunningTask } from '../model/running-task.js';
 import type { JobTable } from '../state/job-table.js';
 import type { TaskEntry } from '../state/task-entry.js';
@@ -30,7 +32,7 @@
   table: JobTable,
   learner: HarmLearner,
   loads: LoadWatch,
-  tailsBefore: Map<string, number>,
+  tailsBefore: BoundedMap<number>,
   running: readonly RunningTask[],
   now: number,
 ): void {
--- a/packages/jobs/src/pace/load-watch.ts
+++ b/packages/jobs/src/pace/load-watch.ts
@@ -1,3 +1,8 @@
+import { BoundedMap } from '@basilcourse/foundation/util/bounded-map';
+
+/** Images, and tasks, of which something is remembered. */
+const MOST_REMEMBERED = 20_000;
+
 /** Figures of one task count for so long. */
 const FRESH_MILLISECONDS = 1200;
 
@@ -31,9 +36,9 @@
 export class LoadWatch {
   private readonly jobs = new Map<string, JobFigures>();
 
-  private readonly lowestTails = new Map<string, number>();
+  private readonly lowestTails = new BoundedMap<number>(MOST_REMEMBERED);
 
-  private readonly firstAt = new Map<string, number>();
+  private readonly firstAt = new BoundedMap<number>(MOST_REMEMBERED);
 
   /** Notes the tail of one task. */
   public note(
