--- a/packages/job-nodes/src/entry/entry-process.ts
+++ b/packages/job-nodes/src/entry/entry-process.ts
@@ -133,7 +133,7 @@
       leaseMilliseconds: this.options.leaseMilliseconds,
       isValid: () => this.leadership.isValid(),
       onFenced: () => {
-        this.leadership.lost('a later leader writes');
+        this.leadership.lose('a later leader writes');
       },
       entries: () => [
         this.options.internalAddress,
--- a/packages/job-nodes/src/leadership/leadership.ts
+++ b/packages/job-nodes/src/leadership/leadership.ts
@@ -12,15 +12,23 @@
 
 const FOLLOW_MILLISECONDS = 400;
 
+/** While the lead is free, so that a claim is not late. */
+const CANDIDATE_FOLLOW_MILLISECONDS = 50;
+
 const RETRY_MILLISECONDS = 200;
 
+/** A candidate leaves others this many times its own way to the log and back. */
+const COURTESY_FACTOR = 3;
+
+const MOST_COURTESY_MILLISECONDS = 400;
+
 /** Follows who leads, claims the lead, and renews it. */
 export class Leadership {
   /** Newest record known. */
   public record: LeaderRecord | undefined;
 
-  /** Time that better placed candidates are left. */
-  public courtesyMilliseconds = 0;
+  /** Time that candidates nearer to the log are left. */
+  private courtesyMilliseconds = 0;
 
   private readonly options: LeadershipOptions;
 
@@ -64,9 +72,15 @@
     }
   }
 
-  /** Learns, while it writes, that a later leader writes. */
-  public lost(reason: string): void {
-    this.lose(reason);
+  /** Gives up leading, without a word to others. */
+  public lose(reason: string): void {
+    if (!this.leading) {
+      return;
+    }
+    this.leading = false;
+    this.known = false;
+    this.options.logger.warn('This process leads no more.', { reason });
+    this.options.onLost(reason);
   }
 
   /** Ends the following. */
@@ -118,8 +132,7 @@
       return;
     }
     if (!this.known) {
-      this.takePage(await this.options.log.newest());
-      this.known = true;
+      await this.readNewest();
     } else {
       this.takePage(await this.options.log.follow(this.end, this.followFor()));
     }
@@ -128,9 +141,22 @@
     }
   }
 
+  private async readNewest(): Promise<void> {
+    const { log, time } = this.options;
+    const askedAt = time.steady();
+    const page = await log.newest();
+    const way = time.steady() - askedAt;
+    this.courtesyMilliseconds = Math.min(
+      MOST_COURTESY_MILLISECONDS,
+      way * COURTESY_FACTOR,
+    );
+    this.takePage(page);
+    this.known = true;
+  }
+
   private followFor(): number {
     const free = this.record?.resigned !== false || this.isProvenGone();
-    return free ? Math.min(50, FOLLOW_MILLISECONDS) : FOLLOW_MILLISECONDS;
+    return free ? CANDIDATE_FOLLOW_MILLISECONDS : FOLLOW_MILLISECONDS;
   }
 
   private isProvenGone(): boolean {
@@ -197,16 +223,6 @@
     }
   }
 
-  private lose(reason: string): void {
-    if (!this.leading) {
-      return;
-    }
-    this.leading = false;
-    this.known = false;
-    this.options.logger.warn('This process leads no more.', { reason });
-    this.options.onLost(reason);
-  }
-
   private takePage(page: {
     readonly record: LeaderRecord | undefined;
     readonly end: number;
--- a/packages/job-nodes/tests/leadership/leadership.test.ts
+++ b/packages/job-nodes/tests/leadership/leadership.test.ts
@@ -26,6 +26,12 @@
   });
 }
 
+async function until(holds: () => boolean): Promise<void> {
+  while (!holds()) {
+    await pause(5);
+  }
+}
+
 t.test(
   'no two claims have the same epoch, though a late renewal hides one',
   async t => {
@@ -41,7 +47,7 @@
     const epochs: number[] = [];
     const first = candidate('a', log, epochs);
     void first.run();
-    await pause(20);
+    await until(() => epochs.length > 0);
     t.equal(epochs.length, 1, 'the first has claimed');
     // The renewal that the earlier life had under way is carried out only now.
     await log.claim(earlier, (await log.newest()).end);
@@ -55,3 +61,28 @@
     second.stop();
   },
 );
+
+t.test('the candidate nearest to the log claims first', async t => {
+  const log = new MemoryStore(seededRandom(1));
+  const far = new MemoryStore(seededRandom(1));
+  far.newest = async () => {
+    await pause(80);
+    return log.newest();
+  };
+  far.follow = log.follow;
+  far.claim = log.claim;
+  far.renew = log.renew;
+  const near: number[] = [];
+  const distant: number[] = [];
+  const candidates = [
+    candidate('far', far, distant),
+    candidate('near', log, near),
+  ];
+  candidates.forEach(each => void each.run());
+  await until(() => near.length + distant.length > 0);
+  await pause(300);
+  t.same([near.length, distant.length], [1, 0]);
+  candidates.forEach(each => {
+    each.stop();
+  });
+});
