--- a/packages/job-nodes/src/leader/answer-call.ts
+++ b/packages/job-nodes/src/leader/answer-call.ts
@@ -66,6 +66,15 @@
   });
 }
 
+/** An end is shown only once it is stored; asked once for each job. */
+async function endIsStored(
+  job: JobEntry,
+  context: AnswerContext,
+): Promise<boolean> {
+  job.endStored ||= await stored(context);
+  return job.endStored;
+}
+
 function findJob(
   call: { readonly identifier: string; readonly queue: string },
   { state }: AnswerContext,
@@ -83,7 +92,7 @@
     return { kind: 'no-such-job' };
   }
   const told: JobStatus = job.status;
-  const sure = job.ended === undefined || (await stored(context));
+  const sure = job.ended === undefined || (await endIsStored(job, context));
   return sure ? { kind: 'status', status: told } : NOT_LEADING;
 }
 
--- a/packages/jobs/src/records/apply-progress.ts
+++ b/packages/jobs/src/records/apply-progress.ts
@@ -29,6 +29,7 @@
   job.begun = record.begun ?? false;
   job.ended = record.ended;
   job.endedAt = record.endedAt ?? 0;
+  job.endStored = record.ended !== undefined;
   for (const row of record.tasks) {
     const [occurrence, step, index] = row;
     job.addOccurrence(occurrence);
--- a/packages/jobs/src/state/job-entry.ts
+++ b/packages/jobs/src/state/job-entry.ts
@@ -10,6 +10,9 @@
 
   public endedAt = 0;
 
+  /** The end is known to be stored. */
+  public endStored = false;
+
   /** Some task has been started. */
   public begun = false;
 
@@ -87,13 +90,15 @@
     if (this.ended !== undefined) {
       return;
     }
-    const tasks = [...this.tasks()];
-    if (tasks.some(task => task.phase === 'failed')) {
-      this.end('failed', now);
-      return;
+    let allDone = this.occurrences.size === this.occurrenceCount;
+    for (const { phase } of this.tasks()) {
+      if (phase === 'failed') {
+        this.end('failed', now);
+        return;
+      }
+      allDone &&= phase === 'done';
     }
-    const allExist = this.occurrences.size === this.occurrenceCount;
-    if (allExist && tasks.every(task => task.phase === 'done')) {
+    if (allDone) {
       this.end('completed', now);
     }
   }
--- a/packages/jobs/src/state/minion-entry.ts
+++ b/packages/jobs/src/state/minion-entry.ts
@@ -1,4 +1,3 @@
-import type { Capacity } from '../model/capacity.js';
 import type { MinionDescription } from '../model/minion-description.js';
 import type { MinionRun } from './minion-run.js';
 import type { TaskEntry } from './task-entry.js';
@@ -45,18 +44,4 @@
   public drop(task: string, run: number): void {
     this.runs.delete(`${task}/${run}`);
   }
-
-  /** Room that is taken, with what may be there counted as there. */
-  public get used(): Capacity {
-    let processorMillicores = 0;
-    let memoryMegabytes = 0;
-    let accelerators = 0;
-    for (const { entry } of this.runs.values()) {
-      const { demand } = entry;
-      processorMillicores += demand.processorMillicores;
-      memoryMegabytes += demand.memoryMegabytes;
-      accelerators += demand.accelerators;
-    }
-    return { processorMillicores, memoryMegabytes, accelerators };
-  }
 }
--- a/packages/jobs/tests/reconcile/apply-report.test.ts
+++ b/packages/jobs/tests/reconcile/apply-report.test.ts
@@ -3,6 +3,7 @@
 import type { AgentReport } from '../../src/model/agent-report.js';
 import type { EndReason } from '../../src/model/end-reason.js';
 import type { RunEnd } from '../../src/model/run-end.js';
+import { RoomView } from '../../src/plan/room-view.js';
 import { applyReport } from '../../src/reconcile/apply-report.js';
 import { JobTable } from '../../src/state/job-table.js';
 import { addJob } from '../support/add-job.js';
@@ -146,7 +147,7 @@
     { task: task.name, run: 9 },
     { task: 'unknown.0.0.0', run: 1 },
   ]);
-  t.equal(minion.used.processorMillicores, 1000);
+  t.equal(new RoomView(minion).processorMillicores, 3000);
   t.end();
 });
 
