--- a/packages/job-nodes/src/agent/agent-process.ts
+++ b/packages/job-nodes/src/agent/agent-process.ts
@@ -1,4 +1,5 @@
 import type { AgentOptions } from './agent-options.js';
+import { ImageMemory } from './image-memory.js';
 import { LeaderLink } from './leader-link.js';
 import { MinionDriver } from './minion-driver.js';
 
@@ -9,6 +10,7 @@
   private readonly link: LeaderLink;
 
   public constructor(options: AgentOptions) {
+    const images = new ImageMemory();
     this.link = new LeaderLink({
       agent: options.name,
       time: options.time,
@@ -16,6 +18,10 @@
       knownEntries: options.knownEntries,
       findLeader: options.findLeader,
       onMessage: message => {
+        const answer = images.take(message, options.time.steady());
+        if (answer !== undefined) {
+          this.link.tell(answer);
+        }
         this.driver.take(message);
       },
     });
--- a/packages/job-nodes/src/agent/minion-driver.ts
+++ b/packages/job-nodes/src/agent/minion-driver.ts
@@ -97,8 +97,8 @@
           this.pacer.learn(task, traits);
         });
         return;
-      case 'harms':
-        this.pacer.takeHarms(message.harms);
+      case 'images':
+        this.pacer.takeHarms(message.images.harms);
         return;
       case 'loads':
         this.pacer.takeLoads(message.loads);
--- a/packages/job-nodes/src/entry/internal-server.ts
+++ b/packages/job-nodes/src/entry/internal-server.ts
@@ -120,6 +120,8 @@
       const message = line as AgentMessage;
       if (message.kind === 'report') {
         leader.agents.report(session, message.report);
+      } else if (message.kind === 'images') {
+        leader.agents.adopt(message.images);
       }
       leader.agents.hear(session, message.sentAt);
     },
--- a/packages/job-nodes/src/leader/agent-desk.ts
+++ b/packages/job-nodes/src/leader/agent-desk.ts
@@ -1,4 +1,5 @@
 import type { AgentReport } from '@basilcourse/jobs/model/agent-report';
+import type { ImageKnowledge } from '@basilcourse/jobs/pace/image-knowledge';
 import { applyReport } from '@basilcourse/jobs/reconcile/apply-report';
 import type { ReportOutcome } from '@basilcourse/jobs/reconcile/report-outcome';
 import type { MinionEntry } from '@basilcourse/jobs/state/minion-entry';
@@ -49,6 +50,11 @@
     }
   }
 
+  /** Takes over what an agent was told of images by the last leader. */
+  public adopt(images: ImageKnowledge): void {
+    this.context.state.interference.adopt(images);
+  }
+
   /** Takes in what an agent reports. */
   public report(session: AgentSession, report: AgentReport): void {
     const { state, options, isReady } = this.context;
--- a/packages/job-nodes/src/leader/interference-watch.ts
+++ b/packages/job-nodes/src/leader/interference-watch.ts
@@ -2,6 +2,7 @@
 import type { AgentReport } from '@basilcourse/jobs/model/agent-report';
 import { HarmLearner } from '@basilcourse/jobs/pace/harm-learner';
 import { HarmTable } from '@basilcourse/jobs/pace/harm-table';
+import type { ImageKnowledge } from '@basilcourse/jobs/pace/image-knowledge';
 import { learnFromReport } from '@basilcourse/jobs/pace/learn-from-report';
 import { LoadWatch } from '@basilcourse/jobs/pace/load-watch';
 import { loadOf } from '@basilcourse/jobs/pace/queue-model';
@@ -49,7 +50,7 @@
     report: AgentReport,
     now: number,
   ): void {
-    const { harms, learner, loads, tails } = this;
+    const { learner, loads, tails } = this;
     learnFromReport(table, learner, loads, tails, report.running, now);
     if (now - this.updatedAt >= UPDATE_EVERY_MILLISECONDS) {
       this.updatedAt = now;
@@ -59,11 +60,26 @@
       this.tellLoads(table, session, report, now);
     }
     if (isDue(this.toldHarmsAt, session, now, HARMS_EVERY_MILLISECONDS)) {
-      session.send({ kind: 'harms', harms: harms.rows() });
+      session.send({ kind: 'images', images: this.knowledge() });
       loads.forgetOld(now, KEEP_MILLISECONDS);
     }
   }
 
+  /** Takes over what an earlier leader learned. */
+  public adopt({ harms, lowestTails }: ImageKnowledge): void {
+    harms.forEach(row => {
+      this.learner.adopt(row);
+    });
+    this.loads.adopt(lowestTails);
+  }
+
+  private knowledge(): ImageKnowledge {
+    return {
+      harms: this.harms.rows(),
+      lowestTails: this.loads.lowestTailsSeen(),
+    };
+  }
+
   private tellLoads(
     table: JobTable,
     session: AgentSession,
--- a/packages/job-nodes/src/lines/agent-message.ts
+++ b/packages/job-nodes/src/lines/agent-message.ts
@@ -1,8 +1,15 @@
 import type { AgentReport } from '@basilcourse/jobs/model/agent-report';
+import type { ImageKnowledge } from '@basilcourse/jobs/pace/image-knowledge';
 
 /** What an agent sends to the leader, one message a line. */
 export type AgentMessage =
   | { readonly kind: 'beat'; readonly sentAt: number }
+  | {
+      /** Given back to a new leader, as the last one told it. */
+      readonly kind: 'images';
+      readonly sentAt: number;
+      readonly images: ImageKnowledge;
+    }
   | {
       readonly kind: 'report';
       /** The agent's steady clock when it sent this. */
--- a/packages/job-nodes/src/lines/leader-message.ts
+++ b/packages/job-nodes/src/lines/leader-message.ts
@@ -1,7 +1,7 @@
 import type { StartOrder } from '@basilcourse/jobs/model/start-order';
 import type { StopOrder } from '@basilcourse/jobs/model/stop-order';
 import type { TaskTraits } from '@basilcourse/jobs/model/task-traits';
-import type { HarmRow } from '@basilcourse/jobs/pace/harm-row';
+import type { ImageKnowledge } from '@basilcourse/jobs/pace/image-knowledge';
 import type { ServingLoad } from '@basilcourse/jobs/pace/serving-load';
 
 /** What the leader sends to an agent, one message a line. */
@@ -25,8 +25,7 @@
       /** Of runs that the agent listed. */
       readonly tasks: readonly KnownTask[];
     }
-  /** What all minions have shown of images' harm to each other. */
-  | { readonly kind: 'harms'; readonly harms: readonly HarmRow[] }
+  | { readonly kind: 'images'; readonly images: ImageKnowledge }
   /** Loads of the jobs that serve on the agent's minion. */
   | { readonly kind: 'loads'; readonly loads: readonly ServingLoad[] }
   | {
--- a/packages/jobs/src/pace/harm-learner.ts
+++ b/packages/jobs/src/pace/harm-learner.ts
@@ -1,9 +1,13 @@
 import type { FillingCores } from './filling-cores.js';
+import type { HarmRow } from './harm-row.js';
 import type { HarmTable } from './harm-table.js';
 
 /** Squared cores of observations that weigh as much as the prior. */
 const PRIOR_WEIGHT = 4;
 
+/** Squared cores of observations that weigh as much as an adopted estimate. */
+const ADOPTED_WEIGHT = 200;
+
 /** Part of what is known that is kept at each update. */
 const KEPT_PART = 0.997;
 
@@ -68,6 +72,21 @@
     }
   }
 
+  /** Takes over what an earlier process learned of a pair, unless more is known here. */
+  public adopt({ serving, filling, harm, observations }: HarmRow): void {
+    const model = this.modelOf(serving);
+    const row = rowOf(model, filling);
+    if ((model.counts[row] ?? 0) >= observations) {
+      return;
+    }
+    model.counts[row] = observations;
+    model.moments[row] = (model.moments[row] ?? 0) + ADOPTED_WEIGHT * harm;
+    const line = model.products[row] ?? [];
+    line[row] = (line[row] ?? 0) + ADOPTED_WEIGHT;
+    model.products[row] = line;
+    this.table.set(serving, filling, harm, observations);
+  }
+
   /** Brings the table up to date with what was seen. */
   public update(): void {
     for (const [serving, model] of this.models) {
--- a/packages/jobs/src/pace/learn-from-report.ts
+++ b/packages/jobs/src/pace/learn-from-report.ts
@@ -45,7 +45,7 @@
   for (const { entry, running: row } of serving) {
     const { image, tailTargetMilliseconds } = entry.specification;
     const job = entry.jobIdentifier;
-    loads.note(job, image, entry.name, row.gauge, now);
+    loads.note(job, image, entry.name, row.gauge, tailTargetMilliseconds, now);
     const before = tailsBefore.get(entry.name) ?? 0;
     tailsBefore.set(entry.name, row.gauge);
     const lasting =
--- a/packages/jobs/src/pace/load-watch.ts
+++ b/packages/jobs/src/pace/load-watch.ts
@@ -1,5 +1,7 @@
 import { BoundedMap } from '@basilcourse/foundation/util/bounded-map';
 
+import type { LowestTail } from './lowest-tail.js';
+
 /** Images, and tasks, of which something is remembered. */
 const MOST_REMEMBERED = 20_000;
 
@@ -9,6 +11,9 @@
 /** Part of the lowest tail ever seen that is service and not waiting. */
 const FLOOR_PART = 0.8;
 
+/** Part of its bound above which a tail tells nothing of the floor. */
+const MOST_FLOOR_PART = 0.5;
+
 /** The first figures of a task cover time before its start. */
 const SETTLE_MILLISECONDS = 1200;
 
@@ -40,12 +45,13 @@
 
   private readonly firstAt = new BoundedMap<number>(MOST_REMEMBERED);
 
-  /** Notes the tail of one task. */
+  /** Notes the tail of one task, with its bound. */
   public note(
     job: string,
     image: string,
     task: string,
     tail: number,
+    bound: number,
     now: number,
   ): void {
     if (tail <= 0) {
@@ -56,8 +62,9 @@
     if (now - firstAt < SETTLE_MILLISECONDS) {
       return;
     }
-    const lowestSeen = Math.min(this.lowestTails.get(image) ?? tail, tail);
-    this.lowestTails.set(image, lowestSeen);
+    if (tail <= bound * MOST_FLOOR_PART) {
+      this.noteLowest(image, tail);
+    }
     const figures = this.jobs.get(job) ?? {
       image,
       tails: new Map<string, Figure>(),
@@ -91,13 +98,28 @@
     return lowest(figures, now) + Math.max(0, rise * STEPS_AHEAD);
   }
 
-  /** Returns the tail of a task that never waits. */
+  /** Returns the tail of a task that never waits; 0 while it is not known. */
   public floor(job: string): number {
     const figures = this.jobs.get(job);
     const seen = figures && this.lowestTails.get(figures.image);
     return (seen ?? 0) * FLOOR_PART;
   }
 
+  /** Returns the lowest tails seen, by image. */
+  public lowestTailsSeen(): readonly LowestTail[] {
+    return [...this.lowestTails.keyed()].map(([image, milliseconds]) => ({
+      image,
+      milliseconds,
+    }));
+  }
+
+  /** Takes over the lowest tails that an earlier process saw. */
+  public adopt(lowestTails: readonly LowestTail[]): void {
+    for (const { image, milliseconds } of lowestTails) {
+      this.noteLowest(image, milliseconds);
+    }
+  }
+
   /** Forgets jobs that were not heard of for long. */
   public forgetOld(now: number, keepMilliseconds: number): void {
     for (const [job, { newest }] of this.jobs) {
@@ -106,6 +128,11 @@
       }
     }
   }
+
+  private noteLowest(image: string, tail: number): void {
+    const before = this.lowestTails.get(image) ?? tail;
+    this.lowestTails.set(image, Math.min(before, tail));
+  }
 }
 
 function lowest({ tails, newest }: JobFigures, now: number): number {
