--- a/packages/jobs/src/plan/plan-starts.ts
+++ b/packages/jobs/src/plan/plan-starts.ts
@@ -11,7 +11,7 @@
 import { compareUrgency, urgencyOf } from './urgency.js';
 
 /** Longest wait of a task for a better moment. */
-const MOST_WAIT_MILLISECONDS = 1200;
+const MOST_WAIT_MILLISECONDS = 5000;
 
 /** A job that has to start sooner to be on time does not wait. */
 const WAIT_RESERVE_MILLISECONDS = 1000;
--- a/packages/jobs/src/plan/room-view.ts
+++ b/packages/jobs/src/plan/room-view.ts
@@ -18,6 +18,9 @@
   /** Tasks on the minion that serve users. */
   public readonly serving: TaskEntry[] = [];
 
+  /** Processor time that serving tasks ask for. */
+  public servingMillicores = 0;
+
   /** Processor time that filling tasks ask for, by image. */
   public readonly fillingMillicores = new Map<string, number>();
 
@@ -71,6 +74,7 @@
       : processorMillicores;
     if (serves) {
       this.serving.push(entry);
+      this.servingMillicores += processorMillicores;
     } else if (specification.filling) {
       const before = this.fillingMillicores.get(image) ?? 0;
       this.fillingMillicores.set(image, before + processorMillicores);
