--- a/packages/job-nodes/tests/leader/leader.test.ts
+++ b/packages/job-nodes/tests/leader/leader.test.ts
@@ -33,6 +33,7 @@
   public constructor(epoch = 1, store?: MemoryStore) {
     this.store = store ?? this.store;
     this.leader = new Leader({
+      observe: () => undefined,
       epoch,
       store: this.store,
       time: this.time,
@@ -135,6 +136,36 @@
   t.same(bench.startedTasks(), ['job.0.0.0', 'job.0.0.1']);
 });
 
+t.test('a run that was stopped resumes from its checkpoint', async t => {
+  const bench = new Bench();
+  t.teardown(() => {
+    bench.leader.close();
+  });
+  await bench.open();
+  await bench.submit();
+  bench.report({});
+  await pause(150);
+  const task = 'job.0.0.0';
+  const other = { task: 'job.0.0.1', run: 1, checkpoint: '', percent: 1 };
+  bench.report({
+    running: [{ ...other, gauge: 0 }],
+    ends: [{ number: 1, task, run: 1, reason: 'stopped', checkpoint: 'half' }],
+  });
+  await pause(250);
+  const orders = bench.messages.flatMap(message =>
+    message.kind === 'starts' ? message.starts : [],
+  );
+  t.same(
+    orders
+      .filter(order => order.task === task)
+      .map(({ run, checkpoint }) => ({ run, checkpoint })),
+    [
+      { run: 1, checkpoint: '' },
+      { run: 2, checkpoint: 'half' },
+    ],
+  );
+});
+
 t.test('the same job handed in again stays one job', async t => {
   const bench = new Bench();
   t.teardown(() => {
