--- a/packages/job-nodes/src/agent/agent-process.ts
+++ b/packages/job-nodes/src/agent/agent-process.ts
@@ -39,6 +39,11 @@
     });
   }
 
+  /** A stream to the leader is open. */
+  public get connected(): boolean {
+    return this.link.connected;
+  }
+
   /** Starts following the leader and driving the minion. */
   public start(): void {
     void this.link.run();
--- a/packages/job-nodes/src/agent/leader-link.ts
+++ b/packages/job-nodes/src/agent/leader-link.ts
@@ -36,6 +36,11 @@
     this.options = options;
   }
 
+  /** A stream to the leader is open. */
+  public get connected(): boolean {
+    return this.send !== undefined;
+  }
+
   /** Sends a message, if a stream is open. */
   public tell(message: AgentMessage): void {
     this.send?.(message);
--- a/packages/job-nodes/src/entry/entry-options.ts
+++ b/packages/job-nodes/src/entry/entry-options.ts
@@ -1,5 +1,6 @@
 import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
 
+import type { StepObserver } from '../metrics/step-observer.js';
 import type { JobStore } from '../store/job-store.js';
 import type { LeadershipLog } from '../store/leadership-log.js';
 import type { TimeSource } from '../time/time-source.js';
@@ -13,6 +14,7 @@
   readonly leadershipLog: LeadershipLog;
   readonly time: TimeSource;
   readonly logger: (part: string) => PartLogger;
+  readonly observe: StepObserver;
   readonly leaseMilliseconds: number;
   /** Addresses of entries that the settings name. */
   readonly knownEntries: () => readonly string[];
--- a/packages/job-nodes/src/entry/entry-process.ts
+++ b/packages/job-nodes/src/entry/entry-process.ts
@@ -6,6 +6,7 @@
 import { ConfigurationHolder } from '../configuration/configuration-holder.js';
 import { Leader } from '../leader/leader.js';
 import { Leadership } from '../leadership/leadership.js';
+import type { EntryFigures } from './entry-figures.js';
 import type { EntryOptions } from './entry-options.js';
 import { createInternalServer } from './internal-server.js';
 import { JobGateway } from './job-gateway.js';
@@ -13,6 +14,9 @@
 import type { WatchMessage } from './watch-message.js';
 import { WatchStreams } from './watch-streams.js';
 
+/** Figures of a leader where there is none. */
+const NOT_LEADING = { agents: 0, jobs: 0, waitingJobs: 0, owedMilliseconds: 0 };
+
 const WATCH_BEAT_MILLISECONDS = 500;
 
 /** The process that callers reach; one of all entries leads. */
@@ -85,6 +89,15 @@
     void this.createWatch().run();
   }
 
+  /** What this process believes, for its metrics. */
+  public figures(): EntryFigures {
+    return {
+      leads: this.leadership.isValid(),
+      configurationVersion: this.configuration.current?.version ?? 0,
+      ...(this.leader?.figures() ?? NOT_LEADING),
+    };
+  }
+
   /** Gives up the lead, if it is here. */
   public async resign(): Promise<void> {
     await this.leadership.resign();
@@ -135,6 +148,7 @@
       onFenced: () => {
         this.leadership.lose('a later leader writes');
       },
+      observe: this.options.observe,
       entries: () => [
         this.options.internalAddress,
         ...this.watches.addresses(),
--- a/packages/job-nodes/src/leader/agent-desk.ts
+++ b/packages/job-nodes/src/leader/agent-desk.ts
@@ -74,7 +74,7 @@
     }
     state.interference.learn(state.table, session, report, now);
     const outcome = applyReport(state.table, minion, report, now);
-    this.logOutcome(session, outcome);
+    this.logOutcome(session, outcome, now);
     if (outcome.stops.length > 0) {
       session.send({ kind: 'stops', stops: outcome.stops });
     }
@@ -99,9 +99,23 @@
     });
   }
 
-  private logOutcome(session: AgentSession, outcome: ReportOutcome): void {
-    const { logger } = this.context.options;
+  private logOutcome(
+    session: AgentSession,
+    outcome: ReportOutcome,
+    now: number,
+  ): void {
+    const { logger, observe } = this.context.options;
     const { agent, fencingToken } = session;
+    for (const { acceptedAt, specification } of outcome.begun) {
+      const waitedMilliseconds = Math.round(now - acceptedAt);
+      const { identifier, queue } = specification;
+      observe('first-start', 'begun', waitedMilliseconds);
+      logger.info('A job has begun.', {
+        job: identifier,
+        queue,
+        waitedMilliseconds,
+      });
+    }
     for (const { task, run, reason } of outcome.ended) {
       logger.info('A run ended.', { task, run, reason, agent });
     }
--- a/packages/job-nodes/src/leader/agent-sessions.ts
+++ b/packages/job-nodes/src/leader/agent-sessions.ts
@@ -20,6 +20,11 @@
     this.table = table;
   }
 
+  /** Number of open streams. */
+  public get count(): number {
+    return this.sessions.size;
+  }
+
   /** Takes up a stream; an earlier one of the agent ends. */
   public attach(session: AgentSession): void {
     const earlier = this.sessions.get(session.agent);
--- a/packages/job-nodes/src/leader/leader-options.ts
+++ b/packages/job-nodes/src/leader/leader-options.ts
@@ -1,5 +1,6 @@
 import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
 
+import type { StepObserver } from '../metrics/step-observer.js';
 import type { JobStore } from '../store/job-store.js';
 import type { TimeSource } from '../time/time-source.js';
 
@@ -14,6 +15,7 @@
   /** The own right to lead is not over. */
   readonly isValid: () => boolean;
   readonly onFenced: () => void;
+  readonly observe: StepObserver;
   /** Addresses of the entries that live. */
   readonly entries: () => readonly string[];
 }
--- a/packages/job-nodes/src/leader/leader.ts
+++ b/packages/job-nodes/src/leader/leader.ts
@@ -11,6 +11,7 @@
 import { answerCall } from './answer-call.js';
 import type { JobAnswer } from './job-answer.js';
 import type { JobCall } from './job-call.js';
+import type { LeaderFigures } from './leader-figures.js';
 import type { LeaderOptions } from './leader-options.js';
 import { LeaderState } from './leader-state.js';
 import { loadTable } from './load-table.js';
@@ -116,6 +117,17 @@
     this.rounds.planSoon();
   }
 
+  /** Returns what this leader believes, for its metrics. */
+  public figures(): LeaderFigures {
+    const jobs = [...this.state.table.jobs.values()];
+    return {
+      agents: this.state.sessions.count,
+      jobs: jobs.length,
+      waitingJobs: jobs.filter(job => job.status === 'queued').length,
+      owedMilliseconds: this.writer.blockedMilliseconds(),
+    };
+  }
+
   private async load(): Promise<void> {
     const { store, epoch, time, logger, onFenced } = this.options;
     if (!(await store.open(epoch))) {
--- /dev/null
+++ b/packages/job-nodes/src/metrics/observed-step.ts
@@ -0,0 +1,11 @@
+/** A step of the way of a job that is timed. */
+export type ObservedStep =
+  /** A caller's request, until its answer. */
+  | 'call'
+  | 'store-append'
+  | 'store-read'
+  /** From the acceptance of a job until its first task runs. */
+  | 'first-start'
+  | 'minion-start'
+  | 'minion-stop'
+  | 'minion-pace';
--- /dev/null
+++ b/packages/job-nodes/src/metrics/process-metrics.ts
@@ -0,0 +1,61 @@
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+import type { ObservedStep } from './observed-step.js';
+
+const MILLISECONDS_PER_SECOND = 1000;
+
+const BUCKETS_SECONDS = [
+  0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30,
+];
+
+/** Metrics of one process: counts of decisions, times of steps, beliefs. */
+export class ProcessMetrics {
+  private readonly registry = new Registry();
+
+  private readonly sentences = new Counter({
+    name: 'basilcourse_log_sentences_total',
+    help: 'Sentences of the log by text, also those left out of it.',
+    labelNames: ['sentence'],
+    registers: [this.registry],
+  });
+
+  private readonly steps = new Histogram({
+    name: 'basilcourse_step_duration_seconds',
+    help: 'Time that steps of the way of a job took, by step and outcome.',
+    labelNames: ['step', 'outcome'],
+    buckets: BUCKETS_SECONDS,
+    registers: [this.registry],
+  });
+
+  /** Counts a sentence of the log: each decision writes one. */
+  public readonly countSentence = (sentence: string): void => {
+    this.sentences.inc({ sentence });
+  };
+
+  /** Takes in how a step ended, and how long it took. */
+  public readonly observe = (
+    step: ObservedStep,
+    outcome: string,
+    milliseconds: number,
+  ): void => {
+    const seconds = milliseconds / MILLISECONDS_PER_SECOND;
+    this.steps.observe({ step, outcome }, seconds);
+  };
+
+  /** Adds a gauge that is read when it is asked for. */
+  public watch(name: string, help: string, read: () => number): void {
+    new Gauge({
+      name: `basilcourse_${name}`,
+      help,
+      registers: [this.registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+
+  /** Returns all metrics in the text format of Prometheus. */
+  public async text(): Promise<string> {
+    return this.registry.metrics();
+  }
+}
--- a/packages/job-nodes/tests/support/job-world.ts
+++ b/packages/job-nodes/tests/support/job-world.ts
@@ -136,6 +136,7 @@
   private createLeader(): Leader {
     const { epoch } = this;
     const leader: Leader = new Leader({
+      observe: () => undefined,
       epoch,
       store: this.store,
       time: this.time,
--- a/packages/jobs/src/reconcile/apply-report.ts
+++ b/packages/jobs/src/reconcile/apply-report.ts
@@ -3,6 +3,7 @@
 import type { RunningTask } from '../model/running-task.js';
 import type { StartRefusal } from '../model/start-refusal.js';
 import type { StopOrder } from '../model/stop-order.js';
+import type { JobEntry } from '../state/job-entry.js';
 import type { JobTable } from '../state/job-table.js';
 import type { MinionEntry } from '../state/minion-entry.js';
 import type { TaskEntry } from '../state/task-entry.js';
@@ -30,6 +31,7 @@
   report: AgentReport,
   now: number,
 ): ReportOutcome {
+  const begun = jobsBegunBy(table, report);
   const ended = report.ends.filter(end => applyEnd(table, minion, end, now));
   const stops = report.running.flatMap(running =>
     applyRunning(table, minion, running, now),
@@ -42,7 +44,29 @@
     (highest, end) => Math.max(highest, end.number),
     0,
   );
-  return { endsThrough, stops, ended, neverBegan };
+  return {
+    endsThrough,
+    stops,
+    ended,
+    begun: begun.filter(job => job.begun),
+    neverBegan,
+  };
+}
+
+/** Jobs of listed tasks that had not begun before. */
+function jobsBegunBy(
+  table: JobTable,
+  { running, ends }: AgentReport,
+): readonly JobEntry[] {
+  const jobs = new Set<JobEntry>();
+  for (const { task } of [...running, ...ends]) {
+    const identifier = table.task(task)?.jobIdentifier ?? '';
+    const job = table.jobs.get(identifier);
+    if (job?.begun === false) {
+      jobs.add(job);
+    }
+  }
+  return [...jobs];
 }
 
 function applyEnd(
