--- a/packages/jobs/src/plan/plan-starts.ts
+++ b/packages/jobs/src/plan/plan-starts.ts
@@ -10,8 +10,8 @@
 import type { Urgency } from './urgency.js';
 import { compareUrgency, urgencyOf } from './urgency.js';
 
-/** Longest wait of a task for a better moment. */
-const MOST_WAIT_MILLISECONDS = 5000;
+/** Longest wait of a task for a better moment; users count 3 s as forgotten. */
+const MOST_WAIT_MILLISECONDS = 2500;
 
 /** A job that has to start sooner to be on time does not wait. */
 const WAIT_RESERVE_MILLISECONDS = 1000;
