--- a/packages/jobs/src/plan/plan-starts.ts
+++ b/packages/jobs/src/plan/plan-starts.ts
@@ -42,16 +42,19 @@
   return starts;
 }
 
-/** A filling task may wait for a moment at which it harms less. */
+/**
+ * A filling task may wait for a moment at which it harms less, unless it has to
+ * start now to be on time; of a job that is late, little is lost by waiting.
+ */
 function canWait(
   steps: WaitingJob['steps'],
-  { latestStart }: Urgency,
+  { late, latestStart }: Urgency,
   now: number,
 ): boolean {
   const isNew = (task: TaskEntry): boolean =>
     now - task.waitingSince < MOST_WAIT_MILLISECONDS;
-  const inTime = latestStart - now > WAIT_RESERVE_MILLISECONDS;
-  return inTime && steps.some(tasks => tasks.some(isNew));
+  const hasTime = late || latestStart - now > WAIT_RESERVE_MILLISECONDS;
+  return hasTime && steps.some(tasks => tasks.some(isNew));
 }
 
 interface WaitingJob {
--- a/packages/jobs/tests/plan/wait.test.ts
+++ b/packages/jobs/tests/plan/wait.test.ts
@@ -50,6 +50,15 @@
   t.end();
 });
 
+t.test('a task of a late job waits like one that has time', t => {
+  const { table, harms } = harmfulTable();
+  addJob(table, 'f', [HEAVY], { slackFactor: 1 }, -60_000);
+  t.same(plan(table, 1, harms), []);
+  t.same(plan(table, 2400, harms), []);
+  t.same(plan(table, 2600, harms), ['f.0.0.0 on a']);
+  t.end();
+});
+
 t.test('a harmless task does not wait', t => {
   const { table, harms } = harmfulTable();
   harms.set('frail', 'heavy', 0, 9);
