--- a/packages/jobs/src/plan/choose-minion.ts
+++ b/packages/jobs/src/plan/choose-minion.ts
@@ -19,7 +19,7 @@
  * known to harm each other. Answers the load of many equal minions that are
  * partly filled.
  *
- * @param mayWait - The task may wait for a moment at which it harms less.
+ * @param mayWait - A filling task may wait for a moment at which it harms less.
  */
 export function chooseMinion(
   task: TaskEntry,
@@ -29,7 +29,8 @@
   harm: HarmEstimate,
   mayWait: boolean,
 ): RoomView | undefined {
-  const mostHarm = mayWait ? MOST_HARM_OF_PATIENT : Number.POSITIVE_INFINITY;
+  const waits = mayWait && task.specification.filling;
+  const mostHarm = waits ? MOST_HARM_OF_PATIENT : Number.POSITIVE_INFINITY;
   let best: RoomView | undefined;
   let bestScore = Number.NEGATIVE_INFINITY;
   for (const room of rooms) {
--- a/packages/jobs/tests/plan/wait.test.ts
+++ b/packages/jobs/tests/plan/wait.test.ts
@@ -66,3 +66,19 @@
   t.same(plan(table, 1, harms), ['f.0.0.0 on a']);
   t.end();
 });
+
+t.test('a task that serves does not wait for a better neighbour', t => {
+  const table = new JobTable();
+  const minion = addMinion(table, 'a');
+  const filling = addJob(table, 'f', [HEAVY]);
+  startOn(minion, firstTask(filling));
+  const harms = new HarmTable();
+  harms.set('frail', 'heavy', 0.9, 9);
+  const serving = { image: 'frail', tailTargetMilliseconds: 50 };
+  addJob(table, 's', [makeStep({ ...serving, longRunning: true })]);
+  t.same(plan(table, 1, harms), ['s.0.0.0 on a']);
+  addJob(table, 'old', [makeStep({ ...serving, longRunning: true })], {}, -9e5);
+  t.same(plan(table, 1, harms)[0], 's.0.0.0 on a');
+  t.equal(plan(table, 1, harms).length, 2, 'nor does one of an old job');
+  t.end();
+});
