--- a/packages/daemon/src/operators/node-metrics.ts
+++ b/packages/daemon/src/operators/node-metrics.ts
@@ -1,7 +1,8 @@
+import { watchGauge } from '@basilcourse/foundation/metrics/watch-gauge';
 import type { CallerRequest } from '@basilcourse/request-plane/entry/caller-request';
 import type { RequestObserver } from '@basilcourse/request-plane/entry/request-observer';
 import type { RunOutcome } from '@basilcourse/request-plane/outcome/run-outcome';
-import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import { Counter, Histogram, Registry } from 'prom-client';
 
 const MILLISECONDS_PER_SECOND = 1000;
 
@@ -60,14 +61,7 @@
 
   /** Adds a gauge that is read when it is asked for. */
   public watch(name: string, help: string, read: () => number): void {
-    new Gauge({
-      name: `basilcourse_${name}`,
-      help,
-      registers: [this.registry],
-      collect() {
-        this.set(read());
-      },
-    });
+    watchGauge(this.registry, name, help, read);
   }
 
   public watchEntry(figures: EntryFigures): void {
--- a/packages/job-nodes/src/leader/send-starts.ts
+++ b/packages/job-nodes/src/leader/send-starts.ts
@@ -7,6 +7,9 @@
 import type { AgentSession } from './agent-session.js';
 import type { LeaderState } from './leader-state.js';
 
+/** Hundredths are told of a bound. */
+const PRECISION = 100;
+
 /**
  * Sends the orders for starts that are stored. A start whose job is over by
  * now is taken back; one whose agent has another stream by now is left to the
@@ -18,7 +21,7 @@
   logger: PartLogger,
 ): void {
   const orders = new Map<AgentSession, StartOrder[]>();
-  for (const { task, minion } of starts) {
+  for (const { task, minion, endangeredBounds } of starts) {
     const job = state.table.jobs.get(task.jobIdentifier);
     const session = state.sessions.of(task);
     if (task.phase !== 'assigned' || job === undefined) {
@@ -37,6 +40,8 @@
         run: task.run,
         agent: session.agent,
         token: session.fencingToken,
+        image: task.specification.image,
+        endangeredBounds: Math.round(endangeredBounds * PRECISION) / PRECISION,
       });
     }
   }
--- a/packages/job-nodes/src/metrics/process-metrics.ts
+++ b/packages/job-nodes/src/metrics/process-metrics.ts
@@ -1,4 +1,5 @@
-import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import { watchGauge } from '@basilcourse/foundation/metrics/watch-gauge';
+import { Counter, Histogram, Registry } from 'prom-client';
 
 import type { ObservedStep } from './observed-step.js';
 
@@ -44,14 +45,7 @@
 
   /** Adds a gauge that is read when it is asked for. */
   public watch(name: string, help: string, read: () => number): void {
-    new Gauge({
-      name: `basilcourse_${name}`,
-      help,
-      registers: [this.registry],
-      collect() {
-        this.set(read());
-      },
-    });
+    watchGauge(this.registry, name, help, read);
   }
 
   /** Returns all metrics in the text format of Prometheus. */
--- a/packages/jobs/src/plan/choose-minion.ts
+++ b/packages/jobs/src/plan/choose-minion.ts
@@ -1,4 +1,5 @@
 import type { TaskEntry } from '../state/task-entry.js';
+import type { ChosenMinion } from './chosen-minion.js';
 import type { HarmEstimate } from './harm-estimate.js';
 import { harmOf } from './harm-of.js';
 import type { RoomView } from './room-view.js';
@@ -28,21 +29,21 @@
   preferredRack: string,
   harm: HarmEstimate,
   mayWait: boolean,
-): RoomView | undefined {
+): ChosenMinion | undefined {
   const waits = mayWait && task.specification.filling;
   const mostHarm = waits ? MOST_HARM_OF_PATIENT : Number.POSITIVE_INFINITY;
-  let best: RoomView | undefined;
+  let best: ChosenMinion | undefined;
   let bestScore = Number.NEGATIVE_INFINITY;
   for (const room of rooms) {
     if (!fits(task, service, room)) {
       continue;
     }
-    const endangered = harmOf(task, room, harm);
+    const endangeredBounds = harmOf(task, room, harm);
     const score =
       scoreMinion(task, room, preferredRack) -
-      HARM_COST * Math.min(MOST_HARM, endangered);
-    if (endangered <= mostHarm && score > bestScore) {
-      best = room;
+      HARM_COST * Math.min(MOST_HARM, endangeredBounds);
+    if (endangeredBounds <= mostHarm && score > bestScore) {
+      best = { room, endangeredBounds };
       bestScore = score;
     }
   }
--- a/packages/jobs/src/plan/plan-starts.ts
+++ b/packages/jobs/src/plan/plan-starts.ts
@@ -97,7 +97,7 @@
   const starts: PlannedStart[] = [];
   for (const task of tasks) {
     const rack = preferredRack(task, starts);
-    const room = chooseMinion(
+    const chosen = chooseMinion(
       task,
       job.queue.service,
       candidates,
@@ -105,11 +105,12 @@
       harm,
       mayWait,
     );
-    if (room === undefined) {
+    if (chosen === undefined) {
       break;
     }
+    const { room, endangeredBounds } = chosen;
     room.take(task);
-    starts.push({ task, minion: room.minion });
+    starts.push({ task, minion: room.minion, endangeredBounds });
   }
   return gang ? wholeGang(job, tasks, starts, rooms) : starts;
 }
