--- a/packages/foundation/src/logging/line-writer.ts
+++ b/packages/foundation/src/logging/line-writer.ts
@@ -95,6 +95,7 @@
         }, RETRY_MILLISECONDS).unref();
         return;
       }
+      // After any other error the reader is gone, and the chunk with it.
       const done = error === null ? written : chunk.length;
       this.waitingBytes -= done;
       if (done < chunk.length) {
