--- a/packages/job-nodes/src/agent/minion-vitals.ts
+++ b/packages/job-nodes/src/agent/minion-vitals.ts
@@ -1,4 +1,4 @@
-import { PeerUnreachableError } from '@basilcourse/foundation/errors/peer-unreachable-error';
+import { connectionRefused } from '@basilcourse/foundation/errors/connection-refused';
 
 import { WrongMinionError } from './wrong-minion-error.js';
 
@@ -33,9 +33,7 @@
     if (error instanceof WrongMinionError) {
       return true;
     }
-    const refused =
-      error instanceof PeerUnreachableError &&
-      error.message.includes('ECONNREFUSED');
+    const refused = connectionRefused(error);
     this.refusedInRow = refused ? this.refusedInRow + 1 : 0;
     return refused ? this.refusedInRow >= REFUSALS_THAT_PROVE : leaseOver;
   }
--- a/packages/job-nodes/src/entry/gateway-answer.ts
+++ b/packages/job-nodes/src/entry/gateway-answer.ts
@@ -2,6 +2,6 @@
 
 /** Answer to a caller's request, or why there is none. */
 export type GatewayAnswer =
-  | Exclude<JobAnswer, { readonly kind: 'not-leading' }>
-  /** No leader was found in time; `sent` tells whether any was asked. */
+  | Exclude<JobAnswer, { readonly kind: 'not-leading' | 'unknown' }>
+  /** No leader answered in time; `sent` tells whether one may have acted. */
   | { readonly kind: 'unavailable'; readonly sent: boolean };
--- a/packages/job-nodes/src/entry/internal-server.ts
+++ b/packages/job-nodes/src/entry/internal-server.ts
@@ -7,10 +7,11 @@
 import { readBody } from '../http/read-body.js';
 import { sendJson } from '../http/send-json.js';
 import { AgentSession } from '../leader/agent-session.js';
-import type { JobCall } from '../leader/job-call.js';
+import type { JobAnswer } from '../leader/job-answer.js';
 import type { Leader } from '../leader/leader.js';
 import type { LeaderRecord } from '../leadership/leader-record.js';
 import type { AgentMessage } from '../lines/agent-message.js';
+import type { CallMessage } from '../lines/call-message.js';
 import { readLines } from '../lines/line-reader.js';
 import type { TimeSource } from '../time/time-source.js';
 import type { WatchStreams } from './watch-streams.js';
@@ -23,6 +24,8 @@
 
 const INTERNAL_ERROR = 500;
 
+const NOT_LEADING: JobAnswer = { kind: 'not-leading' };
+
 /** What the server for other processes of the system needs. */
 export interface InternalServerOptions {
   readonly time: TimeSource;
@@ -87,9 +90,11 @@
 ): Promise<void> {
   const body = await readBody(incoming, LARGEST_CALL_BYTES);
   const leader = options.localLeader();
-  const call = JSON.parse(body?.toString('utf8') ?? '') as JobCall;
-  const answer = await leader?.answer(call);
-  sendJson(response, 200, answer ?? { kind: 'not-leading' });
+  const message = JSON.parse(body?.toString('utf8') ?? '') as CallMessage;
+  const { epoch, call } = message;
+  const isMeant = leader?.epoch === epoch;
+  const answer = isMeant ? await leader.answer(call) : NOT_LEADING;
+  sendJson(response, 200, answer);
 }
 
 function openAgentStream(
--- a/packages/job-nodes/src/entry/job-gateway.ts
+++ b/packages/job-nodes/src/entry/job-gateway.ts
@@ -1,9 +1,11 @@
 import { messageOf } from '@basilcourse/foundation/errors/message-of';
+import { neverConnected } from '@basilcourse/foundation/errors/never-connected';
 
 import { callPeer } from '../http/call-peer.js';
 import type { JobAnswer } from '../leader/job-answer.js';
 import type { JobCall } from '../leader/job-call.js';
 import type { LeaderRecord } from '../leadership/leader-record.js';
+import type { CallMessage } from '../lines/call-message.js';
 import { pause } from '../time/pause.js';
 import type { GatewayAnswer } from './gateway-answer.js';
 import type { JobGatewayOptions } from './job-gateway-options.js';
@@ -17,6 +19,28 @@
 /** Kept for the way of the answer to the caller. */
 const RESERVE_MILLISECONDS = 120;
 
+type TryAnswer = JobAnswer | { readonly kind: 'not-sent' | 'no-answer' };
+
+type FinalAnswer = Exclude<GatewayAnswer, { readonly kind: 'unavailable' }>;
+
+/** Answers after which the leader is asked again. */
+const NOT_FINAL: ReadonlySet<TryAnswer['kind']> = new Set([
+  'not-sent',
+  'not-leading',
+  'no-answer',
+  'unknown',
+]);
+
+function isFinal(answer: TryAnswer): answer is FinalAnswer {
+  return !NOT_FINAL.has(answer.kind);
+}
+
+/** One try, and the epoch of the leader that it went to. */
+interface Try {
+  readonly epoch: number;
+  readonly answer: TryAnswer;
+}
+
 /** Passes callers' requests to the leader, wherever it is. */
 export class JobGateway {
   private readonly options: JobGatewayOptions;
@@ -29,25 +53,29 @@
    * Asks the leader, again after a change of the leader, until the deadline.
    * Every call may be repeated: jobs are told apart by their identifiers.
    *
+   * A leader that left a try without an answer may yet act on it, so its
+   * refusal of a later try is not passed on. That of a later leader is: it has
+   * shut out what earlier ones had not stored.
+   *
    * @param deadlineAt - On the steady clock.
    */
   public async call(call: JobCall, deadlineAt: number): Promise<GatewayAnswer> {
+    const unansweredEpochs = new Set<number>();
     let sent = false;
     for (;;) {
       const left = this.left(deadlineAt);
       if (left <= 0) {
         return { kind: 'unavailable', sent };
       }
-      const local = this.options.localLeader();
-      const record = this.options.leaderRecord();
-      const answer =
-        local === undefined
-          ? await this.askRemote(call, record, left)
-          : await local.answer(call);
-      if (answer !== undefined && answer.kind !== 'not-leading') {
+      const { epoch, answer } = await this.ask(call, left);
+      if (answer.kind === 'no-answer') {
+        unansweredEpochs.add(epoch);
+      }
+      sent ||= answer.kind === 'no-answer' || answer.kind === 'unknown';
+      const mayYetAct = unansweredEpochs.has(epoch);
+      if (isFinal(answer) && !(answer.kind === 'refused' && mayYetAct)) {
         return answer;
       }
-      sent ||= local !== undefined || record !== undefined;
       await pause(Math.min(RETRY_MILLISECONDS, Math.max(1, left)));
     }
   }
@@ -56,29 +84,36 @@
     return deadlineAt - RESERVE_MILLISECONDS - this.options.time.steady();
   }
 
+  private async ask(call: JobCall, left: number): Promise<Try> {
+    const local = this.options.localLeader();
+    if (local !== undefined) {
+      return { epoch: local.epoch, answer: await local.answer(call) };
+    }
+    const record = this.options.leaderRecord();
+    return record === undefined
+      ? { epoch: 0, answer: { kind: 'not-sent' } }
+      : {
+          epoch: record.epoch,
+          answer: await this.askRemote(call, record, left),
+        };
+  }
+
   private async askRemote(
     call: JobCall,
-    record: LeaderRecord | undefined,
+    { address, epoch }: LeaderRecord,
     left: number,
-  ): Promise<JobAnswer | undefined> {
-    if (record === undefined) {
-      return undefined;
-    }
+  ): Promise<TryAnswer> {
     const timeout = Math.min(left, CALL_TIMEOUT_MILLISECONDS);
+    const message: CallMessage = { epoch, call };
     try {
-      return (await callPeer(
-        record.address,
-        '/call',
-        call,
-        timeout,
-      )) as JobAnswer;
+      return (await callPeer(address, '/call', message, timeout)) as JobAnswer;
     } catch (error) {
       this.options.logger.warn('The leader did not answer.', {
         kind: call.kind,
-        epoch: record.epoch,
+        epoch,
         reason: messageOf(error),
       });
-      return undefined;
+      return { kind: neverConnected(error) ? 'not-sent' : 'no-answer' };
     }
   }
 }
--- a/packages/job-nodes/src/entry/leader-watch.ts
+++ b/packages/job-nodes/src/entry/leader-watch.ts
@@ -1,5 +1,6 @@
 import { request } from 'node:http';
 
+import { connectionRefused } from '@basilcourse/foundation/errors/connection-refused';
 import { messageOf } from '@basilcourse/foundation/errors/message-of';
 import { splitAddress } from '@basilcourse/foundation/net/split-address';
 
@@ -97,7 +98,7 @@
         this.options.onGone(record.life);
       }
     } catch (error) {
-      if (messageOf(error).includes('ECONNREFUSED')) {
+      if (connectionRefused(error)) {
         this.options.onGone(record.life);
       }
     }
--- a/packages/job-nodes/src/leader/answer-call.ts
+++ b/packages/job-nodes/src/leader/answer-call.ts
@@ -7,7 +7,7 @@
 
 const RETRY_AFTER_SECONDS = 1;
 
-const NOT_LEADING: JobAnswer = { kind: 'not-leading' };
+const UNKNOWN: JobAnswer = { kind: 'unknown' };
 
 /** What an answer depends on. */
 export interface AnswerContext {
@@ -57,7 +57,7 @@
     const { specification, queue } = call;
     state.accept({ specification, queue, acceptedAt: now });
   }
-  return (await stored(context)) ? { kind: 'accepted' } : NOT_LEADING;
+  return (await stored(context)) ? { kind: 'accepted' } : UNKNOWN;
 }
 
 function stored(context: AnswerContext): Promise<boolean> {
@@ -93,7 +93,7 @@
   }
   const told: JobStatus = job.status;
   const sure = job.ended === undefined || (await endIsStored(job, context));
-  return sure ? { kind: 'status', status: told } : NOT_LEADING;
+  return sure ? { kind: 'status', status: told } : UNKNOWN;
 }
 
 async function cancel(
@@ -108,7 +108,7 @@
     job.end('cancelled', context.now);
     context.state.table.changed.add(call.identifier);
   }
-  return (await stored(context)) ? { kind: 'cancelled' } : NOT_LEADING;
+  return (await stored(context)) ? { kind: 'cancelled' } : UNKNOWN;
 }
 
 function pending(queue: string, { state }: AnswerContext): JobAnswer {
--- a/packages/job-nodes/src/leader/job-answer.ts
+++ b/packages/job-nodes/src/leader/job-answer.ts
@@ -12,5 +12,7 @@
   | { readonly kind: 'cancelled' }
   | { readonly kind: 'no-such-job' }
   | { readonly kind: 'pending'; readonly count: number }
-  /** This process does not lead, or can't tell for sure. */
-  | { readonly kind: 'not-leading' };
+  /** This process does not lead; nothing was done. */
+  | { readonly kind: 'not-leading' }
+  /** It lost the lead before it knew whether what it did is stored. */
+  | { readonly kind: 'unknown' };
--- a/packages/job-nodes/src/leader/leader.ts
+++ b/packages/job-nodes/src/leader/leader.ts
@@ -94,6 +94,11 @@
     return this.loaded && !this.closed && this.options.isValid();
   }
 
+  /** Epoch in which this leader decides. */
+  public get epoch(): number {
+    return this.options.epoch;
+  }
+
   /** Answers an entry's call. */
   public async answer(call: JobCall): Promise<JobAnswer> {
     if (!this.isReady()) {
--- a/packages/request-plane/src/agent/call-upstream.ts
+++ b/packages/request-plane/src/agent/call-upstream.ts
@@ -1,6 +1,7 @@
 import type { Agent, ClientRequest, IncomingMessage } from 'node:http';
 import { request } from 'node:http';
 
+import { neverConnected } from '@basilcourse/foundation/errors/never-connected';
 import { splitAddress } from '@basilcourse/foundation/net/split-address';
 import type { RunRequest } from '@basilcourse/wire/request_plane_pb';
 import * as Effect from 'effect/Effect';
@@ -14,13 +15,6 @@
 
 const STEP = 'agent.run';
 
-/** Errors that arise before a connection stands, so nothing was sent. */
-const NEVER_CONNECTED: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-]);
-
 /** One call to an upstream. */
 export interface UpstreamCall {
   readonly address: string;
@@ -61,8 +55,7 @@
 }
 
 function classify(error: Error, address: string): RunOutcome {
-  const { code = '' } = error as NodeJS.ErrnoException;
-  return NEVER_CONNECTED.has(code)
+  return neverConnected(error)
     ? notRun(STEP, address, error.message)
     : unknown(STEP, address, error.message);
 }
