--- a/packages/foundation/src/util/bounded-map.ts
+++ b/packages/foundation/src/util/bounded-map.ts
@@ -43,11 +43,6 @@
     return this.entries.values();
   }
 
-  /** Keys with their entries, from the oldest to the newest. */
-  public keyed(): IterableIterator<[string, Value]> {
-    return this.entries.entries();
-  }
-
   /** Drops entries from the oldest on while the condition holds. */
   public dropWhile(condition: (value: Value) => boolean): void {
     for (const [key, value] of this.entries) {
--- a/packages/job-nodes/src/agent/agent-process.ts
+++ b/packages/job-nodes/src/agent/agent-process.ts
@@ -18,14 +18,19 @@
       knownEntries: options.knownEntries,
       findLeader: options.findLeader,
       onMessage: message => {
-        const answer = images.take(message, options.time.steady());
-        if (answer !== undefined) {
-          this.link.tell(answer);
+        if (message.kind === 'welcome') {
+          const sentAt = options.time.steady();
+          this.link.tell({
+            kind: 'images',
+            sentAt,
+            images: images.knowledge(),
+          });
         }
         this.driver.take(message);
       },
     });
     this.driver = new MinionDriver({
+      images,
       client: options.client,
       time: options.time,
       logger: options.logger('minion-driver'),
--- a/packages/job-nodes/src/agent/image-memory.ts
+++ b/packages/job-nodes/src/agent/image-memory.ts
@@ -1,23 +1,30 @@
+import { HarmTable } from '@basilcourse/jobs/pace/harm-table';
 import type { ImageKnowledge } from '@basilcourse/jobs/pace/image-knowledge';
-
-import type { AgentMessage } from '../lines/agent-message.js';
-import type { LeaderMessage } from '../lines/leader-message.js';
+import type { LowestTail } from '@basilcourse/jobs/pace/lowest-tail';
+import { VersionedRows } from '@basilcourse/jobs/pace/versioned-rows';
 
 /**
- * Keeps what the last leader told of images, and gives it back to the next one,
- * which starts without.
+ * Keeps what leaders told of images, for the own pace and to give it back to
+ * the next leader, which starts without.
  */
 export class ImageMemory {
-  private images: ImageKnowledge | undefined;
+  public readonly harms = new HarmTable();
+
+  private readonly lowestTails = new VersionedRows<LowestTail>(() => true);
 
-  /** Takes in a message of the leader; returns what to answer it. */
-  public take(message: LeaderMessage, now: number): AgentMessage | undefined {
-    if (message.kind === 'images') {
-      this.images = message.images;
+  /** Takes in what has changed. */
+  public take({ harms, lowestTails }: ImageKnowledge): void {
+    this.harms.take(harms);
+    for (const row of lowestTails) {
+      this.lowestTails.set(row.image, row);
     }
-    const { images } = this;
-    return message.kind === 'welcome' && images !== undefined
-      ? { kind: 'images', sentAt: now, images }
-      : undefined;
+  }
+
+  /** Returns all that is known. */
+  public knowledge(): ImageKnowledge {
+    return {
+      harms: this.harms.rowsSince(0),
+      lowestTails: this.lowestTails.since(0),
+    };
   }
 }
--- a/packages/job-nodes/src/agent/minion-driver.ts
+++ b/packages/job-nodes/src/agent/minion-driver.ts
@@ -45,6 +45,7 @@
     this.options = options;
     this.pacer = new Pacer({
       client: options.client,
+      harms: options.images.harms,
       logger: options.logger,
     });
     this.orders = new OrderRunner({
@@ -98,7 +99,7 @@
         });
         return;
       case 'images':
-        this.pacer.takeHarms(message.images.harms);
+        this.options.images.take(message.images);
         return;
       case 'loads':
         this.pacer.takeLoads(message.loads);
--- a/packages/job-nodes/src/agent/pacer.ts
+++ b/packages/job-nodes/src/agent/pacer.ts
@@ -4,8 +4,6 @@
 import type { TaskTraits } from '@basilcourse/jobs/model/task-traits';
 import { decideShares } from '@basilcourse/jobs/pace/decide-shares';
 import type { FillingDemand } from '@basilcourse/jobs/pace/filling-demand';
-import type { HarmRow } from '@basilcourse/jobs/pace/harm-row';
-import { HarmTable } from '@basilcourse/jobs/pace/harm-table';
 import type { ServingLoad } from '@basilcourse/jobs/pace/serving-load';
 import { splitTaskName } from '@basilcourse/jobs/state/split-task-name';
 
@@ -42,9 +40,6 @@
 export class Pacer {
   private readonly options: PacerOptions;
 
-  /** What all minions have shown of images' harm. */
-  private readonly harms = new HarmTable();
-
   /** Loads of the jobs that serve here, by job. */
   private readonly loads = new BoundedMap<ServingLoad>(MOST_TASKS);
 
@@ -83,11 +78,6 @@
     this.shares = new Map();
   }
 
-  /** Takes over what all minions have shown. */
-  public takeHarms(rows: readonly HarmRow[]): void {
-    this.harms.take(rows);
-  }
-
   /** Takes over the loads of jobs that serve here. */
   public takeLoads(loads: readonly ServingLoad[]): void {
     for (const load of loads) {
@@ -137,7 +127,7 @@
     const shares = decideShares(
       this.strain.add(serving, now),
       filling,
-      this.harms,
+      this.options.harms,
     );
     for (const [image, share] of shares) {
       const before = this.shares.get(image) ?? 1;
--- a/packages/job-nodes/src/leader/interference-watch.ts
+++ b/packages/job-nodes/src/leader/interference-watch.ts
@@ -16,12 +16,27 @@
 
 const LOADS_EVERY_MILLISECONDS = 450;
 
-const HARMS_EVERY_MILLISECONDS = 1000;
+const IMAGES_EVERY_MILLISECONDS = 1000;
 
 const UPDATE_EVERY_MILLISECONDS = 300;
 
 const KEEP_MILLISECONDS = 10_000;
 
+/** What an agent was told on its present stream. */
+interface Told {
+  readonly loadsAt: number;
+  readonly imagesAt: number;
+  readonly harmVersion: number;
+  readonly tailVersion: number;
+}
+
+const NOTHING_TOLD: Told = {
+  loadsAt: Number.NEGATIVE_INFINITY,
+  imagesAt: Number.NEGATIVE_INFINITY,
+  harmVersion: 0,
+  tailVersion: 0,
+};
+
 /** Learns from all agents how images harm each other, and tells them. */
 export class InterferenceWatch {
   private readonly harms = new HarmTable();
@@ -34,9 +49,7 @@
 
   private readonly tails = new BoundedMap<number>(MOST_TASKS);
 
-  private readonly toldLoadsAt = new Map<string, number>();
-
-  private readonly toldHarmsAt = new Map<string, number>();
+  private readonly told = new WeakMap<AgentSession, Told>();
 
   /** Returns what is known by now. */
   public estimate(now: number): HarmEstimate {
@@ -56,13 +69,9 @@
       this.updatedAt = now;
       learner.update();
     }
-    if (isDue(this.toldLoadsAt, session, now, LOADS_EVERY_MILLISECONDS)) {
-      this.tellLoads(table, session, report, now);
-    }
-    if (isDue(this.toldHarmsAt, session, now, HARMS_EVERY_MILLISECONDS)) {
-      session.send({ kind: 'images', images: this.knowledge() });
-      loads.forgetOld(now, KEEP_MILLISECONDS);
-    }
+    const before = this.told.get(session) ?? NOTHING_TOLD;
+    const told = this.tellLoads(table, session, report, before, now);
+    this.told.set(session, this.tellImages(session, told, now));
   }
 
   /** Takes over what an earlier leader learned. */
@@ -73,10 +82,25 @@
     this.loads.adopt(lowestTails);
   }
 
-  private knowledge(): ImageKnowledge {
+  /** Tells what has changed since the last time. */
+  private tellImages(session: AgentSession, told: Told, now: number): Told {
+    if (now - told.imagesAt < IMAGES_EVERY_MILLISECONDS) {
+      return told;
+    }
+    const { harms, loads } = this;
+    loads.forgetOld(now, KEEP_MILLISECONDS);
+    const images: ImageKnowledge = {
+      harms: harms.rowsSince(told.harmVersion),
+      lowestTails: loads.lowestTailsSince(told.tailVersion),
+    };
+    if (images.harms.length + images.lowestTails.length > 0) {
+      session.send({ kind: 'images', images });
+    }
     return {
-      harms: this.harms.rows(),
-      lowestTails: this.loads.lowestTailsSeen(),
+      ...told,
+      imagesAt: now,
+      harmVersion: harms.version,
+      tailVersion: loads.version,
     };
   }
 
@@ -84,8 +108,12 @@
     table: JobTable,
     session: AgentSession,
     report: AgentReport,
+    told: Told,
     now: number,
-  ): void {
+  ): Told {
+    if (now - told.loadsAt < LOADS_EVERY_MILLISECONDS) {
+      return told;
+    }
     const jobs = new Set(
       report.running
         .map(({ task }) => table.task(task))
@@ -101,18 +129,6 @@
     if (known.length > 0) {
       session.send({ kind: 'loads', loads: known });
     }
+    return { ...told, loadsAt: now };
   }
 }
-
-function isDue(
-  toldAt: Map<string, number>,
-  { agent }: AgentSession,
-  now: number,
-  every: number,
-): boolean {
-  if (now - (toldAt.get(agent) ?? Number.NEGATIVE_INFINITY) < every) {
-    return false;
-  }
-  toldAt.set(agent, now);
-  return true;
-}
--- a/packages/job-nodes/tests/agent/image-memory.test.ts
+++ b/packages/job-nodes/tests/agent/image-memory.test.ts
@@ -1,30 +1,24 @@
 import t from 'tap';
 
 import { ImageMemory } from '../../src/agent/image-memory.js';
-import type { LeaderMessage } from '../../src/lines/leader-message.js';
 
-function welcome(epoch: number): LeaderMessage {
-  return {
-    kind: 'welcome',
-    epoch,
-    fencingToken: epoch * 1000,
-    leaseMilliseconds: 3000,
-  };
-}
+const PAIR = { serving: 's', filling: 'f', harm: 0.2, observations: 30 };
 
-const IMAGES = {
-  harms: [{ serving: 's', filling: 'f', harm: 0.2, observations: 30 }],
-  lowestTails: [{ image: 's', milliseconds: 31 }],
-};
-
-t.test('the next leader is given what the last one told', t => {
+t.test('what leaders told adds up to what the next one is given', t => {
   const memory = new ImageMemory();
-  t.equal(memory.take(welcome(1), 0), undefined, 'nothing is known yet');
-  t.equal(memory.take({ kind: 'images', images: IMAGES }, 5), undefined);
-  t.same(memory.take(welcome(2), 9), {
-    kind: 'images',
-    sentAt: 9,
-    images: IMAGES,
+  t.same(memory.knowledge(), { harms: [], lowestTails: [] });
+  memory.take({
+    harms: [PAIR],
+    lowestTails: [{ image: 's', milliseconds: 31 }],
+  });
+  memory.take({
+    harms: [{ ...PAIR, filling: 'g' }],
+    lowestTails: [{ image: 's', milliseconds: 25 }],
+  });
+  t.same(memory.knowledge(), {
+    harms: [PAIR, { ...PAIR, filling: 'g' }],
+    lowestTails: [{ image: 's', milliseconds: 25 }],
   });
+  t.equal(memory.harms.sureHarm('s', 'f'), 0.2, 'the pace goes by the same');
   t.end();
 });
--- a/packages/job-nodes/tests/agent/minion-driver.test.ts
+++ b/packages/job-nodes/tests/agent/minion-driver.test.ts
@@ -2,6 +2,7 @@
 import t from 'tap';
 
 import { FencedError } from '../../src/agent/fenced-error.js';
+import { ImageMemory } from '../../src/agent/image-memory.js';
 import type { MinionClient } from '../../src/agent/minion-client.js';
 import { MinionDriver } from '../../src/agent/minion-driver.js';
 import type { MinionLife } from '../../src/agent/minion-life.js';
@@ -60,6 +61,7 @@
     },
   } as unknown as MinionClient;
   const driver = new MinionDriver({
+    images: new ImageMemory(),
     client,
     time: anchoredTime(),
     logger: quietLogger,
--- /dev/null
+++ b/packages/job-nodes/tests/leader/interference-watch.test.ts
@@ -0,0 +1,55 @@
+import { PassThrough } from 'node:stream';
+
+import type { AgentReport } from '@basilcourse/jobs/model/agent-report';
+import type { ImageKnowledge } from '@basilcourse/jobs/pace/image-knowledge';
+import { JobTable } from '@basilcourse/jobs/state/job-table';
+import t from 'tap';
+
+import { AgentSession } from '../../src/leader/agent-session.js';
+import { InterferenceWatch } from '../../src/leader/interference-watch.js';
+import type { LeaderMessage } from '../../src/lines/leader-message.js';
+
+const REPORT: AgentReport = {
+  fencingToken: 1,
+  minion: null,
+  running: [],
+  ends: [],
+  refusals: [],
+  gone: [],
+};
+
+const PAIR = { serving: 's', filling: 'f', harm: 0.2, observations: 30 };
+
+const LOWEST = { image: 's', milliseconds: 30 };
+
+/** Reads the message of images that was sent last, if any. */
+function readImages(output: PassThrough): ImageKnowledge | undefined {
+  const line = output.read() as string | null;
+  const message =
+    line === null ? undefined : (JSON.parse(line) as LeaderMessage);
+  return message?.kind === 'images' ? message.images : undefined;
+}
+
+t.test('an agent is told once, and again on its next stream', t => {
+  const watch = new InterferenceWatch();
+  const table = new JobTable();
+  const output = new PassThrough();
+  output.setEncoding('utf8');
+  const session = new AgentSession('agent', 1, output, 0);
+  watch.adopt({ harms: [PAIR], lowestTails: [LOWEST] });
+  watch.learn(table, session, REPORT, 0);
+  const first = readImages(output);
+  t.same(first?.lowestTails, [LOWEST]);
+  t.match(first?.harms, [{ serving: 's', filling: 'f', observations: 30 }]);
+  watch.learn(table, session, REPORT, 2000);
+  t.equal(readImages(output), undefined, 'nothing has changed');
+  watch.adopt({ harms: [{ ...PAIR, filling: 'g' }], lowestTails: [] });
+  watch.learn(table, session, REPORT, 4000);
+  const later = readImages(output);
+  t.match(later?.harms, [{ filling: 'g' }], 'only what is new');
+  t.equal(later?.harms.length, 1);
+  const next = new AgentSession('agent', 2, output, 0);
+  watch.learn(table, next, REPORT, 4100);
+  t.equal(readImages(output)?.harms.length, 2, 'it may have started anew');
+  t.end();
+});
--- a/packages/job-nodes/tests/support/job-world.ts
+++ b/packages/job-nodes/tests/support/job-world.ts
@@ -5,6 +5,7 @@
 import type { JobSpecification } from '@basilcourse/jobs/model/job-specification';
 import type { StepSpecification } from '@basilcourse/jobs/model/step-specification';
 
+import { ImageMemory } from '../../src/agent/image-memory.js';
 import { MinionDriver } from '../../src/agent/minion-driver.js';
 import { AgentSession } from '../../src/leader/agent-session.js';
 import type { JobAnswer } from '../../src/leader/job-answer.js';
@@ -171,6 +172,7 @@
 
   private createDriver(place: AgentPlace): MinionDriver {
     const driver: MinionDriver = new MinionDriver({
+      images: new ImageMemory(),
       client: place.minion,
       time: this.time,
       logger: quietLogger,
--- a/packages/jobs/src/pace/learn-from-report.ts
+++ b/packages/jobs/src/pace/learn-from-report.ts
@@ -43,18 +43,17 @@
   const serving = listed.filter(isServing);
   const cores = busyCores(listed);
   for (const { entry, running: row } of serving) {
-    const { image, tailTargetMilliseconds } = entry.specification;
-    const job = entry.jobIdentifier;
-    loads.note(job, image, entry.name, row.gauge, tailTargetMilliseconds, now);
-    const before = tailsBefore.get(entry.name) ?? 0;
-    tailsBefore.set(entry.name, row.gauge);
-    const lasting =
-      row.gauge > LASTING_STRAIN * tailTargetMilliseconds && row.gauge < before;
+    const { image, tailTargetMilliseconds: bound } = entry.specification;
+    const { jobIdentifier: job, name: task } = entry;
+    loads.note({ job, image, task, tail: row.gauge, bound }, now);
+    const before = tailsBefore.get(task) ?? 0;
+    tailsBefore.set(task, row.gauge);
+    const lasting = row.gauge > LASTING_STRAIN * bound && row.gauge < before;
     const floor = loads.floor(job);
     if (cores.size > 0 && !lasting && floor > 0) {
       const load = loadOf(loads.quietTail(job, now), floor);
       const slowdown = slowdownOf(row.gauge, floor, load);
-      const overloaded = row.gauge > OVERLOADED * tailTargetMilliseconds;
+      const overloaded = row.gauge > OVERLOADED * bound;
       learner.observe(image, slowdown, overloaded, cores);
     }
   }
--- a/packages/jobs/src/pace/load-watch.ts
+++ b/packages/jobs/src/pace/load-watch.ts
@@ -1,8 +1,10 @@
 import { BoundedMap } from '@basilcourse/foundation/util/bounded-map';
 
 import type { LowestTail } from './lowest-tail.js';
+import type { ServingTail } from './serving-tail.js';
+import { VersionedRows } from './versioned-rows.js';
 
-/** Images, and tasks, of which something is remembered. */
+/** Tasks of which something is remembered. */
 const MOST_REMEMBERED = 20_000;
 
 /** Figures of one task count for so long. */
@@ -41,17 +43,15 @@
 export class LoadWatch {
   private readonly jobs = new Map<string, JobFigures>();
 
-  private readonly lowestTails = new BoundedMap<number>(MOST_REMEMBERED);
+  private readonly lowestTails = new VersionedRows<LowestTail>(
+    (noted, row) => row.milliseconds < noted.milliseconds,
+  );
 
   private readonly firstAt = new BoundedMap<number>(MOST_REMEMBERED);
 
-  /** Notes the tail of one task, with its bound. */
+  /** Notes the tail of one task. */
   public note(
-    job: string,
-    image: string,
-    task: string,
-    tail: number,
-    bound: number,
+    { job, image, task, tail, bound }: ServingTail,
     now: number,
   ): void {
     if (tail <= 0) {
@@ -102,15 +102,17 @@
   public floor(job: string): number {
     const figures = this.jobs.get(job);
     const seen = figures && this.lowestTails.get(figures.image);
-    return (seen ?? 0) * FLOOR_PART;
+    return (seen?.milliseconds ?? 0) * FLOOR_PART;
   }
 
-  /** Returns the lowest tails seen, by image. */
-  public lowestTailsSeen(): readonly LowestTail[] {
-    return [...this.lowestTails.keyed()].map(([image, milliseconds]) => ({
-      image,
-      milliseconds,
-    }));
+  /** Version of the newest lowest tail. */
+  public get version(): number {
+    return this.lowestTails.version;
+  }
+
+  /** Returns the lowest tails found after a version; all after 0. */
+  public lowestTailsSince(version: number): readonly LowestTail[] {
+    return this.lowestTails.since(version);
   }
 
   /** Takes over the lowest tails that an earlier process saw. */
@@ -130,8 +132,9 @@
   }
 
   private noteLowest(image: string, tail: number): void {
-    const before = this.lowestTails.get(image) ?? tail;
-    this.lowestTails.set(image, Math.min(before, tail));
+    const before = this.lowestTails.get(image)?.milliseconds ?? tail;
+    const milliseconds = Math.min(before, tail);
+    this.lowestTails.set(image, { image, milliseconds });
   }
 }
 
--- a/packages/jobs/tests/pace/adopt.test.ts
+++ b/packages/jobs/tests/pace/adopt.test.ts
@@ -11,6 +11,8 @@
   observations: 60,
 };
 
+const SEEN = { job: 'job', image: 'image', task: 'task', bound: 125 };
+
 t.test('an adopted estimate counts at once, and once', t => {
   const table = new HarmTable();
   const learner = new HarmLearner(table);
@@ -50,13 +52,13 @@
 
 t.test('a floor is not learned from tails of an overload', t => {
   const watch = new LoadWatch();
-  watch.note('job', 'image', 'task', 900, 125, 0);
-  watch.note('job', 'image', 'task', 900, 125, 2000);
+  watch.note({ ...SEEN, tail: 900 }, 0);
+  watch.note({ ...SEEN, tail: 900 }, 2000);
   t.equal(watch.floor('job'), 0);
   watch.adopt([{ image: 'image', milliseconds: 30 }]);
   t.equal(watch.floor('job'), 24);
-  watch.note('job', 'image', 'task', 25, 125, 3000);
+  watch.note({ ...SEEN, tail: 25 }, 3000);
   t.equal(watch.floor('job'), 20);
-  t.same(watch.lowestTailsSeen(), [{ image: 'image', milliseconds: 25 }]);
+  t.same(watch.lowestTailsSince(0), [{ image: 'image', milliseconds: 25 }]);
   t.end();
 });
