--- a/packages/job-nodes/src/leader/leader.ts
+++ b/packages/job-nodes/src/leader/leader.ts
@@ -124,11 +124,15 @@
 
   /** Returns what this leader believes, for its metrics. */
   public figures(): LeaderFigures {
-    const jobs = [...this.state.table.jobs.values()];
+    const { jobs } = this.state.table;
+    let waitingJobs = 0;
+    for (const job of jobs.values()) {
+      waitingJobs += Number(job.status === 'queued');
+    }
     return {
       agents: this.state.sessions.count,
-      jobs: jobs.length,
-      waitingJobs: jobs.filter(job => job.status === 'queued').length,
+      jobs: jobs.size,
+      waitingJobs,
       owedMilliseconds: this.writer.blockedMilliseconds(),
     };
   }
--- a/packages/job-nodes/src/metrics/watch-figures.ts
+++ b/packages/job-nodes/src/metrics/watch-figures.ts
@@ -1,5 +1,5 @@
-import type { EntryFigures } from '@basilcourse/job-nodes/entry/entry-figures';
-import type { ProcessMetrics } from '@basilcourse/job-nodes/metrics/process-metrics';
+import type { EntryFigures } from '../entry/entry-figures.js';
+import type { ProcessMetrics } from './process-metrics.js';
 
 const MILLISECONDS_PER_SECOND = 1000;
 
--- a/packages/job-nodes/tests/metrics/watch-figures.test.ts
+++ b/packages/job-nodes/tests/metrics/watch-figures.test.ts
@@ -1,9 +1,9 @@
 import { readFileSync } from 'node:fs';
 
-import { ProcessMetrics } from '@basilcourse/job-nodes/metrics/process-metrics';
 import t from 'tap';
 
-import { watchFigures } from '../../src/wiring/watch-figures.js';
+import { ProcessMetrics } from '../../src/metrics/process-metrics.js';
+import { watchFigures } from '../../src/metrics/watch-figures.js';
 
 const FIGURES = {
   leads: true,
--- a/packages/jobs/src/reconcile/apply-report.ts
+++ b/packages/jobs/src/reconcile/apply-report.ts
@@ -31,10 +31,12 @@
   report: AgentReport,
   now: number,
 ): ReportOutcome {
-  const begun = jobsBegunBy(table, report);
-  const ended = report.ends.filter(end => applyEnd(table, minion, end, now));
+  const begun: JobEntry[] = [];
+  const ended = report.ends.filter(end =>
+    applyEnd(table, minion, end, begun, now),
+  );
   const stops = report.running.flatMap(running =>
-    applyRunning(table, minion, running, now),
+    applyRunning(table, minion, running, begun, now),
   );
   for (const refusal of report.refusals) {
     applyRefusal(table, minion, refusal, now);
@@ -44,35 +46,24 @@
     (highest, end) => Math.max(highest, end.number),
     0,
   );
-  return {
-    endsThrough,
-    stops,
-    ended,
-    begun: begun.filter(job => job.begun),
-    neverBegan,
-  };
+  return { endsThrough, stops, ended, begun, neverBegan };
 }
 
-/** Jobs of listed tasks that had not begun before. */
-function jobsBegunBy(
-  table: JobTable,
-  { running, ends }: AgentReport,
-): readonly JobEntry[] {
-  const jobs = new Set<JobEntry>();
-  for (const { task } of [...running, ...ends]) {
-    const identifier = table.task(task)?.jobIdentifier ?? '';
-    const job = table.jobs.get(identifier);
-    if (job?.begun === false) {
-      jobs.add(job);
-    }
+/** Notes that a task of a job runs or has run; true if it is the first. */
+function noteBegun(job: JobEntry, begun: JobEntry[]): boolean {
+  if (job.begun) {
+    return false;
   }
-  return [...jobs];
+  job.begun = true;
+  begun.push(job);
+  return true;
 }
 
 function applyEnd(
   table: JobTable,
   minion: MinionEntry,
   end: RunEnd,
+  begun: JobEntry[],
   now: number,
 ): boolean {
   minion.drop(end.task, end.run);
@@ -84,7 +75,7 @@
   if (!isCurrent(task, minion, end.run)) {
     return acceptLateSuccess(table, task, end, now);
   }
-  job.begun = true;
+  noteBegun(job, begun);
   if (end.reason === 'done' || end.reason === 'failed') {
     rateMinion(minion, end.reason === 'done', now);
   }
@@ -137,6 +128,7 @@
   table: JobTable,
   minion: MinionEntry,
   running: RunningTask,
+  begun: JobEntry[],
   now: number,
 ): readonly StopOrder[] {
   const task = table.task(running.task);
@@ -148,8 +140,7 @@
   if (!isCurrent(task, minion, running.run) || job.ended !== undefined) {
     return [{ task: running.task, run: running.run }];
   }
-  if (!job.begun) {
-    job.begun = true;
+  if (noteBegun(job, begun)) {
     table.touch(task);
   }
   noteProgress(task, running, now);
