--- a/packages/command-line/src/gateway/entry-gateway.ts
+++ b/packages/command-line/src/gateway/entry-gateway.ts
@@ -1,8 +1,8 @@
 import { messageOf } from '@basilcourse/foundation/errors/message-of';
 import { PeerRefusedError } from '@basilcourse/foundation/errors/peer-refused-error';
 import { PeerUnreachableError } from '@basilcourse/foundation/errors/peer-unreachable-error';
+import { callJson } from '@basilcourse/foundation/http/call-json';
 import type { JsonCall } from '@basilcourse/foundation/http/json-call';
-import { callJson } from '@basilcourse/foundation/http/json-client';
 
 /** Wait for an answer that needs no append. */
 const READ_TIMEOUT_MILLISECONDS = 5000;
--- a/packages/command-line/src/timeline/gather-events.ts
+++ b/packages/command-line/src/timeline/gather-events.ts
@@ -1,7 +1,7 @@
 import { messageOf } from '@basilcourse/foundation/errors/message-of';
 import type { EventPage } from '@basilcourse/foundation/events/event-page';
 import { mergePages } from '@basilcourse/foundation/events/merge-pages';
-import { callJson } from '@basilcourse/foundation/http/json-client';
+import { callJson } from '@basilcourse/foundation/http/call-json';
 
 import type { EntryGateway } from '../gateway/entry-gateway.js';
 import type { GatheredEvents } from './gathered-events.js';
--- a/packages/daemon/src/operators/entry-operator-routes.ts
+++ b/packages/daemon/src/operators/entry-operator-routes.ts
@@ -1,4 +1,4 @@
-import type { JsonReply } from '@basilcourse/foundation/http/json-reply';
+import type { JsonResponse } from '@basilcourse/foundation/http/json-response';
 import type { JsonRoutes } from '@basilcourse/foundation/http/json-server';
 import type { UpstreamRouter } from '@basilcourse/request-plane/routing/upstream-router';
 import type { Configuration } from '@basilcourse/shared-state/configuration/configuration';
@@ -34,7 +34,7 @@
   core: NodeCore,
   { history }: EntryOperatorParts,
   subject: string,
-): JsonReply {
+): JsonResponse {
   const { scheduling, configuration } = core.state.fold;
   const tasks = [...scheduling.tasks.values()].filter(
     ({ task }) =>
--- a/packages/daemon/src/operators/node-metrics.ts
+++ b/packages/daemon/src/operators/node-metrics.ts
@@ -1,4 +1,4 @@
-import { watchGauge } from '@basilcourse/foundation/metrics/watch-gauge';
+import { registerGauge } from '@basilcourse/foundation/metrics/register-gauge';
 import type { CallerRequest } from '@basilcourse/request-plane/entry/caller-request';
 import type { RequestObserver } from '@basilcourse/request-plane/entry/request-observer';
 import type { RunOutcome } from '@basilcourse/request-plane/outcome/run-outcome';
@@ -61,7 +61,7 @@
 
   /** Adds a gauge that is read when it is asked for. */
   public watch(name: string, help: string, read: () => number): void {
-    watchGauge(this.registry, name, help, read);
+    registerGauge(this.registry, name, help, read);
   }
 
   public watchEntry(figures: EntryFigures): void {
--- a/packages/daemon/src/operators/publish-note.ts
+++ b/packages/daemon/src/operators/publish-note.ts
@@ -1,4 +1,4 @@
-import type { JsonReply } from '@basilcourse/foundation/http/json-reply';
+import type { JsonResponse } from '@basilcourse/foundation/http/json-response';
 import { formatProblem } from '@basilcourse/foundation/settings/format-problem';
 import { rejectionReasons } from '@basilcourse/shared-state/configuration/apply-release-note';
 import type { AppendVerdict } from '@basilcourse/shared-state/follow/append-verdict';
@@ -27,7 +27,11 @@
   }),
 );
 
-function reply(core: NodeCore, id: string, verdict: AppendVerdict): JsonReply {
+function reply(
+  core: NodeCore,
+  id: string,
+  verdict: AppendVerdict,
+): JsonResponse {
   if (verdict.kind === 'dropped') {
     const body = { result: 'not-published', reasons: [verdict.reason] };
     return { status: HTTP_UNAVAILABLE, body };
@@ -53,7 +57,7 @@
 export async function publishNote(
   core: NodeCore,
   body: unknown,
-): Promise<JsonReply> {
+): Promise<JsonResponse> {
   if (!bodyCheck.Check(body)) {
     return { status: 400, body: { error: 'an id and a text are needed' } };
   }
--- a/packages/foundation/src/clock/clock.ts
+++ b/packages/foundation/src/clock/clock.ts
@@ -1,4 +1,4 @@
-/** Source of the present time. */
+/** Provides the current time. */
 export interface Clock {
   /** Milliseconds since the Unix epoch. */
   readonly now: () => number;
--- a/packages/foundation/src/clock/manual-clock.ts
+++ b/packages/foundation/src/clock/manual-clock.ts
@@ -1,6 +1,6 @@
 import type { Clock } from './clock.js';
 
-/** A clock that moves only when told, for tests and repeatable runs. */
+/** A clock that advances only on request, for tests and reproducible runs. */
 export class ManualClock implements Clock {
   private current: number;
 
@@ -10,7 +10,7 @@
 
   public readonly now = (): number => this.current;
 
-  /** Moves the clock forward by the given number of milliseconds. */
+  /** Advances the clock by the given number of milliseconds. */
   public advance(milliseconds: number): void {
     this.current += milliseconds;
   }
--- a/packages/foundation/src/clock/system-clock.ts
+++ b/packages/foundation/src/clock/system-clock.ts
@@ -1,4 +1,4 @@
 import type { Clock } from './clock.js';
 
-/** The clock of the operating system. */
+/** Reads the operating system clock. */
 export const systemClock: Clock = { now: () => Date.now() };
--- a/packages/foundation/src/errors/connection-refused.ts
+++ b/packages/foundation/src/errors/connection-refused.ts
@@ -1,4 +1,7 @@
-/** Returns whether the peer's VM answered that no process listens there. */
+/**
+ * Returns whether the peer's VM refused the connection, that is, no process
+ * listens at the address.
+ */
 export function connectionRefused(error: unknown): boolean {
   if (!(error instanceof Error)) {
     return false;
--- a/packages/foundation/src/errors/never-connected.ts
+++ b/packages/foundation/src/errors/never-connected.ts
@@ -1,5 +1,8 @@
-/** Errors that arise before a connection stands, so that nothing was sent. */
-const CODES: ReadonlySet<unknown> = new Set([
+/**
+ * Codes of errors raised before a connection is established, so that nothing
+ * was sent.
+ */
+const UNCONNECTED_CODES: ReadonlySet<unknown> = new Set([
   'ECONNREFUSED',
   'EHOSTUNREACH',
   'ENETUNREACH',
@@ -11,5 +14,5 @@
     return false;
   }
   const { code } = error as NodeJS.ErrnoException;
-  return CODES.has(code) || neverConnected(error.cause);
+  return UNCONNECTED_CODES.has(code) || neverConnected(error.cause);
 }
--- a/packages/foundation/src/errors/peer-refused-error.ts
+++ b/packages/foundation/src/errors/peer-refused-error.ts
@@ -1,10 +1,10 @@
 import { StepError } from './step-error.js';
 
-/** A peer answered, and refused what was asked. */
+/** Thrown when a peer responds with an HTTP status that is not a success. */
 export class PeerRefusedError extends StepError {
   public override readonly name = 'PeerRefusedError';
 
-  /** HTTP status of the refusal. */
+  /** HTTP status of the response. */
   public readonly status: number;
 
   public constructor(
--- a/packages/foundation/src/errors/peer-unreachable-error.ts
+++ b/packages/foundation/src/errors/peer-unreachable-error.ts
@@ -1,6 +1,6 @@
 import { StepError } from './step-error.js';
 
-/** A peer could not be reached, or its answer did not arrive. */
+/** Thrown when a peer cannot be reached or its response does not arrive. */
 export class PeerUnreachableError extends StepError {
   public override readonly name = 'PeerUnreachableError';
 
--- a/packages/foundation/src/errors/step-error.ts
+++ b/packages/foundation/src/errors/step-error.ts
@@ -1,9 +1,9 @@
-/** Base of all errors: carries the step and the peer at which it arose. */
+/** Base class of errors that name the failed step and the peer involved. */
 export abstract class StepError extends Error {
   /** The step that failed, in the form `part.action`. */
   public readonly step: string;
 
-  /** The peer's address or identifier; `local` when no peer took part. */
+  /** The peer's address or identifier; `local` when no peer was involved. */
   public readonly peer: string;
 
   protected constructor(
--- a/packages/foundation/src/events/compare-timestamps.ts
+++ b/packages/foundation/src/events/compare-timestamps.ts
@@ -1,6 +1,6 @@
 import type { HybridTimestamp } from './hybrid-timestamp.js';
 
-/** Orders two timestamps, the earlier first. */
+/** Compares two timestamps for sorting; the earlier one comes first. */
 export function compareTimestamps(
   left: HybridTimestamp,
   right: HybridTimestamp,
--- a/packages/foundation/src/events/event-page.ts
+++ b/packages/foundation/src/events/event-page.ts
@@ -1,9 +1,11 @@
 import type { Event } from './event.js';
 
-/** Events of one process, as served to the command line. */
+/** Events of one process, as sent to the command line. */
 export interface EventPage {
   readonly process: string;
   readonly events: readonly Event[];
-  /** Events that left the ring before they could be read. */
+  /**
+   * Number of requested events that the ring buffer had already overwritten.
+   */
   readonly dropped: number;
 }
--- a/packages/foundation/src/events/event-ring.ts
+++ b/packages/foundation/src/events/event-ring.ts
@@ -6,13 +6,13 @@
 import type { EventSubject } from './event-subject.js';
 import { HybridClock } from './hybrid-clock.js';
 
-/** Events a process keeps by default. */
+/** Default number of events that a process retains. */
 export const DEFAULT_RING_EVENTS = 4096;
 
-/** Longest text of one event, in characters. */
+/** Maximum length of the text of one event; longer texts are cut off. */
 const MAXIMUM_TEXT_CHARACTERS = 400;
 
-/** The most recent events of one process. */
+/** A ring buffer of the most recent events of one process. */
 export class EventRing implements EventRecorder {
   public readonly hybridClock = new HybridClock();
 
@@ -43,10 +43,10 @@
     };
   };
 
-  /** Events after the given sequence number, the oldest first. */
+  /** Returns the events after the given sequence number, oldest first. */
   public since(sequence: number): EventPage {
-    const oldestKept = Math.max(1, this.nextSequence - this.capacity);
-    const first = Math.max(sequence + 1, oldestKept);
+    const oldestSequence = Math.max(1, this.nextSequence - this.capacity);
+    const first = Math.max(sequence + 1, oldestSequence);
     const events: Event[] = [];
     for (let current = first; current < this.nextSequence; current += 1) {
       const event = this.slots[current % this.capacity];
@@ -57,7 +57,7 @@
     return {
       process: this.process,
       events,
-      dropped: Math.max(0, oldestKept - 1 - sequence),
+      dropped: Math.max(0, oldestSequence - 1 - sequence),
     };
   }
 }
--- a/packages/foundation/src/events/event-subject.ts
+++ b/packages/foundation/src/events/event-subject.ts
@@ -1,4 +1,7 @@
-/** What an event is about; used to filter the time line. */
+/**
+ * The request, job or worker that an event concerns; used to filter the time
+ * line.
+ */
 export interface EventSubject {
   readonly request?: string;
   readonly job?: string;
--- a/packages/foundation/src/events/event.ts
+++ b/packages/foundation/src/events/event.ts
@@ -4,9 +4,9 @@
 /** One event of the time line. */
 export interface Event {
   readonly timestamp: HybridTimestamp;
-  /** Identifier of the process that saw it. */
+  /** Identifier of the process that recorded the event. */
   readonly process: string;
-  /** Number of the event within its process, from 1. */
+  /** Sequence number of the event within its process, starting at 1. */
   readonly sequence: number;
   readonly kind: EventKind;
   /** One short sentence. */
--- a/packages/foundation/src/events/hybrid-clock.ts
+++ b/packages/foundation/src/events/hybrid-clock.ts
@@ -1,13 +1,19 @@
 import type { HybridTimestamp } from './hybrid-timestamp.js';
 
-/** Largest lead over the local clock that a peer's timestamp may claim. */
-const MAXIMUM_LEAD_MILLISECONDS = 60_000;
+/**
+ * Timestamps further ahead of the local clock are ignored, so that a peer with a
+ * wrong clock cannot move this clock far ahead.
+ */
+const MAXIMUM_FORWARD_SKEW_MILLISECONDS = 60_000;
 
-/** A hybrid logical clock: respects causality and stays near wall time. */
+/**
+ * A hybrid logical clock: its timestamps respect causality and stay close to
+ * wall time.
+ */
 export class HybridClock {
   private last: HybridTimestamp = { wall: 0, logical: 0 };
 
-  /** Stamps a local event. */
+  /** Returns the timestamp of a local event. */
   public stamp(now: number): HybridTimestamp {
     this.last =
       now > this.last.wall
@@ -16,9 +22,9 @@
     return this.last;
   }
 
-  /** Moves past a timestamp received from a peer. */
+  /** Advances past a timestamp received from a peer, unless it is too far ahead. */
   public observe(received: HybridTimestamp, now: number): void {
-    if (received.wall > now + MAXIMUM_LEAD_MILLISECONDS) {
+    if (received.wall > now + MAXIMUM_FORWARD_SKEW_MILLISECONDS) {
       return;
     }
     const wall = Math.max(this.last.wall, received.wall);
--- a/packages/foundation/src/events/hybrid-timestamp.ts
+++ b/packages/foundation/src/events/hybrid-timestamp.ts
@@ -5,8 +5,8 @@
  * OPODIS 2014.
  */
 export interface HybridTimestamp {
-  /** Largest wall time seen, in milliseconds since the epoch. */
+  /** Largest wall time observed, in milliseconds since the Unix epoch. */
   readonly wall: number;
-  /** Order among events with the same wall time. */
+  /** Orders events that have the same wall time. */
   readonly logical: number;
 }
--- a/packages/foundation/src/events/merge-pages.ts
+++ b/packages/foundation/src/events/merge-pages.ts
@@ -10,7 +10,7 @@
   );
 }
 
-/** Merges the events of many processes in causal order. */
+/** Merges the events of several processes into causal order. */
 export function mergePages(pages: readonly EventPage[]): readonly Event[] {
   return pages.flatMap(page => page.events).sort(compareEvents);
 }
--- a/packages/foundation/src/http/exchange.ts
+++ b/packages/foundation/src/http/call-http.ts
@@ -2,19 +2,19 @@
 
 import { PeerUnreachableError } from '../errors/peer-unreachable-error.js';
 import { splitAddress } from '../net/split-address.js';
-import type { HttpAnswer } from './http-answer.js';
-import type { HttpExchange } from './http-exchange.js';
+import type { HttpCall } from './http-call.js';
+import type { HttpResponse } from './http-response.js';
 
-/** Largest answer accepted, in bytes. */
-const MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024;
+/** Maximum size of a response body; a larger response fails the call. */
+const MAXIMUM_RESPONSE_BYTES = 64 * 1024 * 1024;
 
 /**
- * Makes one call and returns its whole answer.
+ * Makes one HTTP call and returns the complete response.
  *
- * @throws PeerUnreachableError when no whole answer arrived in time; the
- * connection is not used again.
+ * @throws PeerUnreachableError when no complete response arrives before the
+ * timeout; the connection is then closed and not reused.
  */
-export function exchange(call: HttpExchange): Promise<HttpAnswer> {
+export function callHttp(call: HttpCall): Promise<HttpResponse> {
   const { step, address, timeoutMilliseconds } = call;
   return new Promise((resolve, reject) => {
     const fail = (error: unknown): void => {
@@ -32,20 +32,20 @@
         },
         ...(call.agent === undefined ? {} : { agent: call.agent }),
       },
-      answer => {
+      response => {
         const chunks: Buffer[] = [];
         let bytes = 0;
-        answer.on('data', (chunk: Buffer) => {
+        response.on('data', (chunk: Buffer) => {
           bytes += chunk.length;
           chunks.push(chunk);
-          if (bytes > MAXIMUM_ANSWER_BYTES) {
-            answer.destroy(new Error('answer too large'));
+          if (bytes > MAXIMUM_RESPONSE_BYTES) {
+            response.destroy(new Error('answer too large'));
           }
         });
-        answer.on('error', fail);
-        answer.on('end', () => {
+        response.on('error', fail);
+        response.on('end', () => {
           clearTimeout(timer);
-          const status = answer.statusCode ?? 0;
+          const status = response.statusCode ?? 0;
           resolve({ status, body: Buffer.concat(chunks) });
         });
       },
--- a/packages/foundation/src/http/json-client.ts
+++ b/packages/foundation/src/http/call-json.ts
@@ -1,10 +1,10 @@
 import { messageOf } from '../errors/message-of.js';
 import { PeerRefusedError } from '../errors/peer-refused-error.js';
 import { PeerUnreachableError } from '../errors/peer-unreachable-error.js';
-import { exchange } from './exchange.js';
+import { callHttp } from './call-http.js';
 import type { JsonCall } from './json-call.js';
 
-function reasonOf(text: string): string {
+function refusalReason(text: string): string {
   try {
     const parsed = JSON.parse(text) as { readonly error?: unknown };
     return typeof parsed.error === 'string' ? parsed.error : text;
@@ -14,21 +14,22 @@
 }
 
 /**
- * Sends a JSON call over HTTP and returns the parsed answer.
+ * Makes one call with a JSON body and returns the parsed response body.
  *
- * @throws PeerUnreachableError when no whole answer arrived.
- * @throws PeerRefusedError when the answer's status is not a success.
+ * @throws PeerUnreachableError when no complete response arrives, or its body
+ * is not valid JSON.
+ * @throws PeerRefusedError when the status is not in the range 200 to 299.
  */
 export async function callJson(call: JsonCall): Promise<unknown> {
   const body = call.body === undefined ? '' : JSON.stringify(call.body);
-  const { status, body: answer } = await exchange({
+  const { status, body: responseBody } = await callHttp({
     ...call,
     headers: { 'content-type': 'application/json', ...call.headers },
     body: Buffer.from(body),
   });
-  const text = answer.toString('utf8');
+  const text = responseBody.toString('utf8');
   if (status < 200 || status > 299) {
-    const reason = reasonOf(text);
+    const reason = refusalReason(text);
     throw new PeerRefusedError(call.step, call.address, status, reason);
   }
   try {
--- a/packages/foundation/src/http/http-exchange.ts
+++ b/packages/foundation/src/http/http-call.ts
@@ -1,16 +1,16 @@
 import type { Agent } from 'node:http';
 
 /** One call over HTTP/1.1. */
-export interface HttpExchange {
-  /** Step named in errors, in the form `part.action`. */
+export interface HttpCall {
+  /** Name of the step in error messages, in the form `part.action`. */
   readonly step: string;
-  /** IP number and port. */
+  /** IP address and port. */
   readonly address: string;
   readonly method: 'GET' | 'POST' | 'DELETE';
   readonly path: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: Buffer;
-  /** Connections to reuse; Node's own if absent. */
+  /** Agent whose connections are reused; defaults to Node.js's global agent. */
   readonly agent?: Agent;
   readonly timeoutMilliseconds: number;
 }
--- a/packages/foundation/src/http/json-call.ts
+++ b/packages/foundation/src/http/json-call.ts
@@ -1,6 +1,6 @@
-import type { HttpExchange } from './http-exchange.js';
+import type { HttpCall } from './http-call.js';
 
-/** One JSON call over HTTP/1.1. */
-export interface JsonCall extends Omit<HttpExchange, 'body'> {
+/** One call over HTTP/1.1 whose body is sent as JSON. */
+export interface JsonCall extends Omit<HttpCall, 'body'> {
   readonly body?: unknown;
 }
--- a/packages/foundation/src/http/json-reply.ts
+++ b/packages/foundation/src/http/json-response.ts
@@ -1,5 +1,5 @@
-/** Answer of a JSON route. */
-export interface JsonReply {
+/** The response of a JSON route. */
+export interface JsonResponse {
   readonly status: number;
   readonly body: unknown;
   /** Media type when the body is text and not JSON. */
--- a/packages/foundation/src/http/json-server.ts
+++ b/packages/foundation/src/http/json-server.ts
@@ -4,12 +4,12 @@
 import { messageOf } from '../errors/message-of.js';
 import { closeServer } from '../net/close-server.js';
 import { listenOn } from '../net/listen-on.js';
-import type { JsonReply } from './json-reply.js';
 import type { JsonRequest } from './json-request.js';
+import type { JsonResponse } from './json-response.js';
 
-/** Handlers by `METHOD /path`. */
+/** Route handlers, keyed by `METHOD /path`. */
 export type JsonRoutes = Readonly<
-  Record<string, (request: JsonRequest) => Promise<JsonReply> | JsonReply>
+  Record<string, (request: JsonRequest) => Promise<JsonResponse> | JsonResponse>
 >;
 
 const MAXIMUM_BODY_BYTES = 32 * 1024 * 1024;
@@ -28,20 +28,22 @@
   return Buffer.concat(chunks).toString('utf8');
 }
 
-function writeReply(outgoing: ServerResponse, reply: JsonReply): void {
-  const isText = reply.contentType !== undefined;
-  const text = isText ? String(reply.body) : JSON.stringify(reply.body ?? null);
-  outgoing.writeHead(reply.status, {
-    'content-type': reply.contentType ?? 'application/json',
+function writeResponse(outgoing: ServerResponse, response: JsonResponse): void {
+  const isText = response.contentType !== undefined;
+  const text = isText
+    ? String(response.body)
+    : JSON.stringify(response.body ?? null);
+  outgoing.writeHead(response.status, {
+    'content-type': response.contentType ?? 'application/json',
     'content-length': Buffer.byteLength(text),
   });
   outgoing.end(text);
 }
 
-async function answer(
+async function handleRequest(
   routes: JsonRoutes,
   incoming: IncomingMessage,
-): Promise<JsonReply> {
+): Promise<JsonResponse> {
   const url = new URL(incoming.url ?? '/', 'http://localhost');
   const handler = routes[`${incoming.method ?? ''} ${url.pathname}`];
   if (handler === undefined) {
@@ -57,32 +59,34 @@
   return handler({ query: url.searchParams, body });
 }
 
-/** An HTTP server whose routes take and return JSON. */
+/** An HTTP server whose routes accept and return JSON. */
 export class JsonServer {
   private readonly server: Server;
 
   public constructor(routes: JsonRoutes) {
     this.server = createServer((incoming, outgoing) => {
-      answer(routes, incoming)
+      handleRequest(routes, incoming)
         .catch((error: unknown) => ({
           status: 500,
           body: { error: messageOf(error) },
         }))
         .then(
-          reply => {
-            writeReply(outgoing, reply);
+          response => {
+            writeResponse(outgoing, response);
           },
           () => outgoing.destroy(),
         );
     });
   }
 
-  /** Listens and returns the address in use; port 0 takes a free port. */
+  /**
+   * Starts listening and returns the bound address; port 0 binds a free port.
+   */
   public listen(address: string): Promise<string> {
     return listenOn(this.server, address);
   }
 
-  /** Stops listening and cuts all connections. */
+  /** Stops listening and closes all connections, including active ones. */
   public async close(): Promise<void> {
     this.server.closeAllConnections();
     await closeServer(this.server);
--- a/packages/foundation/src/identifiers/identifier-source.ts
+++ b/packages/foundation/src/identifiers/identifier-source.ts
@@ -1,4 +1,4 @@
-/** Source of identifiers that no other process produces. */
+/** Generates identifiers that no other process generates. */
 export interface IdentifierSource {
   /** Returns a new identifier that starts with the given prefix. */
   readonly next: (prefix: string) => string;
--- a/packages/foundation/src/identifiers/random-identifiers.ts
+++ b/packages/foundation/src/identifiers/random-identifiers.ts
@@ -2,7 +2,7 @@
 
 import type { IdentifierSource } from './identifier-source.js';
 
-/** Identifiers from the operating system's random numbers. */
+/** Generates random UUIDs, which are unique across processes. */
 export const randomIdentifiers: IdentifierSource = {
   next: prefix => `${prefix}-${randomUUID()}`,
 };
--- a/packages/foundation/src/identifiers/sequential-identifiers.ts
+++ b/packages/foundation/src/identifiers/sequential-identifiers.ts
@@ -1,6 +1,6 @@
 import type { IdentifierSource } from './identifier-source.js';
 
-/** Identifiers that count upwards, for repeatable runs. */
+/** Generates identifiers from a counter, for tests and reproducible runs. */
 export class SequentialIdentifiers implements IdentifierSource {
   private count = 0;
 
--- a/packages/foundation/src/logging/create-logger.ts
+++ b/packages/foundation/src/logging/create-logger.ts
@@ -5,26 +5,31 @@
 import type { LogFields } from './log-fields.js';
 import type { PartLogger } from './part-logger.js';
 
-/** Level below which nothing is written. */
+/** Minimum level of the lines that are written. */
 export type LogLevel = 'debug' | 'info' | 'warn' | 'error' | 'fatal';
 
-/** Lines of one sentence of one part in a second. */
-const LINES_PER_SECOND = 500;
+/**
+ * Limit for the same sentence of the same part; further lines are left out and
+ * counted.
+ */
+const MAXIMUM_LINES_PER_SECOND = 500;
 
-const STANDARD_OUTPUT = 1;
+const STANDARD_OUTPUT_DESCRIPTOR = 1;
 
 /**
- * Creates the logger factory of a process; each part gets its own prefix.
- * Lines go to standard output and never block the process.
+ * Creates a function that returns the logger of a part of the process; the name
+ * of the part is the prefix of its lines. Lines are written to standard output
+ * and never block the process.
  *
- * @param onLine - Called with the sentence of each line, written or left out.
+ * @param onLine - Called with the sentence of each line, including lines that
+ * are left out.
  */
 export function createLogger(
   process: string,
   level: LogLevel,
   onLine: (sentence: string) => void = () => undefined,
 ): (part: string) => PartLogger {
-  const writer = new LineWriter(STANDARD_OUTPUT);
+  const writer = new LineWriter(STANDARD_OUTPUT_DESCRIPTOR);
   const stream = {
     write: (line: unknown) => {
       writer.write(String(line));
@@ -35,32 +40,32 @@
     process,
     streams: [{ level, stream }],
   });
-  const budget = new LineBudget(LINES_PER_SECOND);
-  let droppedBefore = 0;
+  const budget = new LineBudget(MAXIMUM_LINES_PER_SECOND);
+  let reportedDropped = 0;
   globalThis.process.once('exit', () => {
     writer.flush();
   });
 
-  function tellLosses(): void {
+  function reportLostLines(): void {
     for (const { kind, count } of budget.advance(performance.now())) {
       root.warn({ kind, count }, '[logger] Lines were left out.');
     }
-    const dropped = writer.dropped - droppedBefore;
+    const dropped = writer.dropped - reportedDropped;
     if (dropped > 0) {
-      droppedBefore = writer.dropped;
+      reportedDropped = writer.dropped;
       root.warn({ dropped }, '[logger] Lines were dropped, as nobody read.');
     }
   }
 
   function log(
-    at: 'info' | 'warn' | 'error',
+    severity: 'info' | 'warn' | 'error',
     sentence: string,
     fields: LogFields,
   ): void {
     onLine(sentence);
-    tellLosses();
+    reportLostLines();
     if (budget.admit(sentence)) {
-      root[at](fields, sentence);
+      root[severity](fields, sentence);
     }
   }
 
--- a/packages/foundation/src/logging/line-budget.ts
+++ b/packages/foundation/src/logging/line-budget.ts
@@ -2,10 +2,13 @@
 
 const PERIOD_MILLISECONDS = 1000;
 
-/** Most kinds counted in one period; what a caller sends must not add kinds. */
-const MOST_KINDS = 1000;
+/**
+ * Maximum number of kinds counted per period; lines of further kinds are left
+ * out. A kind must not contain text that a caller sends.
+ */
+const MAXIMUM_KINDS = 1000;
 
-/** Limits how many lines of one kind are written in a second. */
+/** Limits how many lines of one kind are written per second. */
 export class LineBudget {
   private readonly linesPerSecond: number;
 
@@ -17,17 +20,20 @@
     this.linesPerSecond = linesPerSecond;
   }
 
-  /** Returns whether one more line of a kind may be written. */
+  /** Counts one line of a kind and returns whether it may be written. */
   public admit(kind: string): boolean {
     const count = this.counts.get(kind) ?? 0;
-    if (count === 0 && this.counts.size >= MOST_KINDS) {
+    if (count === 0 && this.counts.size >= MAXIMUM_KINDS) {
       return false;
     }
     this.counts.set(kind, count + 1);
     return count < this.linesPerSecond;
   }
 
-  /** Begins a new second if one is over; returns what was left out in it. */
+  /**
+   * Starts a new period once a second has elapsed, and returns the lines left
+   * out in the previous period.
+   */
   public advance(now: number): readonly OmittedLines[] {
     if (now - this.periodStart < PERIOD_MILLISECONDS) {
       return [];
--- a/packages/foundation/src/logging/line-writer.ts
+++ b/packages/foundation/src/logging/line-writer.ts
@@ -1,31 +1,31 @@
 import { write, writeSync } from 'node:fs';
 
-/** Lines that wait for their reader; more are dropped and counted. */
-const MOST_WAITING_BYTES = 512 * 1024;
+/** Lines that would exceed this size of the queue are dropped and counted. */
+const MAXIMUM_QUEUED_BYTES = 512 * 1024;
 
-const RETRY_MILLISECONDS = 50;
+const RETRY_DELAY_MILLISECONDS = 50;
 
-/** A write that takes longer shows that nobody reads. */
-const STUCK_MILLISECONDS = 200;
+/** After this time, a pending write means that nobody reads the pipe. */
+const STALLED_WRITE_MILLISECONDS = 200;
 
-/** The reader's pipe is full for the moment. */
-const FULL = 'EAGAIN';
+/** Error code of a write to a pipe that is currently full. */
+const PIPE_FULL_CODE = 'EAGAIN';
 
 /**
- * Writes lines to a file descriptor without ever waiting for its reader:
- * Node's standard output blocks the process on a pipe that nobody reads.
+ * Writes lines to a file descriptor without blocking. `process.stdout` is not
+ * used because it blocks the process on a full pipe that nobody reads.
  */
 export class LineWriter {
   private readonly descriptor: number;
 
-  private waiting: Buffer[] = [];
+  private queued: Buffer[] = [];
 
-  private waitingBytes = 0;
+  private queuedBytes = 0;
 
-  private scheduled = false;
+  private writeScheduled = false;
 
-  /** When the write under way was begun. */
-  private writingSince: number | undefined;
+  /** Start of the write in progress, if there is one. */
+  private writeStartedAt: number | undefined;
 
   private droppedLines = 0;
 
@@ -38,72 +38,77 @@
     return this.droppedLines;
   }
 
-  /** Queues a line; it is dropped if too many wait. */
+  /** Queues a line; drops it if the queue is full. */
   public write(line: string): void {
     const bytes = Buffer.from(line);
-    if (this.waitingBytes + bytes.length > MOST_WAITING_BYTES) {
+    if (this.queuedBytes + bytes.length > MAXIMUM_QUEUED_BYTES) {
       this.droppedLines += 1;
       return;
     }
-    this.waiting.push(bytes);
-    this.waitingBytes += bytes.length;
-    this.schedule();
+    this.queued.push(bytes);
+    this.queuedBytes += bytes.length;
+    this.scheduleWrite();
   }
 
-  /** Writes what waits before the process exits, unless its reader is stuck. */
+  /**
+   * Writes the queued lines synchronously before the process exits, unless the
+   * write in progress is stalled.
+   */
   public flush(): void {
-    const since = this.writingSince ?? performance.now();
-    const stuck = performance.now() - since > STUCK_MILLISECONDS;
-    if (stuck || this.waiting.length === 0) {
+    const startedAt = this.writeStartedAt ?? performance.now();
+    const stalled = performance.now() - startedAt > STALLED_WRITE_MILLISECONDS;
+    if (stalled || this.queued.length === 0) {
       return;
     }
     try {
-      writeSync(this.descriptor, Buffer.concat(this.waiting));
+      writeSync(this.descriptor, Buffer.concat(this.queued));
     } catch {
-      // Nobody reads: there is nowhere left to tell it.
+      // The reader is unavailable, so the error cannot be logged.
     }
-    this.waiting = [];
+    this.queued = [];
   }
 
-  /** Lines of one turn of the event loop are written together. */
-  private schedule(): void {
-    if (this.scheduled || this.writingSince !== undefined) {
+  /**
+   * Schedules one write for all lines queued in this turn of the event loop.
+   */
+  private scheduleWrite(): void {
+    if (this.writeScheduled || this.writeStartedAt !== undefined) {
       return;
     }
-    this.scheduled = true;
+    this.writeScheduled = true;
     setImmediate(() => {
-      this.scheduled = false;
-      this.writeWaiting();
+      this.writeScheduled = false;
+      this.writeQueued();
     });
   }
 
-  private writeWaiting(): void {
-    if (this.waiting.length === 0) {
+  private writeQueued(): void {
+    if (this.queued.length === 0) {
       return;
     }
-    const chunk = Buffer.concat(this.waiting);
-    this.waiting = [];
-    this.writingSince = performance.now();
-    this.writeRest(chunk);
+    const chunk = Buffer.concat(this.queued);
+    this.queued = [];
+    this.writeStartedAt = performance.now();
+    this.writeRemainder(chunk);
   }
 
-  private writeRest(chunk: Buffer): void {
+  private writeRemainder(chunk: Buffer): void {
     write(this.descriptor, chunk, (error, written) => {
-      if (error?.code === FULL) {
+      if (error?.code === PIPE_FULL_CODE) {
         setTimeout(() => {
-          this.writeRest(chunk);
-        }, RETRY_MILLISECONDS).unref();
+          this.writeRemainder(chunk);
+        }, RETRY_DELAY_MILLISECONDS).unref();
         return;
       }
-      // After any other error the reader is gone, and the chunk with it.
-      const done = error === null ? written : chunk.length;
-      this.waitingBytes -= done;
-      if (done < chunk.length) {
-        this.writeRest(chunk.subarray(done));
+      // Any other error means that the reader has exited; the chunk is lost.
+      const finishedBytes = error === null ? written : chunk.length;
+      this.queuedBytes -= finishedBytes;
+      if (finishedBytes < chunk.length) {
+        this.writeRemainder(chunk.subarray(finishedBytes));
         return;
       }
-      this.writingSince = undefined;
-      this.writeWaiting();
+      this.writeStartedAt = undefined;
+      this.writeQueued();
     });
   }
 }
--- a/packages/foundation/src/logging/log-fields.ts
+++ b/packages/foundation/src/logging/log-fields.ts
@@ -1,2 +1,2 @@
-/** Fields of one line of a log. */
+/** Structured fields of a log line. */
 export type LogFields = Readonly<Record<string, string | number | boolean>>;
--- a/packages/foundation/src/logging/omitted-lines.ts
+++ b/packages/foundation/src/logging/omitted-lines.ts
@@ -1,4 +1,4 @@
-/** A kind of line of which some were left out. */
+/** The number of lines of one kind left out by the line budget. */
 export interface OmittedLines {
   readonly kind: string;
   readonly count: number;
--- a/packages/foundation/src/logging/part-logger.ts
+++ b/packages/foundation/src/logging/part-logger.ts
@@ -1,6 +1,9 @@
 import type { LogFields } from './log-fields.js';
 
-/** Logger of one part of a process; writes short sentences. */
+/**
+ * The logger of one part of a process. Messages are short sentences; variable
+ * values are passed as fields.
+ */
 export interface PartLogger {
   readonly info: (sentence: string, fields?: LogFields) => void;
   readonly warn: (sentence: string, fields?: LogFields) => void;
--- a/packages/foundation/src/metrics/watch-gauge.ts
+++ b/packages/foundation/src/metrics/register-gauge.ts
@@ -1,8 +1,11 @@
 import type { Registry } from 'prom-client';
 import { Gauge } from 'prom-client';
 
-/** Adds a gauge of the project that is read when it is asked for. */
-export function watchGauge(
+/**
+ * Registers a gauge with the prefix `basilcourse_`; its value is read on each
+ * scrape.
+ */
+export function registerGauge(
   registry: Registry,
   name: string,
   help: string,
--- a/packages/foundation/src/net/host-and-port.ts
+++ b/packages/foundation/src/net/host-and-port.ts
@@ -1,4 +1,4 @@
-/** An address in its parts. */
+/** An address split into host and port. */
 export interface HostAndPort {
   readonly host: string;
   readonly port: number;
--- a/packages/foundation/src/net/listen-on.ts
+++ b/packages/foundation/src/net/listen-on.ts
@@ -3,8 +3,8 @@
 import { splitAddress } from './split-address.js';
 
 /**
- * Makes a server listen and returns the address in use; port 0 takes a free
- * port.
+ * Starts listening on an address and returns the bound address; port 0 binds a
+ * free port.
  */
 export async function listenOn(
   server: Server,
@@ -15,6 +15,6 @@
     server.once('error', reject);
     server.listen(port, host, resolve);
   });
-  const shown = host.includes(':') ? `[${host}]` : host;
-  return `${shown}:${(server.address() as AddressInfo).port}`;
+  const printedHost = host.includes(':') ? `[${host}]` : host;
+  return `${printedHost}:${(server.address() as AddressInfo).port}`;
 }
--- a/packages/foundation/src/random/pick-one.ts
+++ b/packages/foundation/src/random/pick-one.ts
@@ -1,6 +1,6 @@
 import type { RandomSource } from './random-source.js';
 
-/** Picks one entry at random; undefined when there is none. */
+/** Returns a random element of an array; undefined when the array is empty. */
 export function pickOne<Entry>(
   entries: readonly Entry[],
   random: RandomSource,
--- a/packages/foundation/src/random/random-source.ts
+++ b/packages/foundation/src/random/random-source.ts
@@ -1,5 +1,5 @@
-/** Source of random numbers. */
+/** Generates random numbers. */
 export interface RandomSource {
-  /** Returns a number from 0 up to but excluding 1. */
+  /** Returns a number from 0 (inclusive) to 1 (exclusive). */
   readonly next: () => number;
 }
--- a/packages/foundation/src/settings/check-ini.ts
+++ b/packages/foundation/src/settings/check-ini.ts
@@ -9,13 +9,14 @@
 import type { Problem } from './problem.js';
 import type { SectionDefinition } from './section-definition.js';
 
-/** Largest INI text accepted, in characters. */
+/** Maximum length of an INI text; longer texts are not parsed. */
 export const MAXIMUM_INI_CHARACTERS = 512 * 1024;
 
 type RawSection = ReadonlyMap<string, string>;
 
 function readSections(text: string): ReadonlyMap<string, RawSection> {
-  // A dot in a section name would nest sections; names hold no dots.
+  // The parser would nest sections at dots. Dots are replaced by a private-use
+  // character while parsing; no valid section name contains one.
   const parsed: unknown = parse(text.replaceAll('.', '\uE000'));
   const sections = new Map<string, RawSection>();
   for (const [name, values] of Object.entries(parsed as object)) {
@@ -63,22 +64,22 @@
   raw: RawSection,
   lines: LineIndex,
 ): readonly Problem[] {
-  const known = definition.fields.map(field => field.key);
-  const unknown = [...raw.keys()].filter(key => !known.includes(key));
-  return unknown.map(key => {
-    const nearest = nearestName(key, known);
+  const definedKeys = definition.fields.map(field => field.key);
+  const unknownKeys = [...raw.keys()].filter(key => !definedKeys.includes(key));
+  return unknownKeys.map(key => {
+    const nearest = nearestName(key, definedKeys);
     return {
       line: lines.lineOf(section, key),
       section,
       key,
       found: 'an unknown key',
-      allowed: known.join(', '),
+      allowed: definedKeys.join(', '),
       ...(nearest === undefined ? {} : { nearest }),
     };
   });
 }
 
-function fillValues(
+function applyFallbacks(
   definition: SectionDefinition,
   raw: RawSection,
 ): ReadonlyMap<string, string> {
@@ -92,24 +93,27 @@
   return values;
 }
 
-function unknownSection(
+function unknownSectionProblem(
   section: string,
   definitions: readonly SectionDefinition[],
   lines: LineIndex,
 ): Problem {
-  const known = definitions.map(definition => definition.kind);
-  const nearest = nearestName(section.split(' ')[0] ?? '', known);
+  const definedKinds = definitions.map(definition => definition.kind);
+  const nearest = nearestName(section.split(' ')[0] ?? '', definedKinds);
   return {
     line: lines.lineOf(section),
     section,
     key: '',
     found: 'an unknown section',
-    allowed: known.join(', '),
+    allowed: definedKinds.join(', '),
     ...(nearest === undefined ? {} : { nearest }),
   };
 }
 
-function strayKeys(raw: RawSection, lines: LineIndex): readonly Problem[] {
+function strayKeyProblems(
+  raw: RawSection,
+  lines: LineIndex,
+): readonly Problem[] {
   return [...raw.keys()].map(key => ({
     line: lines.lineOf('', key),
     section: '',
@@ -142,7 +146,7 @@
     }));
 }
 
-/** Checks an INI text against the definitions of its sections. */
+/** Parses an INI text and checks it against the definitions of its sections. */
 export function checkIni(
   text: string,
   definitions: readonly SectionDefinition[],
@@ -155,21 +159,23 @@
   }
   const lines = new LineIndex(text);
   const sections: CheckedSection[] = [];
-  const problems: Problem[] = lines.repeated().map(place => ({
-    line: lines.lineOf(place.section, place.key),
-    ...place,
+  const problems: Problem[] = lines.repeated().map(location => ({
+    line: lines.lineOf(location.section, location.key),
+    ...location,
     found: 'a repetition',
     allowed: 'each section and key once',
   }));
   const parsed = readSections(text);
-  // The parser leaves out names that would change prototypes.
-  const leftOut = lines.sections.filter(section => !parsed.has(section));
-  for (const section of leftOut) {
-    problems.push(unknownSection(section, definitions, lines));
+  // The parser skips names that would modify prototypes, such as `__proto__`.
+  const skippedSections = lines.sections.filter(
+    section => !parsed.has(section),
+  );
+  for (const section of skippedSections) {
+    problems.push(unknownSectionProblem(section, definitions, lines));
   }
   for (const [section, raw] of parsed) {
     if (section === '') {
-      problems.push(...strayKeys(raw, lines));
+      problems.push(...strayKeyProblems(raw, lines));
       continue;
     }
     const [kind = '', ...rest] = section.split(' ');
@@ -178,7 +184,7 @@
       candidate => candidate.kind === kind && (candidate.named || name === ''),
     );
     if (definition === undefined) {
-      problems.push(unknownSection(section, definitions, lines));
+      problems.push(unknownSectionProblem(section, definitions, lines));
       continue;
     }
     if (definition.named) {
@@ -191,7 +197,7 @@
       }
     }
     problems.push(...checkUnknownKeys(section, definition, raw, lines));
-    sections.push({ kind, name, values: fillValues(definition, raw) });
+    sections.push({ kind, name, values: applyFallbacks(definition, raw) });
   }
   const present = new Set(sections.map(section => section.kind));
   problems.push(...checkRequired(definitions, present));
--- a/packages/foundation/src/settings/checked-section.ts
+++ b/packages/foundation/src/settings/checked-section.ts
@@ -1,8 +1,8 @@
-/** One section of an INI file whose values passed the checks. */
+/** One section of an INI file after its checks. */
 export interface CheckedSection {
   readonly kind: string;
   /** Name of a named section; empty otherwise. */
   readonly name: string;
-  /** Values by key, with the fallbacks filled in. */
+  /** Values by key, including the fallbacks of absent keys. */
   readonly values: ReadonlyMap<string, string>;
 }
--- a/packages/foundation/src/settings/edit-distance.ts
+++ b/packages/foundation/src/settings/edit-distance.ts
@@ -1,4 +1,4 @@
-/** Levenshtein distance between two strings. */
+/** Returns the Levenshtein distance between two strings. */
 export function editDistance(left: string, right: string): number {
   let previous = Array.from({ length: right.length + 1 }, (_, index) => index);
   for (let row = 1; row <= left.length; row += 1) {
--- a/packages/foundation/src/settings/field-checks.ts
+++ b/packages/foundation/src/settings/field-checks.ts
@@ -3,7 +3,10 @@
 import type { FieldDefinition } from './field-definition.js';
 import type { FieldKind } from './field-kind.js';
 
-/** Returns what is allowed when the value is wrong; undefined when right. */
+/**
+ * Returns a description of the allowed values if the value is invalid;
+ * undefined if it is valid.
+ */
 export type FieldCheck = (
   value: string,
   field: FieldDefinition,
@@ -13,7 +16,7 @@
 
 const MAXIMUM_TEXT_CHARACTERS = 4096;
 
-const LARGEST_PORT = 65_535;
+const MAXIMUM_PORT = 65_535;
 
 function checkRange(
   value: number,
@@ -22,39 +25,39 @@
 ): string | undefined {
   const minimum = field.minimum ?? 0;
   const maximum = field.maximum ?? Number.MAX_SAFE_INTEGER;
-  const inside = value >= minimum && value <= maximum;
-  return inside ? undefined : `${unit} from ${minimum} to ${maximum}`;
+  const isInRange = value >= minimum && value <= maximum;
+  return isInRange ? undefined : `${unit} from ${minimum} to ${maximum}`;
 }
 
 function checkNumber(
   value: string,
   field: FieldDefinition,
 ): string | undefined {
-  const inside = /^\d+(\.\d+)?$/.test(value);
-  return checkRange(inside ? Number(value) : Number.NaN, field, 'a number');
+  const isDecimal = /^\d+(\.\d+)?$/.test(value);
+  return checkRange(isDecimal ? Number(value) : Number.NaN, field, 'a number');
 }
 
 function checkWholeNumber(
   value: string,
   field: FieldDefinition,
 ): string | undefined {
-  const whole = /^\d+$/.test(value);
+  const isWholeNumber = /^\d+$/.test(value);
   return checkRange(
-    whole ? Number(value) : Number.NaN,
+    isWholeNumber ? Number(value) : Number.NaN,
     field,
     'a whole number',
   );
 }
 
-/** Tells whether a text is an IP number and port such as `127.0.0.1:80`. */
+/** Returns whether a text is an IP address and port such as `127.0.0.1:80`. */
 export function isAddress(value: string): boolean {
   const separator = value.lastIndexOf(':');
   const host = value.slice(0, separator).replace(/^\[|\]$/g, '');
   const port = value.slice(separator + 1);
-  return isIP(host) !== 0 && /^\d+$/.test(port) && Number(port) <= LARGEST_PORT;
+  return isIP(host) !== 0 && /^\d+$/.test(port) && Number(port) <= MAXIMUM_PORT;
 }
 
-/** Checks by kind of field. */
+/** The check for each kind of field. */
 export const fieldChecks: Readonly<Record<FieldKind, FieldCheck>> = {
   text: value =>
     value.length <= MAXIMUM_TEXT_CHARACTERS
--- a/packages/foundation/src/settings/field-definition.ts
+++ b/packages/foundation/src/settings/field-definition.ts
@@ -5,7 +5,9 @@
   readonly key: string;
   readonly kind: FieldKind;
   readonly description: string;
-  /** Value used when the key is absent; the key is required without one. */
+  /**
+   * Value used when the key is absent; a key without a fallback is required.
+   */
   readonly fallback?: string;
   readonly minimum?: number;
   readonly maximum?: number;
--- a/packages/foundation/src/settings/field-kind.ts
+++ b/packages/foundation/src/settings/field-kind.ts
@@ -1,4 +1,4 @@
-/** Kinds of values a field of an INI file may hold. */
+/** Kinds of values of a field in an INI file. */
 export type FieldKind =
   | 'text'
   | 'name'
--- a/packages/foundation/src/settings/line-index.ts
+++ b/packages/foundation/src/settings/line-index.ts
@@ -1,8 +1,8 @@
-/** Finds the lines at which sections and keys of an INI text stand. */
+/** Index of the line numbers of sections and keys in an INI text. */
 export class LineIndex {
   private readonly lines = new Map<string, number>();
 
-  private readonly seen = new Map<string, number>();
+  private readonly occurrences = new Map<string, number>();
 
   public constructor(text: string) {
     let section = '';
@@ -20,7 +20,7 @@
     }
   }
 
-  /** Line of a section or key from 1; 0 when it does not stand there. */
+  /** Returns the last line of a section or key, starting at 1; 0 if absent. */
   public lineOf(section: string, key = ''): number {
     return this.lines.get(`${section}\0${key}`) ?? 0;
   }
@@ -28,28 +28,28 @@
   /** Names of all sections in the text. */
   public get sections(): readonly string[] {
     return [...this.lines.keys()]
-      .filter(place => place.endsWith('\0'))
-      .map(place => place.slice(0, -1));
+      .filter(location => location.endsWith('\0'))
+      .map(location => location.slice(0, -1));
   }
 
-  /** Sections and keys that stand more than once. */
-  public repeated(): readonly RepeatedPlace[] {
-    return [...this.seen]
+  /** Returns the sections and keys that occur more than once. */
+  public repeated(): readonly RepeatedLocation[] {
+    return [...this.occurrences]
       .filter(([, count]) => count > 1)
-      .map(([place]) => {
-        const [section = '', key = ''] = place.split('\0');
+      .map(([location]) => {
+        const [section = '', key = ''] = location.split('\0');
         return { section, key };
       });
   }
 
   private add(section: string, key: string, line: number): void {
-    const place = `${section}\0${key}`;
-    this.lines.set(place, line);
-    this.seen.set(place, (this.seen.get(place) ?? 0) + 1);
+    const location = `${section}\0${key}`;
+    this.lines.set(location, line);
+    this.occurrences.set(location, (this.occurrences.get(location) ?? 0) + 1);
   }
 }
 
-interface RepeatedPlace {
+interface RepeatedLocation {
   readonly section: string;
   readonly key: string;
 }
--- a/packages/foundation/src/settings/reference-page.ts
+++ b/packages/foundation/src/settings/reference-page.ts
@@ -31,7 +31,7 @@
   ].join('\n');
 }
 
-/** Writes the reference page of an INI format in Markdown. */
+/** Generates the Markdown reference page of an INI format. */
 export function referencePage(
   title: string,
   definitions: readonly SectionDefinition[],
--- a/packages/foundation/src/settings/section-definition.ts
+++ b/packages/foundation/src/settings/section-definition.ts
@@ -1,8 +1,8 @@
 import type { FieldDefinition } from './field-definition.js';
 
-/** Definition of one kind of INI section. */
+/** Definition of one kind of section in an INI file. */
 export interface SectionDefinition {
-  /** Name, or the part before the first space of a named section. */
+  /** Section name; for a named section, the part before the first space. */
   readonly kind: string;
   /** True for sections of the form `[kind name]`. */
   readonly named: boolean;
--- a/packages/foundation/src/settings/section-reader.ts
+++ b/packages/foundation/src/settings/section-reader.ts
@@ -1,6 +1,6 @@
 import type { CheckedSection } from './checked-section.js';
 
-/** Reads typed values of a checked section. */
+/** Reads the values of a checked section as typed values. */
 export class SectionReader {
   public constructor(private readonly section: CheckedSection) {}
 
@@ -16,7 +16,7 @@
     return this.text(key) === 'true';
   }
 
-  /** A comma-separated list without its empty entries. */
+  /** Reads a comma-separated list, without empty elements. */
   public list(key: string): readonly string[] {
     return this.text(key)
       .split(',')
--- a/packages/foundation/src/util/bounded-map.ts
+++ b/packages/foundation/src/util/bounded-map.ts
@@ -1,4 +1,4 @@
-/** A map that drops its oldest entries beyond a fixed count. */
+/** A map of fixed capacity that evicts its oldest entries. */
 export class BoundedMap<Value> {
   private readonly entries = new Map<string, Value>();
 
@@ -14,7 +14,7 @@
     return this.entries.size;
   }
 
-  /** Number of entries dropped for want of room. */
+  /** Number of entries evicted because the map was full. */
   public get dropped(): number {
     return this.droppedCount;
   }
@@ -27,7 +27,10 @@
     return this.entries.has(key);
   }
 
-  /** Stores a value as the newest entry. */
+  /**
+   * Stores a value as the newest entry, and evicts the oldest one if the map is
+   * full.
+   */
   public set(key: string, value: Value): void {
     this.entries.delete(key);
     this.entries.set(key, value);
@@ -38,12 +41,12 @@
     this.entries.delete(key);
   }
 
-  /** Entries from the oldest to the newest. */
+  /** Returns the values from the oldest to the newest. */
   public values(): IterableIterator<Value> {
     return this.entries.values();
   }
 
-  /** Drops entries from the oldest on while the condition holds. */
+  /** Removes entries, oldest first, until the condition no longer holds. */
   public dropWhile(condition: (value: Value) => boolean): void {
     for (const [key, value] of this.entries) {
       if (!condition(value)) {
--- a/packages/foundation/src/util/jittered-backoff.ts
+++ b/packages/foundation/src/util/jittered-backoff.ts
@@ -1,22 +1,22 @@
 import type { RandomSource } from '../random/random-source.js';
 
-/** Bounds of a retry delay. */
+/** Limits of a retry delay before jitter. */
 export interface BackoffBounds {
-  readonly firstMilliseconds: number;
-  readonly longestMilliseconds: number;
+  readonly initialMilliseconds: number;
+  readonly maximumMilliseconds: number;
 }
 
 /**
- * Returns the delay before the given retry, doubled each time and drawn
- * evenly between nothing and the bound ("full jitter").
+ * Returns the delay before the given retry, uniformly distributed between 0 and
+ * a limit that doubles with each retry ("full jitter").
  *
- * @param retry - Number of the retry, from 0.
+ * @param retry - Number of the retry, starting at 0.
  */
 export function jitteredBackoff(
   retry: number,
   bounds: BackoffBounds,
   random: RandomSource,
 ): number {
-  const doubled = bounds.firstMilliseconds * 2 ** Math.min(retry, 30);
-  return random.next() * Math.min(doubled, bounds.longestMilliseconds);
+  const doubled = bounds.initialMilliseconds * 2 ** Math.min(retry, 30);
+  return random.next() * Math.min(doubled, bounds.maximumMilliseconds);
 }
--- a/packages/foundation/src/util/rendezvous-rank.ts
+++ b/packages/foundation/src/util/rendezvous-rank.ts
@@ -5,11 +5,11 @@
 }
 
 /**
- * Orders nodes for a key by highest random weight.
+ * Orders nodes for a key by highest random weight (rendezvous hashing).
  *
  * Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit Rates",
- * IEEE/ACM Transactions on Networking, 1998. A node that joins or leaves moves
- * only the keys that it wins or held.
+ * IEEE/ACM Transactions on Networking, 1998. When a node joins or leaves, only
+ * the keys for which it ranks first move.
  */
 export function rendezvousRank(
   key: string,
--- a/packages/foundation/tests/errors/never-connected.test.ts
+++ b/packages/foundation/tests/errors/never-connected.test.ts
@@ -4,17 +4,17 @@
 import { neverConnected } from '../../src/errors/never-connected.js';
 import { PeerUnreachableError } from '../../src/errors/peer-unreachable-error.js';
 
-function failure(code: string): PeerUnreachableError {
-  const cause = Object.assign(new Error('it failed'), { code });
+function unreachableError(code: string): PeerUnreachableError {
+  const cause = Object.assign(new Error('connection failed'), { code });
   return new PeerUnreachableError('step', 'peer', cause);
 }
 
-t.test('which failures show that nothing was sent, or nobody listens', t => {
+t.test('errors that show that nothing was sent or nobody listens', t => {
   const cases: readonly [unknown, boolean, boolean][] = [
-    [failure('ECONNREFUSED'), true, true],
-    [failure('EHOSTUNREACH'), true, false],
-    [failure('ENETUNREACH'), true, false],
-    [failure('ECONNRESET'), false, false],
+    [unreachableError('ECONNREFUSED'), true, true],
+    [unreachableError('EHOSTUNREACH'), true, false],
+    [unreachableError('ENETUNREACH'), true, false],
+    [unreachableError('ECONNRESET'), false, false],
     [new PeerUnreachableError('step', 'peer', 'no answer'), false, false],
     [new Error('ECONNREFUSED'), false, false],
     ['ECONNREFUSED', false, false],
--- a/packages/foundation/tests/events/event-ring.test.ts
+++ b/packages/foundation/tests/events/event-ring.test.ts
@@ -4,7 +4,7 @@
 import { EventRing } from '../../src/events/event-ring.js';
 import { mergePages } from '../../src/events/merge-pages.js';
 
-t.test('a full ring tells how many events were dropped', t => {
+t.test('a full ring reports how many events were dropped', t => {
   const ring = new EventRing('one', new ManualClock(), 4);
   for (let index = 1; index <= 6; index += 1) {
     ring.record('request-ended', `event ${index}`);
--- a/packages/foundation/tests/events/hybrid-clock.test.ts
+++ b/packages/foundation/tests/events/hybrid-clock.test.ts
@@ -2,7 +2,7 @@
 
 import { HybridClock } from '../../src/events/hybrid-clock.js';
 
-t.test('stamps rise while the wall clock stands still', t => {
+t.test('timestamps increase while the wall clock does not advance', t => {
   const clock = new HybridClock();
   t.same(clock.stamp(10), { wall: 10, logical: 0 });
   t.same(clock.stamp(10), { wall: 10, logical: 1 });
@@ -10,14 +10,14 @@
   t.end();
 });
 
-t.test('a stamp follows what was received', t => {
+t.test('a local timestamp is later than the one received', t => {
   const clock = new HybridClock();
   clock.observe({ wall: 50, logical: 7 }, 40);
   t.same(clock.stamp(41), { wall: 50, logical: 8 });
   t.end();
 });
 
-t.test('a peer cannot drag the clock far ahead', t => {
+t.test('a received timestamp far ahead of the local clock is ignored', t => {
   const clock = new HybridClock();
   clock.observe({ wall: 10_000_000, logical: 0 }, 40);
   t.same(clock.stamp(41), { wall: 41, logical: 0 });
--- a/packages/foundation/tests/logging/line-budget.test.ts
+++ b/packages/foundation/tests/logging/line-budget.test.ts
@@ -2,12 +2,12 @@
 
 import { LineBudget } from '../../src/logging/line-budget.js';
 
-t.test('lines of one kind beyond the budget are left out and counted', t => {
+t.test('lines of one kind beyond the limit are left out and counted', t => {
   const budget = new LineBudget(2);
   t.same(budget.advance(0), []);
   const admitted = [1, 2, 3, 4].map(() => budget.admit('busy'));
   t.same(admitted, [true, true, false, false]);
-  t.ok(budget.admit('other'), 'other kinds have a budget of their own');
+  t.ok(budget.admit('other'), 'each kind has its own limit');
   t.same(budget.advance(999), []);
   t.same(budget.advance(1000), [{ kind: 'busy', count: 2 }]);
   t.ok(budget.admit('busy'));
@@ -21,6 +21,6 @@
     t.ok(budget.admit(`kind ${kind}`));
   }
   t.notOk(budget.admit('one more'));
-  t.ok(budget.admit('kind 7'), 'known kinds go on');
+  t.ok(budget.admit('kind 7'), 'kinds already counted are still admitted');
   t.end();
 });
--- a/packages/foundation/tests/settings/check-ini-fuzz.test.ts
+++ b/packages/foundation/tests/settings/check-ini-fuzz.test.ts
@@ -6,7 +6,7 @@
 
 const RUNS = 2000;
 
-const format: readonly SectionDefinition[] = [
+const definitions: readonly SectionDefinition[] = [
   {
     kind: 'process',
     named: false,
@@ -43,22 +43,22 @@
   fc.string(),
 );
 
-t.test('any text is checked and no text ends the process', t => {
+t.test('no text makes the check throw', t => {
   fc.assert(
     fc.property(fc.array(lines, { maxLength: 12 }), parts => {
-      const { sections, problems } = checkIni(parts.join('\n'), format);
+      const { sections, problems } = checkIni(parts.join('\n'), definitions);
       const kinds = sections.map(({ kind }) => kind);
-      const known = kinds.every(
+      const allDefined = kinds.every(
         kind => kind === 'process' || kind === 'worker',
       );
-      const told = problems.every(({ found, allowed }) => {
+      const allDescribed = problems.every(({ found, allowed }) => {
         return typeof found === 'string' && typeof allowed === 'string';
       });
-      return known && told;
+      return allDefined && allDescribed;
     }),
     { seed: 1, numRuns: RUNS },
   );
   t.equal(Object.getPrototypeOf({}), Object.prototype);
-  t.notOk('name' in {}, 'no text reaches the prototype of objects');
+  t.notOk('name' in {}, 'no text modifies Object.prototype');
   t.end();
 });
--- a/packages/foundation/tests/settings/check-ini.test.ts
+++ b/packages/foundation/tests/settings/check-ini.test.ts
@@ -77,8 +77,8 @@
   },
 ];
 
-t.test('invalid texts are told with line, key, found and allowed', t => {
-  const told = invalid.map(({ text, key }) => {
+t.test('invalid texts are reported with line, key, found and allowed', t => {
+  const reported = invalid.map(({ text, key }) => {
     const { problems } = checkIni(text, definitions);
     t.ok(
       problems.some(problem => problem.key === key),
@@ -86,11 +86,11 @@
     );
     return problems.map(problem => formatProblem('file.ini', problem));
   });
-  t.matchSnapshot(told.flat().join('\n'));
+  t.matchSnapshot(reported.flat().join('\n'));
   t.end();
 });
 
-t.test('the reference page comes from the same definitions', t => {
+t.test('the reference page is generated from the section definitions', t => {
   t.matchSnapshot(referencePage('Server', definitions));
   t.end();
 });
--- a/packages/foundation/tests/util/bounded-map.test.ts
+++ b/packages/foundation/tests/util/bounded-map.test.ts
@@ -2,7 +2,7 @@
 
 import { BoundedMap } from '../../src/util/bounded-map.js';
 
-t.test('the oldest entry leaves first', t => {
+t.test('the oldest entry is evicted first', t => {
   const map = new BoundedMap<number>(2);
   map.set('a', 1);
   map.set('b', 2);
@@ -13,7 +13,7 @@
   t.end();
 });
 
-t.test('entries leave from the oldest while the condition holds', t => {
+t.test('entries are removed, oldest first, while the condition holds', t => {
   const map = new BoundedMap<number>(9);
   map.set('a', 1);
   map.set('b', 5);
--- a/packages/foundation/tests/util/rendezvous-rank.test.ts
+++ b/packages/foundation/tests/util/rendezvous-rank.test.ts
@@ -6,7 +6,7 @@
 
 const keys = Array.from({ length: 500 }, (_, index) => `key-${index}`);
 
-t.test('the order of the nodes does not matter', t => {
+t.test('the rank does not depend on the order of the nodes', t => {
   for (const key of keys.slice(0, 20)) {
     const reversed = [...nodes].reverse();
     t.same(rendezvousRank(key, nodes), rendezvousRank(key, reversed));
--- a/packages/job-nodes/src/http/call-peer.ts
+++ b/packages/job-nodes/src/http/call-peer.ts
@@ -1,6 +1,6 @@
 import { Agent } from 'node:http';
 
-import { callJson } from '@basilcourse/foundation/http/json-client';
+import { callJson } from '@basilcourse/foundation/http/call-json';
 
 /** Connections to other processes of the system are kept and reused. */
 const peerConnections = new Agent({ keepAlive: true, maxSockets: 16 });
--- a/packages/job-nodes/src/metrics/process-metrics.ts
+++ b/packages/job-nodes/src/metrics/process-metrics.ts
@@ -1,4 +1,4 @@
-import { watchGauge } from '@basilcourse/foundation/metrics/watch-gauge';
+import { registerGauge } from '@basilcourse/foundation/metrics/register-gauge';
 import { Counter, Histogram, Registry } from 'prom-client';
 
 import type { ObservedStep } from './observed-step.js';
@@ -45,7 +45,7 @@
 
   /** Adds a gauge that is read when it is asked for. */
   public watch(name: string, help: string, read: () => number): void {
-    watchGauge(this.registry, name, help, read);
+    registerGauge(this.registry, name, help, read);
   }
 
   /** Returns all metrics in the text format of Prometheus. */
--- a/packages/platform-stand-in/src/log/log-server.ts
+++ b/packages/platform-stand-in/src/log/log-server.ts
@@ -1,13 +1,13 @@
 import { messageOf } from '@basilcourse/foundation/errors/message-of';
 import { PeerRefusedError } from '@basilcourse/foundation/errors/peer-refused-error';
-import type { JsonReply } from '@basilcourse/foundation/http/json-reply';
+import type { JsonResponse } from '@basilcourse/foundation/http/json-response';
 import { JsonServer } from '@basilcourse/foundation/http/json-server';
 import type { RecordEnvelope } from '@basilcourse/shared-state/log/record-envelope';
 
 import type { LogFaults } from './log-faults.js';
 import type { LogStandIn } from './log-stand-in.js';
 
-async function answering(work: () => Promise<unknown>): Promise<JsonReply> {
+async function answering(work: () => Promise<unknown>): Promise<JsonResponse> {
   try {
     return { status: 200, body: await work() };
   } catch (error) {
--- a/packages/platform-stand-in/src/worker/worker-server.ts
+++ b/packages/platform-stand-in/src/worker/worker-server.ts
@@ -1,6 +1,6 @@
 import { messageOf } from '@basilcourse/foundation/errors/message-of';
 import { PeerRefusedError } from '@basilcourse/foundation/errors/peer-refused-error';
-import type { JsonReply } from '@basilcourse/foundation/http/json-reply';
+import type { JsonResponse } from '@basilcourse/foundation/http/json-response';
 import { JsonServer } from '@basilcourse/foundation/http/json-server';
 import type { StartCommand } from '@basilcourse/scheduler/platform/start-command';
 import type { StopCommand } from '@basilcourse/scheduler/platform/stop-command';
@@ -14,7 +14,7 @@
   readonly share: number;
 }
 
-async function answering(work: () => Promise<unknown>): Promise<JsonReply> {
+async function answering(work: () => Promise<unknown>): Promise<JsonResponse> {
   try {
     return { status: 200, body: (await work()) ?? {} };
   } catch (error) {
--- a/packages/proving/src/deployment/publish.ts
+++ b/packages/proving/src/deployment/publish.ts
@@ -1,5 +1,5 @@
 import type { EntryNode } from '@basilcourse/daemon/node/entry-node';
-import { callJson } from '@basilcourse/foundation/http/json-client';
+import { callJson } from '@basilcourse/foundation/http/call-json';
 import { randomIdentifiers } from '@basilcourse/foundation/identifiers/random-identifiers';
 
 const PUBLISH_TIMEOUT_MILLISECONDS = 15_000;
--- a/packages/proving/src/deployment/upstream-host.ts
+++ b/packages/proving/src/deployment/upstream-host.ts
@@ -1,4 +1,4 @@
-import { callJson } from '@basilcourse/foundation/http/json-client';
+import { callJson } from '@basilcourse/foundation/http/call-json';
 import type { RandomSource } from '@basilcourse/foundation/random/random-source';
 import type { RequestWitness } from '@basilcourse/platform-stand-in/upstream/request-witness';
 import type { UpstreamBehaviour } from '@basilcourse/platform-stand-in/upstream/upstream-behaviour';
--- a/packages/proving/tests/live/processes.test.ts
+++ b/packages/proving/tests/live/processes.test.ts
@@ -4,7 +4,7 @@
 import { join } from 'node:path';
 
 import { systemClock } from '@basilcourse/foundation/clock/system-clock';
-import { callJson } from '@basilcourse/foundation/http/json-client';
+import { callJson } from '@basilcourse/foundation/http/call-json';
 import { seededRandom } from '@basilcourse/foundation/random/seeded-random';
 import { createLogServer } from '@basilcourse/platform-stand-in/log/log-server';
 import { LogStandIn } from '@basilcourse/platform-stand-in/log/log-stand-in';
--- a/packages/request-plane/src/claim/key-claimer.ts
+++ b/packages/request-plane/src/claim/key-claimer.ts
@@ -21,7 +21,7 @@
 
 const CLAIM_TIMEOUT_MILLISECONDS = 500;
 
-const BACKOFF_BOUNDS = { firstMilliseconds: 20, longestMilliseconds: 250 };
+const BACKOFF_BOUNDS = { initialMilliseconds: 20, maximumMilliseconds: 250 };
 
 interface ClaimerParts {
   readonly state: SharedState;
--- a/packages/request-plane/src/entry/request-dispatcher.ts
+++ b/packages/request-plane/src/entry/request-dispatcher.ts
@@ -17,7 +17,7 @@
 import { CONNECT_STEP, handOver } from './hand-over.js';
 import { MAXIMUM_TRIES, tryName } from './maximum-tries.js';
 
-const BACKOFF_BOUNDS = { firstMilliseconds: 2, longestMilliseconds: 50 };
+const BACKOFF_BOUNDS = { initialMilliseconds: 2, maximumMilliseconds: 50 };
 
 const FIRST_SERVER_ERROR = 500;
 
--- a/packages/shared-state/src/follow/follow-store.ts
+++ b/packages/shared-state/src/follow/follow-store.ts
@@ -13,7 +13,7 @@
 /** Records asked for in one read. */
 const RECORDS_PER_READ = 1000;
 
-const RETRY_BOUNDS = { firstMilliseconds: 100, longestMilliseconds: 3000 };
+const RETRY_BOUNDS = { initialMilliseconds: 100, maximumMilliseconds: 3000 };
 
 /** Parts that the following of the log works on. */
 export interface FollowOptions {
--- a/packages/shared-state/src/follow/record-appender.ts
+++ b/packages/shared-state/src/follow/record-appender.ts
@@ -19,7 +19,7 @@
 /** Appends of one process that may wait at once. */
 const MAXIMUM_WAITING_APPENDS = 256;
 
-const RETRY_BOUNDS = { firstMilliseconds: 50, longestMilliseconds: 1000 };
+const RETRY_BOUNDS = { initialMilliseconds: 50, maximumMilliseconds: 1000 };
 
 interface AppenderOptions {
   readonly log: PlatformLog;
--- a/packages/shared-state/src/log/http-platform-log.ts
+++ b/packages/shared-state/src/log/http-platform-log.ts
@@ -1,5 +1,5 @@
 import { PeerUnreachableError } from '@basilcourse/foundation/errors/peer-unreachable-error';
-import { callJson } from '@basilcourse/foundation/http/json-client';
+import { callJson } from '@basilcourse/foundation/http/call-json';
 import { Type } from '@sinclair/typebox';
 import { TypeCompiler } from '@sinclair/typebox/compiler';
 
--- a/tap-snapshots/packages/foundation/dist/tests/settings/check-ini.test.js.test.cjs
+++ b/tap-snapshots/packages/foundation/dist/tests/settings/check-ini.test.js.test.cjs
@@ -5,7 +5,7 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`packages/foundation/dist/tests/settings/check-ini.test.js > TAP > invalid texts are told with line, key, found and allowed > must match snapshot 1`] = `
+exports[`packages/foundation/dist/tests/settings/check-ini.test.js > TAP > invalid texts are reported with line, key, found and allowed > must match snapshot 1`] = `
 file.ini:0 [server] : found no such section; allowed: The server.
 file.ini:1 [server] address: found nothing; allowed: Where it listens.
 file.ini:2 [server] address: found localhost:80; allowed: an IP number and port, as 127.0.0.1:7000
@@ -23,7 +23,7 @@
 file.ini:1 [__proto__] : found an unknown section; allowed: server, team
 `
 
-exports[`packages/foundation/dist/tests/settings/check-ini.test.js > TAP > the reference page comes from the same definitions > must match snapshot 1`] = `
+exports[`packages/foundation/dist/tests/settings/check-ini.test.js > TAP > the reference page is generated from the section definitions > must match snapshot 1`] = `
 # Server
 
 ## \`[server]\`
