--- a/packages/daemon/src/operators/publish-note.ts
+++ b/packages/daemon/src/operators/publish-note.ts
@@ -1,7 +1,7 @@
 import type { JsonResponse } from '@basilcourse/foundation/http/json-response';
 import { formatProblem } from '@basilcourse/foundation/settings/format-problem';
 import { rejectionReasons } from '@basilcourse/shared-state/configuration/apply-release-note';
-import type { AppendVerdict } from '@basilcourse/shared-state/follow/append-verdict';
+import type { AppendResult } from '@basilcourse/shared-state/follow/append-result';
 import { parseReleaseNote } from '@basilcourse/shared-state/release-note/parse-release-note';
 import { Type } from '@sinclair/typebox';
 import { TypeCompiler } from '@sinclair/typebox/compiler';
@@ -30,7 +30,7 @@
 function reply(
   core: NodeCore,
   id: string,
-  verdict: AppendVerdict,
+  verdict: AppendResult,
 ): JsonResponse {
   if (verdict.kind === 'dropped') {
     const body = { result: 'not-published', reasons: [verdict.reason] };
