--- a/packages/job-nodes/src/agent/listed-serving.ts
+++ b/packages/job-nodes/src/agent/listed-serving.ts
@@ -1,4 +1,4 @@
-import type { ServingTask } from '@basilcourse/jobs/pace/decide-shares';
+import type { ServingTask } from '@basilcourse/jobs/interference/decide-shares';
 
 /** A serving task that the minion lists. */
 export interface ListedServing extends Omit<
--- a/packages/job-nodes/src/agent/pacer-options.ts
+++ b/packages/job-nodes/src/agent/pacer-options.ts
@@ -1,5 +1,5 @@
 import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
-import type { HarmTable } from '@basilcourse/jobs/pace/harm-table';
+import type { InterferenceTable } from '@basilcourse/jobs/interference/interference-table';
 
 import type { MinionClient } from './minion-client.js';
 
@@ -7,6 +7,6 @@
 export interface PacerOptions {
   readonly client: MinionClient;
   /** What all minions have shown of images' harm. */
-  readonly harms: HarmTable;
+  readonly harms: InterferenceTable;
   readonly logger: PartLogger;
 }
--- a/packages/job-nodes/src/agent/pacer.ts
+++ b/packages/job-nodes/src/agent/pacer.ts
@@ -1,10 +1,10 @@
 import { messageOf } from '@basilcourse/foundation/errors/message-of';
 import { BoundedMap } from '@basilcourse/foundation/util/bounded-map';
+import type { BatchDemand } from '@basilcourse/jobs/interference/batch-demand';
+import { decideShares } from '@basilcourse/jobs/interference/decide-shares';
+import type { ServingLoad } from '@basilcourse/jobs/interference/serving-load';
 import type { RunningTask } from '@basilcourse/jobs/model/running-task';
 import type { TaskTraits } from '@basilcourse/jobs/model/task-traits';
-import { decideShares } from '@basilcourse/jobs/pace/decide-shares';
-import type { FillingDemand } from '@basilcourse/jobs/pace/filling-demand';
-import type { ServingLoad } from '@basilcourse/jobs/pace/serving-load';
 import { splitTaskName } from '@basilcourse/jobs/state/split-task-name';
 
 import type { ListedServing } from './listed-serving.js';
@@ -136,7 +136,7 @@
           image,
           before,
           share,
-          tails: serving.map(({ tail }) => tail).join(' '),
+          tails: serving.map(({ tailLatency: tail }) => tail).join(' '),
         });
       }
     }
@@ -156,15 +156,24 @@
       const image = this.traits.get(run.task)?.image ?? '';
       const floor = known?.floor ?? target * UNKNOWN_FLOOR_PART;
       const load = known?.load ?? UNKNOWN_LOAD;
-      return [{ task: run.task, image, target, tail: run.gauge, floor, load }];
+      return [
+        {
+          task: run.task,
+          image,
+          target,
+          tailLatency: run.gauge,
+          unloadedTailLatency: floor,
+          load,
+        },
+      ];
     });
   }
 
   /** What the tasks of each filling image would use at full speed. */
   private fillingDemand(
     running: readonly RunningTask[],
-  ): ReadonlyMap<string, FillingDemand> {
-    const demand = new Map<string, FillingDemand>();
+  ): ReadonlyMap<string, BatchDemand> {
+    const demand = new Map<string, BatchDemand>();
     for (const run of running) {
       const traits = this.traits.get(run.task);
       if (traits?.filling) {
--- a/packages/job-nodes/src/agent/serving-strain.ts
+++ b/packages/job-nodes/src/agent/serving-strain.ts
@@ -1,4 +1,4 @@
-import type { ServingTask } from '@basilcourse/jobs/pace/decide-shares';
+import type { ServingTask } from '@basilcourse/jobs/interference/decide-shares';
 
 import type { ListedServing } from './listed-serving.js';
 
@@ -22,7 +22,7 @@
     const found = serving.map(task => {
       const before = this.brokenSince.get(task.task);
       const part = before === undefined ? 1 : EMPTY_PART;
-      if (task.tail <= task.target * part) {
+      if (task.tailLatency <= task.target * part) {
         return { ...task, strainedMilliseconds: 0 };
       }
       const first = before ?? now;
--- a/packages/job-nodes/src/leader/agent-desk.ts
+++ b/packages/job-nodes/src/leader/agent-desk.ts
@@ -1,5 +1,5 @@
+import type { ImageStatistics } from '@basilcourse/jobs/interference/image-statistics';
 import type { AgentReport } from '@basilcourse/jobs/model/agent-report';
-import type { ImageKnowledge } from '@basilcourse/jobs/pace/image-knowledge';
 import { applyReport } from '@basilcourse/jobs/reconcile/apply-report';
 import type { ReportOutcome } from '@basilcourse/jobs/reconcile/report-outcome';
 import type { MinionEntry } from '@basilcourse/jobs/state/minion-entry';
@@ -51,7 +51,7 @@
   }
 
   /** Takes over what an agent was told of images by the last leader. */
-  public adopt(images: ImageKnowledge): void {
+  public adopt(images: ImageStatistics): void {
     this.context.state.interference.adopt(images);
   }
 
@@ -131,7 +131,7 @@
   ): void {
     const { state, options } = this.context;
     for (const incarnation of state.sessions.goneBy(session, report)) {
-      const freed = state.table.forgetMinion(incarnation, now);
+      const freed = state.table.removeMinion(incarnation, now);
       options.logger.warn('A minion is gone.', {
         incarnation,
         freed: freed.length,
--- a/packages/job-nodes/src/leader/agent-sessions.ts
+++ b/packages/job-nodes/src/leader/agent-sessions.ts
@@ -51,7 +51,7 @@
   public hear(session: AgentSession, now: number): void {
     session.heardAt = now;
     for (const minion of this.leasedBy(session)) {
-      minion.heardAt = now;
+      minion.lastContactAt = now;
     }
   }
 
@@ -125,7 +125,7 @@
       return undefined;
     }
     session.incarnation = report.minion.incarnation;
-    const minion = this.table.minion(report.minion.incarnation, now);
+    const minion = this.table.getOrAddMinion(report.minion.incarnation, now);
     minion.description = report.minion;
     minion.agent = session.agent;
     minion.connected = true;
@@ -133,7 +133,7 @@
       repeatStops(minion);
     }
     minion.fencingToken = report.fencingToken;
-    minion.heardAt = now;
+    minion.lastContactAt = now;
     return minion;
   }
 
--- a/packages/job-nodes/src/leader/interference-watch.ts
+++ b/packages/job-nodes/src/leader/interference-watch.ts
@@ -1,12 +1,12 @@
 import { BoundedMap } from '@basilcourse/foundation/util/bounded-map';
+import type { ImageStatistics } from '@basilcourse/jobs/interference/image-statistics';
+import { InterferenceEstimator } from '@basilcourse/jobs/interference/interference-estimator';
+import { InterferenceTable } from '@basilcourse/jobs/interference/interference-table';
+import { LoadMonitor } from '@basilcourse/jobs/interference/load-monitor';
+import { loadOf } from '@basilcourse/jobs/interference/queue-model';
+import { updateEstimates } from '@basilcourse/jobs/interference/update-estimates';
 import type { AgentReport } from '@basilcourse/jobs/model/agent-report';
-import { HarmLearner } from '@basilcourse/jobs/pace/harm-learner';
-import { HarmTable } from '@basilcourse/jobs/pace/harm-table';
-import type { ImageKnowledge } from '@basilcourse/jobs/pace/image-knowledge';
-import { learnFromReport } from '@basilcourse/jobs/pace/learn-from-report';
-import { LoadWatch } from '@basilcourse/jobs/pace/load-watch';
-import { loadOf } from '@basilcourse/jobs/pace/queue-model';
-import { HarmEstimate } from '@basilcourse/jobs/plan/harm-estimate';
+import { InterferencePredictor } from '@basilcourse/jobs/plan/interference-predictor';
 import type { JobTable } from '@basilcourse/jobs/state/job-table';
 
 import type { AgentSession } from './agent-session.js';
@@ -39,21 +39,21 @@
 
 /** Learns from all agents how images harm each other, and tells them. */
 export class InterferenceWatch {
-  private readonly harms = new HarmTable();
+  private readonly harms = new InterferenceTable();
 
-  private readonly learner = new HarmLearner(this.harms);
+  private readonly learner = new InterferenceEstimator(this.harms);
 
   private updatedAt = Number.NEGATIVE_INFINITY;
 
-  private readonly loads = new LoadWatch();
+  private readonly loads = new LoadMonitor();
 
   private readonly tails = new BoundedMap<number>(MOST_TASKS);
 
   private readonly told = new WeakMap<AgentSession, Told>();
 
   /** Returns what is known by now. */
-  public estimate(now: number): HarmEstimate {
-    return new HarmEstimate(this.harms, this.loads, now);
+  public estimate(now: number): InterferencePredictor {
+    return new InterferencePredictor(this.harms, this.loads, now);
   }
 
   /** Learns from a report, and tells its agent what it needs to pace. */
@@ -64,7 +64,7 @@
     now: number,
   ): void {
     const { learner, loads, tails } = this;
-    learnFromReport(table, learner, loads, tails, report.running, now);
+    updateEstimates(table, learner, loads, tails, report.running, now);
     if (now - this.updatedAt >= UPDATE_EVERY_MILLISECONDS) {
       this.updatedAt = now;
       learner.update();
@@ -75,7 +75,7 @@
   }
 
   /** Takes over what an earlier leader learned. */
-  public adopt({ harms, lowestTails }: ImageKnowledge): void {
+  public adopt({ harms, lowestTails }: ImageStatistics): void {
     harms.forEach(row => {
       this.learner.adopt(row);
     });
@@ -88,10 +88,10 @@
       return told;
     }
     const { harms, loads } = this;
-    loads.forgetOld(now, KEEP_MILLISECONDS);
-    const images: ImageKnowledge = {
+    loads.evictIdle(now, KEEP_MILLISECONDS);
+    const images: ImageStatistics = {
       harms: harms.rowsSince(told.harmVersion),
-      lowestTails: loads.lowestTailsSince(told.tailVersion),
+      lowestTails: loads.lowestTailLatenciesSince(told.tailVersion),
     };
     if (images.harms.length + images.lowestTails.length > 0) {
       session.send({ kind: 'images', images });
@@ -121,8 +121,8 @@
         .map(entry => entry?.jobIdentifier ?? ''),
     );
     const loads = [...jobs].map(job => {
-      const floor = this.loads.floor(job);
-      const ahead = this.loads.quietTailAhead(job, now);
+      const floor = this.loads.unloadedTailLatency(job);
+      const ahead = this.loads.predictedIsolatedTailLatency(job, now);
       return { job, floor, load: loadOf(ahead, floor) };
     });
     const known = loads.filter(({ floor }) => floor > 0);
--- a/packages/job-nodes/src/leader/leader-state.ts
+++ b/packages/job-nodes/src/leader/leader-state.ts
@@ -101,8 +101,8 @@
       const key = `${task.jobIdentifier}.${task.occurrence}.${task.step}`;
       const run = (gangRuns.get(key) ?? task.run) + 1;
       task.assign(minion.incarnation, run, minion.fencingToken, now);
-      minion.hold(task, run);
-      this.table.touch(task);
+      minion.addRun(task, run);
+      this.table.markChanged(task);
     }
   }
 
--- a/packages/job-nodes/src/leader/send-starts.ts
+++ b/packages/job-nodes/src/leader/send-starts.ts
@@ -28,9 +28,9 @@
       continue;
     }
     if (job.ended !== undefined) {
-      minion.drop(task.name, task.run);
+      minion.removeRun(task.name, task.run);
       task.release(0);
-      state.table.touch(task);
+      state.table.markChanged(task);
     } else if (session?.fencingToken === task.orderToken) {
       const list = orders.get(session) ?? [];
       list.push(orderFor(task, job.specification.payload));
--- a/packages/job-nodes/src/lines/agent-message.ts
+++ b/packages/job-nodes/src/lines/agent-message.ts
@@ -1,5 +1,5 @@
+import type { ImageStatistics } from '@basilcourse/jobs/interference/image-statistics';
 import type { AgentReport } from '@basilcourse/jobs/model/agent-report';
-import type { ImageKnowledge } from '@basilcourse/jobs/pace/image-knowledge';
 
 /** What an agent sends to the leader, one message a line. */
 export type AgentMessage =
@@ -8,7 +8,7 @@
       /** Given back to a new leader, as the last one told it. */
       readonly kind: 'images';
       readonly sentAt: number;
-      readonly images: ImageKnowledge;
+      readonly images: ImageStatistics;
     }
   | {
       readonly kind: 'report';
--- a/packages/job-nodes/src/lines/leader-message.ts
+++ b/packages/job-nodes/src/lines/leader-message.ts
@@ -1,8 +1,8 @@
+import type { ImageStatistics } from '@basilcourse/jobs/interference/image-statistics';
+import type { ServingLoad } from '@basilcourse/jobs/interference/serving-load';
 import type { StartOrder } from '@basilcourse/jobs/model/start-order';
 import type { StopOrder } from '@basilcourse/jobs/model/stop-order';
 import type { TaskTraits } from '@basilcourse/jobs/model/task-traits';
-import type { ImageKnowledge } from '@basilcourse/jobs/pace/image-knowledge';
-import type { ServingLoad } from '@basilcourse/jobs/pace/serving-load';
 
 /** What the leader sends to an agent, one message a line. */
 export type LeaderMessage =
@@ -25,7 +25,7 @@
       /** Of runs that the agent listed. */
       readonly tasks: readonly KnownTask[];
     }
-  | { readonly kind: 'images'; readonly images: ImageKnowledge }
+  | { readonly kind: 'images'; readonly images: ImageStatistics }
   /** Loads of the jobs that serve on the agent's minion. */
   | { readonly kind: 'loads'; readonly loads: readonly ServingLoad[] }
   | {
--- a/packages/job-nodes/tests/agent/image-memory.test.ts
+++ b/packages/job-nodes/tests/agent/image-memory.test.ts
@@ -19,6 +19,10 @@
     harms: [PAIR, { ...PAIR, filling: 'g' }],
     lowestTails: [{ image: 's', milliseconds: 25 }],
   });
-  t.equal(memory.harms.sureHarm('s', 'f'), 0.2, 'the pace goes by the same');
+  t.equal(
+    memory.harms.reliableSlowdownPerCore('s', 'f'),
+    0.2,
+    'the pace goes by the same',
+  );
   t.end();
 });
--- a/packages/job-nodes/tests/leader/agent-sessions.test.ts
+++ b/packages/job-nodes/tests/leader/agent-sessions.test.ts
@@ -52,7 +52,7 @@
     sessions.attach(second);
     sessions.detach(first);
     sessions.detach(second);
-    t.equal(table.minion(INCARNATION, 0).connected, false);
+    t.equal(table.getOrAddMinion(INCARNATION, 0).connected, false);
     t.end();
   },
 );
@@ -65,7 +65,7 @@
   sessions.takeReport(session, makeReport(1), 0);
   sessions.closeSilent(10_000);
   t.equal(sessions.takeReport(session, makeReport(1), 10_000), undefined);
-  t.equal(table.minion(INCARNATION, 0).connected, false);
+  t.equal(table.getOrAddMinion(INCARNATION, 0).connected, false);
   t.end();
 });
 
@@ -76,7 +76,7 @@
   sessions.attach(session);
   sessions.takeReport(session, makeReport(1), 0);
   sessions.takeReport(session, makeReport(1, { minion: null }), 0);
-  t.equal(table.minion(INCARNATION, 0).connected, false);
+  t.equal(table.getOrAddMinion(INCARNATION, 0).connected, false);
   t.end();
 });
 
@@ -85,13 +85,13 @@
   t => {
     const table = new JobTable();
     const sessions = new AgentSessions(table);
-    table.minion(INCARNATION, 0);
-    table.minion('other|minion|1', 0);
+    table.getOrAddMinion(INCARNATION, 0);
+    table.getOrAddMinion('other|minion|1', 0);
     const session = makeSession(2);
     sessions.attach(session);
     sessions.hear(session, 5900);
-    t.equal(table.minion(INCARNATION, 0).heardAt, 5900);
-    t.equal(table.minion('other|minion|1', 0).heardAt, 0);
+    t.equal(table.getOrAddMinion(INCARNATION, 0).lastContactAt, 5900);
+    t.equal(table.getOrAddMinion('other|minion|1', 0).lastContactAt, 0);
     t.end();
   },
 );
--- a/packages/job-nodes/tests/leader/interference-watch.test.ts
+++ b/packages/job-nodes/tests/leader/interference-watch.test.ts
@@ -1,7 +1,7 @@
 import { PassThrough } from 'node:stream';
 
+import type { ImageStatistics } from '@basilcourse/jobs/interference/image-statistics';
 import type { AgentReport } from '@basilcourse/jobs/model/agent-report';
-import type { ImageKnowledge } from '@basilcourse/jobs/pace/image-knowledge';
 import { JobTable } from '@basilcourse/jobs/state/job-table';
 import t from 'tap';
 
@@ -23,7 +23,7 @@
 const LOWEST = { image: 's', milliseconds: 30 };
 
 /** Reads the message of images that was sent last, if any. */
-function readImages(output: PassThrough): ImageKnowledge | undefined {
+function readImages(output: PassThrough): ImageStatistics | undefined {
   const line = output.read() as string | null;
   const message =
     line === null ? undefined : (JSON.parse(line) as LeaderMessage);
--- /dev/null
+++ b/packages/jobs/src/interference/batch-cores.ts
@@ -0,0 +1,2 @@
+/** Busy cores of each batch image on one minion. */
+export type BatchCores = ReadonlyMap<string, number>;
--- /dev/null
+++ b/packages/jobs/src/interference/lowest-tail-latency.ts
@@ -0,0 +1,5 @@
+/** Lowest tail latency that any task of a serving image has had. */
+export interface LowestTailLatency {
+  readonly image: string;
+  readonly milliseconds: number;
+}
--- a/packages/jobs/src/pace/serving-load.ts
+++ b/packages/jobs/src/interference/serving-load.ts
@@ -1,7 +1,7 @@
-/** Load of a job that serves, as the leader knows it. */
+/** Load of a serving job, as the leader estimates it. */
 export interface ServingLoad {
   readonly job: string;
-  /** Tail of a task that never waits, in milliseconds. */
+  /** Tail latency of a task whose requests never queue, in milliseconds. */
   readonly floor: number;
   /** Share of the time in which a task without neighbours is busy. */
   readonly load: number;
--- a/packages/jobs/src/pace/versioned-rows.ts
+++ b/packages/jobs/src/interference/versioned-rows.ts
@@ -1,33 +1,33 @@
 import { BoundedMap } from '@basilcourse/foundation/util/bounded-map';
 
-/** Rows kept; the one that was set longest ago goes first. */
-const MOST_ROWS = 20_000;
+/** Beyond this number, the row that was set longest ago is evicted. */
+const MAXIMUM_ROWS = 20_000;
 
 interface Entry<Row> {
   readonly row: Row;
-  /** The row as it was when its version was given. */
-  readonly noted: Row;
+  /** The row as of the version below; later small changes are not in it. */
+  readonly versionedRow: Row;
   readonly version: number;
 }
 
-/** Rows by key, of which those that changed since a version are told apart. */
+/** Rows by key, which can be listed by the version of their last change. */
 export class VersionedRows<Row> {
-  private readonly entries = new BoundedMap<Entry<Row>>(MOST_ROWS);
+  private readonly entries = new BoundedMap<Entry<Row>>(MAXIMUM_ROWS);
 
-  private readonly isNoticeable: (noted: Row, row: Row) => boolean;
+  private readonly isNoticeable: (versionedRow: Row, row: Row) => boolean;
 
-  private newest = 0;
+  private newestVersion = 0;
 
   /**
-   * @param isNoticeable - A change of a row is worth telling.
+   * @param isNoticeable - Whether a change of a row deserves a new version.
    */
-  public constructor(isNoticeable: (noted: Row, row: Row) => boolean) {
+  public constructor(isNoticeable: (versionedRow: Row, row: Row) => boolean) {
     this.isNoticeable = isNoticeable;
   }
 
   /** Version of the newest change; 0 before the first. */
   public get version(): number {
-    return this.newest;
+    return this.newestVersion;
   }
 
   public get(key: string): Row | undefined {
@@ -36,12 +36,16 @@
 
   public set(key: string, row: Row): void {
     const before = this.entries.get(key);
-    if (before !== undefined && !this.isNoticeable(before.noted, row)) {
+    if (before !== undefined && !this.isNoticeable(before.versionedRow, row)) {
       this.entries.set(key, { ...before, row });
       return;
     }
-    this.newest += 1;
-    this.entries.set(key, { row, noted: row, version: this.newest });
+    this.newestVersion += 1;
+    this.entries.set(key, {
+      row,
+      versionedRow: row,
+      version: this.newestVersion,
+    });
   }
 
   /** Returns the rows that changed noticeably after a version; all after 0. */
--- a/packages/jobs/src/model/agent-report.ts
+++ b/packages/jobs/src/model/agent-report.ts
@@ -3,15 +3,15 @@
 import type { RunningTask } from './running-task.js';
 import type { StartRefusal } from './start-refusal.js';
 
-/** What an agent knows about its minion at one moment. */
+/** State of a minion at one moment, as its agent reports it. */
 export interface AgentReport {
   /** Fencing token under which the lists were read. */
   readonly fencingToken: number;
-  /** Absent while no minion is known to live there. */
+  /** Null while the agent has found no running minion. */
   readonly minion: MinionDescription | null;
   readonly running: readonly RunningTask[];
   readonly ends: readonly RunEnd[];
   readonly refusals: readonly StartRefusal[];
-  /** Incarnations of which surely nothing runs any more. */
+  /** Incarnations whose processes and runs have ended. */
   readonly gone: readonly string[];
 }
--- a/packages/jobs/src/model/capacity.ts
+++ b/packages/jobs/src/model/capacity.ts
@@ -1,4 +1,4 @@
-/** Room of a minion, or what a task takes of it. */
+/** Resources of a minion, or those that a task reserves on it. */
 export interface Capacity {
   /** Thousandths of a core. */
   readonly processorMillicores: number;
--- a/packages/jobs/src/model/check-specification.ts
+++ b/packages/jobs/src/model/check-specification.ts
@@ -4,7 +4,7 @@
 
 const MAXIMUM_STEPS = 64;
 
-/** Returns why a job can't be accepted; undefined if it can. */
+/** Returns why a job cannot be accepted; undefined if it can. */
 export function checkSpecification(
   specification: JobSpecification,
 ): string | undefined {
@@ -16,11 +16,11 @@
   if (steps.some(step => step.taskCount < 1) || tasks > MAXIMUM_TASKS) {
     return `a step has 1 task or more, and a job at most ${MAXIMUM_TASKS}`;
   }
-  const early = steps.findIndex((step, number) =>
+  const invalid = steps.findIndex((step, number) =>
     step.after.some(earlier => earlier >= number),
   );
-  if (early >= 0) {
-    return `step ${early} names a step in "after" that is not an earlier one`;
+  if (invalid >= 0) {
+    return `step ${invalid} names a step in "after" that is not an earlier one`;
   }
   return undefined;
 }
--- a/packages/jobs/src/model/job-status.ts
+++ b/packages/jobs/src/model/job-status.ts
@@ -1,3 +1,3 @@
-/** What callers are told of a job. */
+/** Status of a job that is reported to callers. */
 export type JobStatus =
   'queued' | 'running' | 'completed' | 'failed' | 'cancelled';
--- a/packages/jobs/src/model/minion-description.ts
+++ b/packages/jobs/src/model/minion-description.ts
@@ -1,14 +1,14 @@
 import type { Capacity } from './capacity.js';
 
-/** One life of a minion, as its agent describes it. */
+/** One incarnation of a minion, as its agent describes it. */
 export interface MinionDescription {
-  /** Names this life; a minion that starts again has another. */
+  /** Identifies the process; a minion that restarts has another one. */
   readonly incarnation: string;
   readonly service: string;
   readonly zone: string;
   readonly capacity: Capacity;
   readonly labels: readonly string[];
   readonly draining: boolean;
-  /** Least time that is left while it drains. */
+  /** Minimum time until the minion stops while it drains. */
   readonly remainingMilliseconds: number;
 }
--- a/packages/jobs/src/model/queue-settings.ts
+++ b/packages/jobs/src/model/queue-settings.ts
@@ -1,14 +1,14 @@
-/** What the configuration says of a queue. */
+/** Configuration of a queue. */
 export interface QueueSettings {
   readonly name: string;
   /** Service whose minions run the queue's tasks. */
   readonly service: string;
-  /** 0 comes first. */
+  /** 0 is the most urgent. */
   readonly priority: number;
   /** Runs of a task that may end as failed. */
   readonly maximumAttempts: number;
-  /** A job is on time within this many times its longest chain. */
+  /** Objective of a job, as a multiple of its longest chain of steps. */
   readonly slackFactor: number;
-  /** Added to the objective of every job. */
+  /** Added to the objective of each job. */
   readonly targetLatencyMilliseconds: number;
 }
--- a/packages/jobs/src/model/running-task.ts
+++ b/packages/jobs/src/model/running-task.ts
@@ -7,8 +7,8 @@
   /** Share of the work done, 0 to 100. */
   readonly percent: number;
   /**
-   * Of the last half second: tail latency in milliseconds for a task that
-   * serves, millicores in use for others.
+   * Measurement of the last half second: tail latency in milliseconds for a
+   * serving task, millicores in use for others.
    */
   readonly gauge: number;
 }
--- a/packages/jobs/src/model/start-refusal.ts
+++ b/packages/jobs/src/model/start-refusal.ts
@@ -1,4 +1,4 @@
-/** A start that did not happen, and never will under this run number. */
+/** A refused start; no run begins under its run number any more. */
 export interface StartRefusal {
   readonly task: string;
   readonly run: number;
--- a/packages/jobs/src/model/step-specification.ts
+++ b/packages/jobs/src/model/step-specification.ts
@@ -10,7 +10,7 @@
   /** Numbers of the steps whose tasks must all be done first. */
   readonly after: readonly number[];
   readonly checkpointing: boolean;
-  /** The tasks work only together and end together. */
+  /** The tasks run only together and end together. */
   readonly gang: boolean;
   /** The tasks are slower when they span racks. */
   readonly tightlyCoupled: boolean;
@@ -18,18 +18,18 @@
   readonly requiredLabel: string;
   /** Rack that holds the data; empty for any. */
   readonly dataRack: string;
-  /** Most tasks of the step on one minion; 0 for no limit. */
+  /** Maximum number of tasks of the step on one minion; 0 for no limit. */
   readonly maximumPerMinion: number;
   /** Copies may run in parallel. */
   readonly copiesAllowed: boolean;
   /** The tasks run until the job is cancelled. */
   readonly longRunning: boolean;
-  /** What the tasks run; tasks of one image behave alike. */
+  /** Image that the tasks run; tasks of one image behave alike. */
   readonly image: string;
-  /** Bound of the tasks' tail latency; 0 for tasks that serve nobody. */
+  /** Bound of the tasks' tail latency; 0 for tasks that are not serving. */
   readonly tailTargetMilliseconds: number;
-  /** The tasks use the processor time that others leave. */
+  /** Batch tasks, which use the processor time that other tasks leave. */
   readonly filling: boolean;
-  /** Tasks that may be away at one time by the system's own actions. */
+  /** Number of tasks that the scheduler itself may stop at the same time. */
   readonly missAllowance: number;
 }
--- a/packages/jobs/src/model/task-traits.ts
+++ b/packages/jobs/src/model/task-traits.ts
@@ -1,10 +1,10 @@
-/** What an agent has to know of a task to pace it and its neighbours. */
+/** Properties of a task by which agents throttle it and its neighbours. */
 export interface TaskTraits {
-  /** What the task runs; tasks of one image behave alike. */
+  /** Image that the task runs; tasks of one image behave alike. */
   readonly image: string;
-  /** Bound of the tail latency; 0 for tasks that serve nobody. */
+  /** Bound of the tail latency; 0 for tasks that are not serving. */
   readonly tailTargetMilliseconds: number;
-  /** The task uses the processor time that others leave. */
+  /** A batch task, which uses the processor time that other tasks leave. */
   readonly filling: boolean;
   readonly processorMillicores: number;
 }
--- a/packages/jobs/src/model/traits-of.ts
+++ b/packages/jobs/src/model/traits-of.ts
@@ -1,7 +1,7 @@
 import type { StepSpecification } from './step-specification.js';
 import type { TaskTraits } from './task-traits.js';
 
-/** Returns what agents have to know of a step's tasks. */
+/** Returns the properties of a step's tasks that agents need. */
 export function traitsOf(step: StepSpecification): TaskTraits {
   return {
     image: step.image,
--- a/packages/jobs/src/plan/room-view.ts
+++ b/packages/jobs/src/plan/candidate-minion.ts
@@ -1,28 +1,28 @@
 import type { MinionEntry } from '../state/minion-entry.js';
 import type { TaskEntry } from '../state/task-entry.js';
 
-/** Share of their request that tasks use which serve users. */
+/** Share of their requested processor time that serving tasks use. */
 const BUSY_SHARE_OF_SERVING = 0.5;
 
-/** Room of one minion while a round of starts is planned. */
-export class RoomView {
+/** Free capacity and tasks of one minion while a round of starts is planned. */
+export class CandidateMinion {
   public processorMillicores: number;
 
   public memoryMegabytes: number;
 
   public accelerators: number;
 
-  /** Processor time that nothing uses, filling tasks counted too. */
+  /** Processor time left after the expected use of all tasks, batch included. */
   public idleMillicores: number;
 
-  /** Tasks on the minion that serve users. */
+  /** Serving tasks on the minion. */
   public readonly serving: TaskEntry[] = [];
 
-  /** Processor time that serving tasks ask for. */
+  /** Processor time that serving tasks request. */
   public servingMillicores = 0;
 
-  /** Processor time that filling tasks ask for, by image. */
-  public readonly fillingMillicores = new Map<string, number>();
+  /** Processor time that batch tasks request, by image. */
+  public readonly batchMillicores = new Map<string, number>();
 
   public readonly minion: MinionEntry;
 
@@ -42,23 +42,23 @@
     }
   }
 
-  /** Returns the same view, to be changed apart. */
-  public copy(): RoomView {
-    const copy = new RoomView(this.minion);
+  /** Returns a copy that can be changed independently. */
+  public copy(): CandidateMinion {
+    const copy = new CandidateMinion(this.minion);
     this.planned.forEach(entry => {
-      copy.take(entry);
+      copy.place(entry);
     });
     return copy;
   }
 
-  /** Counts a task that this round puts on the minion. */
-  public take(entry: TaskEntry): void {
+  /** Counts a task that this round places on the minion. */
+  public place(entry: TaskEntry): void {
     this.planned.push(entry);
     this.count(entry);
   }
 
-  /** Tasks of the same step of the same occurrence on the minion. */
-  public countOfStep(entry: TaskEntry): number {
+  /** Returns the number of tasks here of the same step and occurrence. */
+  public countTasksOfStep(entry: TaskEntry): number {
     return this.tasksByStep.get(stepKey(entry)) ?? 0;
   }
 
@@ -68,19 +68,19 @@
     this.memoryMegabytes -= demand.memoryMegabytes;
     this.accelerators -= demand.accelerators;
     const { processorMillicores, image } = specification;
-    const serves = specification.tailTargetMilliseconds > 0;
-    this.idleMillicores -= serves
+    const isServing = specification.tailTargetMilliseconds > 0;
+    this.idleMillicores -= isServing
       ? processorMillicores * BUSY_SHARE_OF_SERVING
       : processorMillicores;
-    if (serves) {
+    if (isServing) {
       this.serving.push(entry);
       this.servingMillicores += processorMillicores;
     } else if (specification.filling) {
-      const before = this.fillingMillicores.get(image) ?? 0;
-      this.fillingMillicores.set(image, before + processorMillicores);
+      const before = this.batchMillicores.get(image) ?? 0;
+      this.batchMillicores.set(image, before + processorMillicores);
     }
     const key = stepKey(entry);
-    this.tasksByStep.set(key, this.countOfStep(entry) + 1);
+    this.tasksByStep.set(key, this.countTasksOfStep(entry) + 1);
   }
 }
 
--- a/packages/jobs/src/plan/choose-minion.ts
+++ b/packages/jobs/src/plan/choose-minion.ts
@@ -1,72 +1,83 @@
 import type { TaskEntry } from '../state/task-entry.js';
+import type { CandidateMinion } from './candidate-minion.js';
 import type { ChosenMinion } from './chosen-minion.js';
-import type { HarmEstimate } from './harm-estimate.js';
-import { harmOf } from './harm-of.js';
-import type { RoomView } from './room-view.js';
+import { countEndangeredBounds } from './count-endangered-bounds.js';
+import type { InterferencePredictor } from './interference-predictor.js';
 import { scoreMinion } from './score-minion.js';
 
-/** Bounds that a task may endanger while it can wait for a better moment. */
-const MOST_HARM_OF_PATIENT = 0.8;
+/** Bounds that a batch task may endanger while it can still wait. */
+const MAXIMUM_ENDANGERED_BOUNDS_WHILE_WAITING = 0.8;
 
-/** Weight of the bounds that a task endangers against a minion's idle share. */
-const HARM_COST = 3;
+/** Weight of an endangered bound, relative to that of a minion's idle share. */
+const ENDANGERED_BOUND_WEIGHT = 3;
 
-/** More endangered bounds make a minion no worse. */
-const MOST_HARM = 4;
+/** Further endangered bounds do not lower the score of a minion. */
+const MAXIMUM_SCORED_BOUNDS = 4;
 
 /**
- * Chooses the minion for a task: one with room that is best for its kind, near
- * its data; tasks that fill are kept from tasks that serve if their images are
- * known to harm each other. Answers the load of many equal minions that are
- * partly filled.
+ * Chooses the minion with enough free capacity that scores best for the kind of
+ * task, prefers the given rack and keeps batch tasks apart from serving tasks
+ * that they are estimated to slow down. Meant for many equal minions that are
+ * partly occupied.
  *
- * @param mayWait - A filling task may wait for a moment at which it harms less.
+ * @param mayWait - A batch task may wait for a moment with less interference.
+ * @returns `undefined` if no minion is suitable now.
  */
 export function chooseMinion(
   task: TaskEntry,
   service: string,
-  rooms: readonly RoomView[],
+  candidates: readonly CandidateMinion[],
   preferredRack: string,
-  harm: HarmEstimate,
+  predictor: InterferencePredictor,
   mayWait: boolean,
 ): ChosenMinion | undefined {
   const waits = mayWait && task.specification.filling;
-  const mostHarm = waits ? MOST_HARM_OF_PATIENT : Number.POSITIVE_INFINITY;
+  const maximumEndangeredBounds = waits
+    ? MAXIMUM_ENDANGERED_BOUNDS_WHILE_WAITING
+    : Number.POSITIVE_INFINITY;
   let best: ChosenMinion | undefined;
   let bestScore = Number.NEGATIVE_INFINITY;
-  for (const room of rooms) {
-    if (!fits(task, service, room)) {
+  for (const candidate of candidates) {
+    if (!fits(task, service, candidate)) {
       continue;
     }
-    const endangeredBounds = harmOf(task, room, harm);
+    const endangeredBounds = countEndangeredBounds(task, candidate, predictor);
     const score =
-      scoreMinion(task, room, preferredRack) -
-      HARM_COST * Math.min(MOST_HARM, endangeredBounds);
-    if (endangeredBounds <= mostHarm && score > bestScore) {
-      best = { room, endangeredBounds };
+      scoreMinion(task, candidate, preferredRack) -
+      ENDANGERED_BOUND_WEIGHT *
+        Math.min(MAXIMUM_SCORED_BOUNDS, endangeredBounds);
+    if (endangeredBounds <= maximumEndangeredBounds && score > bestScore) {
+      best = { candidate, endangeredBounds };
       bestScore = score;
     }
   }
   return best;
 }
 
-function fits(task: TaskEntry, service: string, room: RoomView): boolean {
+function fits(
+  task: TaskEntry,
+  service: string,
+  candidate: CandidateMinion,
+): boolean {
   const { demand, specification } = task;
-  const { description } = room.minion;
+  const { description } = candidate.minion;
   const limit = specification.maximumPerMinion;
   return (
     description?.service === service &&
-    demand.processorMillicores <= room.processorMillicores &&
-    demand.memoryMegabytes <= room.memoryMegabytes &&
-    demand.accelerators <= room.accelerators &&
+    demand.processorMillicores <= candidate.processorMillicores &&
+    demand.memoryMegabytes <= candidate.memoryMegabytes &&
+    demand.accelerators <= candidate.accelerators &&
     (specification.requiredLabel === '' ||
       description.labels.includes(specification.requiredLabel)) &&
-    (limit === 0 || room.countOfStep(task) < limit) &&
-    (!specification.filling || hasIdleTime(task, room))
+    (limit === 0 || candidate.countTasksOfStep(task) < limit) &&
+    (!specification.filling || hasIdleProcessorTime(task, candidate))
   );
 }
 
-/** A filling task finds its whole request idle; it waits otherwise. */
-function hasIdleTime(task: TaskEntry, room: RoomView): boolean {
-  return room.idleMillicores >= task.specification.processorMillicores;
+/** A batch task starts only where all the processor time it requests is idle. */
+function hasIdleProcessorTime(
+  task: TaskEntry,
+  candidate: CandidateMinion,
+): boolean {
+  return candidate.idleMillicores >= task.specification.processorMillicores;
 }
--- a/packages/jobs/src/plan/chosen-minion.ts
+++ b/packages/jobs/src/plan/chosen-minion.ts
@@ -1,8 +1,11 @@
-import type { RoomView } from './room-view.js';
+import type { CandidateMinion } from './candidate-minion.js';
 
-/** The minion chosen for a task, and what it costs there. */
+/** The minion chosen for a task, and the risk for serving tasks on it. */
 export interface ChosenMinion {
-  readonly room: RoomView;
-  /** Bounds of serving tasks that the choice endangers; parts count. */
+  readonly candidate: CandidateMinion;
+  /**
+   * Number of tail latency bounds of serving tasks that the choice endangers; a
+   * bound may count as a fraction.
+   */
   readonly endangeredBounds: number;
 }
--- a/packages/jobs/src/plan/plan-starts.ts
+++ b/packages/jobs/src/plan/plan-starts.ts
@@ -2,59 +2,61 @@
 import type { JobTable } from '../state/job-table.js';
 import type { MinionEntry } from '../state/minion-entry.js';
 import type { TaskEntry } from '../state/task-entry.js';
+import { CandidateMinion } from './candidate-minion.js';
 import { chooseMinion } from './choose-minion.js';
-import type { HarmEstimate } from './harm-estimate.js';
+import type { InterferencePredictor } from './interference-predictor.js';
 import type { PlannedStart } from './planned-start.js';
-import { RoomView } from './room-view.js';
-import { startableSteps } from './startable-tasks.js';
+import { startableSteps } from './startable-steps.js';
 import type { Urgency } from './urgency.js';
 import { compareUrgency, urgencyOf } from './urgency.js';
 
-/** Longest wait of a task for a better moment; users count 3 s as forgotten. */
-const MOST_WAIT_MILLISECONDS = 2500;
+/** Longest wait for less interference; users treat a task as lost after 3 s. */
+const MAXIMUM_WAIT_MILLISECONDS = 2500;
 
-/** A job that has to start sooner to be on time does not wait. */
-const WAIT_RESERVE_MILLISECONDS = 1000;
+/** A job with less time left until its latest start does not wait. */
+const MINIMUM_SLACK_MILLISECONDS = 1000;
 
 /**
- * Plans a round of starts: jobs by urgency, the tasks of each as far as there
- * is room. The members of a gang start together or not at all.
+ * Plans a round of starts: the jobs in order of urgency, and as many tasks of
+ * each as there is free capacity for. The members of a gang start together or
+ * not at all.
  */
 export function planStarts(
   table: JobTable,
-  harm: HarmEstimate,
+  predictor: InterferencePredictor,
   now: number,
 ): readonly PlannedStart[] {
   const waiting = waitingJobs(table, now);
   if (waiting.length === 0) {
     return [];
   }
-  const rooms = [...table.minions.values()]
-    .filter(minion => mayTakeStarts(minion, now))
-    .map(minion => new RoomView(minion));
+  const candidates = [...table.minions.values()]
+    .filter(minion => acceptsStarts(minion, now))
+    .map(minion => new CandidateMinion(minion));
   const starts: PlannedStart[] = [];
   for (const { job, steps, urgency } of waiting) {
     const mayWait = canWait(steps, urgency, now);
     for (const tasks of steps) {
-      starts.push(...planStep(job, tasks, rooms, harm, mayWait));
+      starts.push(...planStep(job, tasks, candidates, predictor, mayWait));
     }
   }
   return starts;
 }
 
 /**
- * A filling task may wait for a moment at which it harms less, unless it has to
- * start now to be on time; of a job that is late, little is lost by waiting.
+ * A batch task may wait for a moment with less interference unless it has to
+ * start now to be on time. Tasks of a late job may wait as well, since waiting
+ * costs little once the job is late.
  */
 function canWait(
   steps: WaitingJob['steps'],
   { late, latestStart }: Urgency,
   now: number,
 ): boolean {
-  const isNew = (task: TaskEntry): boolean =>
-    now - task.waitingSince < MOST_WAIT_MILLISECONDS;
-  const hasTime = late || latestStart - now > WAIT_RESERVE_MILLISECONDS;
-  return hasTime && steps.some(tasks => tasks.some(isNew));
+  const isWaitingBriefly = (task: TaskEntry): boolean =>
+    now - task.waitingSince < MAXIMUM_WAIT_MILLISECONDS;
+  const hasTime = late || latestStart - now > MINIMUM_SLACK_MILLISECONDS;
+  return hasTime && steps.some(tasks => tasks.some(isWaitingBriefly));
 }
 
 interface WaitingJob {
@@ -76,43 +78,45 @@
   );
 }
 
-function mayTakeStarts(minion: MinionEntry, now: number): boolean {
+function acceptsStarts(minion: MinionEntry, now: number): boolean {
   return (
     minion.connected &&
     minion.description !== undefined &&
     !minion.description.draining &&
-    minion.restsUntil <= now
+    minion.backoffUntil <= now
   );
 }
 
 function planStep(
   job: JobEntry,
   tasks: readonly TaskEntry[],
-  rooms: readonly RoomView[],
-  harm: HarmEstimate,
+  candidates: readonly CandidateMinion[],
+  predictor: InterferencePredictor,
   mayWait: boolean,
 ): readonly PlannedStart[] {
   const gang = tasks[0]?.specification.gang ?? false;
-  const candidates = gang ? rooms.map(room => room.copy()) : rooms;
+  const tentative = gang
+    ? candidates.map(candidate => candidate.copy())
+    : candidates;
   const starts: PlannedStart[] = [];
   for (const task of tasks) {
     const rack = preferredRack(task, starts);
     const chosen = chooseMinion(
       task,
       job.queue.service,
-      candidates,
+      tentative,
       rack,
-      harm,
+      predictor,
       mayWait,
     );
     if (chosen === undefined) {
       break;
     }
-    const { room, endangeredBounds } = chosen;
-    room.take(task);
-    starts.push({ task, minion: room.minion, endangeredBounds });
+    const { candidate, endangeredBounds } = chosen;
+    candidate.place(task);
+    starts.push({ task, minion: candidate.minion, endangeredBounds });
   }
-  return gang ? wholeGang(job, tasks, starts, rooms) : starts;
+  return gang ? completeGang(job, tasks, starts, candidates) : starts;
 }
 
 function preferredRack(
@@ -126,11 +130,11 @@
   return starts[0]?.minion.description?.labels.at(-1) ?? '';
 }
 
-function wholeGang(
+function completeGang(
   job: JobEntry,
   tasks: readonly TaskEntry[],
   starts: readonly PlannedStart[],
-  rooms: readonly RoomView[],
+  candidates: readonly CandidateMinion[],
 ): readonly PlannedStart[] {
   const [first] = tasks;
   const size =
@@ -141,7 +145,7 @@
     return [];
   }
   for (const { task, minion } of starts) {
-    rooms.find(room => room.minion === minion)?.take(task);
+    candidates.find(candidate => candidate.minion === minion)?.place(task);
   }
   return starts;
 }
--- a/packages/jobs/src/plan/planned-start.ts
+++ b/packages/jobs/src/plan/planned-start.ts
@@ -5,6 +5,6 @@
 export interface PlannedStart {
   readonly task: TaskEntry;
   readonly minion: MinionEntry;
-  /** Bounds of serving tasks that the choice endangers; parts count. */
+  /** Number of tail latency bounds that the choice endangers, with fractions. */
   readonly endangeredBounds: number;
 }
--- a/packages/jobs/src/plan/score-minion.ts
+++ b/packages/jobs/src/plan/score-minion.ts
@@ -1,42 +1,49 @@
 import type { TaskEntry } from '../state/task-entry.js';
-import type { RoomView } from './room-view.js';
+import type { CandidateMinion } from './candidate-minion.js';
 
+/** Added to the score of a minion in the preferred rack. */
 const RACK_BONUS = 4;
 
-/** Weight of the share of a minion that serves, for one more serving task. */
+/** Weight of the share of a minion that serving tasks request. */
 const SERVING_WEIGHT = 2;
 
-/** Weight of a minion's idle share where as much serves on several. */
+/** Weight of the idle share of minions with equally many serving tasks. */
 const IDLE_WEIGHT_OF_SERVING = 0.1;
 
 type TaskKind = 'serving' | 'filling' | 'plain';
 
-type Preference = (room: RoomView, wholeMillicores: number) => number;
+type Preference = (
+  candidate: CandidateMinion,
+  totalMillicores: number,
+) => number;
 
 /**
- * What makes a minion good for a task of each kind. Serving tasks share
- * minions, so that filling ones find others on which they harm nobody.
+ * Scores of a minion by kind of task. Serving tasks share minions, so that
+ * other minions are left where batch tasks interfere with no serving task.
  */
 const PREFERENCES: Readonly<Record<TaskKind, Preference>> = {
-  serving: (room, whole) =>
-    (SERVING_WEIGHT * room.servingMillicores -
-      IDLE_WEIGHT_OF_SERVING * room.idleMillicores) /
-    whole,
+  serving: (candidate, totalMillicores) =>
+    (SERVING_WEIGHT * candidate.servingMillicores -
+      IDLE_WEIGHT_OF_SERVING * candidate.idleMillicores) /
+    totalMillicores,
   filling: idleShare,
   plain: idleShare,
 };
 
-/** Scores a minion for a task by room and place; higher is better. */
+/** Scores a minion for a task by its load and its rack; higher is better. */
 export function scoreMinion(
   task: TaskEntry,
-  room: RoomView,
+  candidate: CandidateMinion,
   preferredRack: string,
 ): number {
-  const { description } = room.minion;
-  const whole = Math.max(1, description?.capacity.processorMillicores ?? 1);
+  const { description } = candidate.minion;
+  const totalMillicores = Math.max(
+    1,
+    description?.capacity.processorMillicores ?? 1,
+  );
   const isNear =
     preferredRack !== '' && description?.labels.includes(preferredRack);
-  const preference = PREFERENCES[kindOf(task)](room, whole);
+  const preference = PREFERENCES[kindOf(task)](candidate, totalMillicores);
   return preference + (isNear ? RACK_BONUS : 0);
 }
 
@@ -47,6 +54,9 @@
   return specification.tailTargetMilliseconds > 0 ? 'serving' : 'plain';
 }
 
-function idleShare(room: RoomView, wholeMillicores: number): number {
-  return room.idleMillicores / wholeMillicores;
+function idleShare(
+  candidate: CandidateMinion,
+  totalMillicores: number,
+): number {
+  return candidate.idleMillicores / totalMillicores;
 }
--- a/packages/jobs/src/plan/startable-tasks.ts
+++ b/packages/jobs/src/plan/startable-steps.ts
@@ -1,7 +1,7 @@
 import type { JobEntry } from '../state/job-entry.js';
 import type { TaskEntry } from '../state/task-entry.js';
 
-/** Returns the tasks of a job that may start now, step by step. */
+/** Returns the tasks of a job that may start now, grouped by step. */
 export function startableSteps(
   job: JobEntry,
   now: number,
--- a/packages/jobs/src/plan/urgency.ts
+++ b/packages/jobs/src/plan/urgency.ts
@@ -1,16 +1,16 @@
 import type { JobEntry } from '../state/job-entry.js';
 import { chainMilliseconds } from './chain-milliseconds.js';
 
-/** How soon a job needs room. */
+/** How soon the tasks of a job have to start. */
 export interface Urgency {
-  /** The job can hardly be on time any more. */
+  /** The latest start has passed by the estimates. */
   readonly late: boolean;
   readonly priority: number;
-  /** Latest start of what remains for the job to be on time. */
+  /** Latest start of the remaining steps for the job to be on time. */
   readonly latestStart: number;
 }
 
-/** Returns how soon a job needs room, by its objective and its estimates. */
+/** Returns the urgency of a job by its objective and its estimates. */
 export function urgencyOf(job: JobEntry, now: number): Urgency {
   const { queue, specification } = job;
   const chains = chainMilliseconds(specification.steps);
@@ -43,7 +43,7 @@
   return longest;
 }
 
-/** Orders by lateness, priority, and latest start. */
+/** Orders jobs that are not late first, then by priority and latest start. */
 export function compareUrgency(first: Urgency, second: Urgency): number {
   return (
     Number(first.late) - Number(second.late) ||
--- a/packages/jobs/src/reconcile/apply-report.ts
+++ b/packages/jobs/src/reconcile/apply-report.ts
@@ -10,20 +10,21 @@
 import { END_HANDLERS } from './end-handlers.js';
 import type { ReportOutcome } from './report-outcome.js';
 
-/** Pause of a minion that refused a start. */
-const REFUSED_PAUSE_MILLISECONDS = 400;
+/** Time without starts for a minion that refused one. */
+const REFUSAL_BACKOFF_MILLISECONDS = 400;
 
-/** Longest pause of a minion whose runs fail in a row. */
-const LONGEST_PAUSE_MILLISECONDS = 4000;
+/** Longest time without starts for a minion whose runs keep failing. */
+const MAXIMUM_BACKOFF_MILLISECONDS = 4000;
 
-const FAULTS_BEFORE_PAUSE = 3;
+/** Consecutive failed runs after which a minion gets no starts for a while. */
+const FAULTS_BEFORE_BACKOFF = 3;
 
 /**
- * Brings the table in line with what an agent reports of its minion.
+ * Reconciles the table with an agent's report on its minion.
  *
- * An assigned run that is neither listed nor ended has never begun if its
- * order went out under an older fencing token than the lists: the minion obeys
- * no older token any more.
+ * An assigned run that is neither listed nor ended has never begun if its order
+ * was sent under an older fencing token than that of the lists, since the minion
+ * refuses orders with an older token.
  */
 export function applyReport(
   table: JobTable,
@@ -49,8 +50,8 @@
   return { endsThrough, stops, ended, begun, neverBegan };
 }
 
-/** Notes that a task of a job runs or has run; true if it is the first. */
-function noteBegun(job: JobEntry, begun: JobEntry[]): boolean {
+/** Marks a job whose task runs or has run; returns whether it is the first. */
+function markBegun(job: JobEntry, begun: JobEntry[]): boolean {
   if (job.begun) {
     return false;
   }
@@ -66,7 +67,7 @@
   begun: JobEntry[],
   now: number,
 ): boolean {
-  minion.drop(end.task, end.run);
+  minion.removeRun(end.task, end.run);
   const task = table.task(end.task);
   const job = task && table.jobs.get(task.jobIdentifier);
   if (!task || !job) {
@@ -75,20 +76,23 @@
   if (!isCurrent(task, minion, end.run)) {
     return acceptLateSuccess(table, task, end, now);
   }
-  noteBegun(job, begun);
+  markBegun(job, begun);
   if (end.reason === 'done' || end.reason === 'failed') {
-    rateMinion(minion, end.reason === 'done', now);
+    updateBackoff(minion, end.reason === 'done', now);
   }
   END_HANDLERS[end.reason](job, task, end, now);
   if (task.specification.gang && end.reason === 'done') {
     finishGang(table, task);
   }
-  job.endIfOver(now);
-  table.touch(task);
+  job.endIfFinished(now);
+  table.markChanged(task);
   return true;
 }
 
-/** Counts a run given up too early that was done after all. */
+/**
+ * Accepts the success of a run that was abandoned too early, unless a later run
+ * has started.
+ */
 function acceptLateSuccess(
   table: JobTable,
   task: TaskEntry,
@@ -102,8 +106,8 @@
     end.run === task.run;
   if (counts) {
     task.finish('done');
-    table.jobs.get(task.jobIdentifier)?.endIfOver(now);
-    table.touch(task);
+    table.jobs.get(task.jobIdentifier)?.endIfFinished(now);
+    table.markChanged(task);
   }
   return counts;
 }
@@ -116,11 +120,16 @@
   }
 }
 
-function rateMinion(minion: MinionEntry, success: boolean, now: number): void {
-  minion.faultsInRow = success ? 0 : minion.faultsInRow + 1;
-  if (minion.faultsInRow >= FAULTS_BEFORE_PAUSE) {
-    const pause = REFUSED_PAUSE_MILLISECONDS * 2 ** minion.faultsInRow;
-    minion.restsUntil = now + Math.min(pause, LONGEST_PAUSE_MILLISECONDS);
+function updateBackoff(
+  minion: MinionEntry,
+  success: boolean,
+  now: number,
+): void {
+  minion.consecutiveFaults = success ? 0 : minion.consecutiveFaults + 1;
+  if (minion.consecutiveFaults >= FAULTS_BEFORE_BACKOFF) {
+    const backoff =
+      REFUSAL_BACKOFF_MILLISECONDS * 2 ** minion.consecutiveFaults;
+    minion.backoffUntil = now + Math.min(backoff, MAXIMUM_BACKOFF_MILLISECONDS);
   }
 }
 
@@ -136,18 +145,18 @@
   if (!task || !job) {
     return [{ task: running.task, run: running.run }];
   }
-  minion.hold(task, running.run);
+  minion.addRun(task, running.run);
   if (!isCurrent(task, minion, running.run) || job.ended !== undefined) {
     return [{ task: running.task, run: running.run }];
   }
-  if (noteBegun(job, begun)) {
-    table.touch(task);
+  if (markBegun(job, begun)) {
+    table.markChanged(task);
   }
-  noteProgress(task, running, now);
+  recordProgress(task, running, now);
   return [];
 }
 
-function noteProgress(
+function recordProgress(
   task: TaskEntry,
   running: RunningTask,
   now: number,
@@ -171,12 +180,12 @@
   refusal: StartRefusal,
   now: number,
 ): void {
-  minion.drop(refusal.task, refusal.run);
-  minion.restsUntil = now + REFUSED_PAUSE_MILLISECONDS;
+  minion.removeRun(refusal.task, refusal.run);
+  minion.backoffUntil = now + REFUSAL_BACKOFF_MILLISECONDS;
   const task = table.task(refusal.task);
   if (task && isCurrent(task, minion, refusal.run)) {
     task.release(now);
-    table.touch(task);
+    table.markChanged(task);
   }
 }
 
@@ -197,7 +206,7 @@
     minion.runs.delete(key);
     if (isCurrent(entry, minion, run)) {
       entry.release(now);
-      table.touch(entry);
+      table.markChanged(entry);
       neverBegan.push(entry.name);
     }
   }
--- a/packages/jobs/src/reconcile/end-handlers.ts
+++ b/packages/jobs/src/reconcile/end-handlers.ts
@@ -3,8 +3,8 @@
 import type { JobEntry } from '../state/job-entry.js';
 import type { TaskEntry } from '../state/task-entry.js';
 
-/** Pause before a task that failed starts again. */
-const FAILED_PAUSE_MILLISECONDS = 100;
+/** Time before a task that failed starts again. */
+const RESTART_DELAY_MILLISECONDS = 100;
 
 type EndHandler = (
   job: JobEntry,
@@ -13,23 +13,23 @@
   now: number,
 ) => void;
 
-function startAgain(
+function releaseForRestart(
   _job: JobEntry,
   task: TaskEntry,
   end: RunEnd,
   now: number,
 ): void {
-  keepCheckpoint(task, end);
+  recordCheckpoint(task, end);
   task.release(now);
 }
 
-function keepCheckpoint(task: TaskEntry, end: RunEnd): void {
+function recordCheckpoint(task: TaskEntry, end: RunEnd): void {
   if (end.checkpoint !== '') {
     task.checkpoint = end.checkpoint;
   }
 }
 
-/** What the end of a task's current run changes, by its reason. */
+/** Handlers of the end of a task's current run, by its reason. */
 export const END_HANDLERS: Readonly<Record<EndReason, EndHandler>> = {
   done: (_job, task, _end, now) => {
     if (task.specification.longRunning) {
@@ -39,20 +39,20 @@
     }
   },
   failed: (job, task, end, now) => {
-    keepCheckpoint(task, end);
+    recordCheckpoint(task, end);
     if (task.specification.longRunning) {
-      task.release(now + FAILED_PAUSE_MILLISECONDS);
+      task.release(now + RESTART_DELAY_MILLISECONDS);
       return;
     }
     task.failedRuns += 1;
     if (task.failedRuns >= job.queue.maximumAttempts) {
       task.finish('failed');
     } else {
-      task.release(now + FAILED_PAUSE_MILLISECONDS);
+      task.release(now + RESTART_DELAY_MILLISECONDS);
     }
   },
-  stopped: startAgain,
-  lapsed: startAgain,
-  broken: startAgain,
-  alone: startAgain,
+  stopped: releaseForRestart,
+  lapsed: releaseForRestart,
+  broken: releaseForRestart,
+  alone: releaseForRestart,
 };
--- a/packages/jobs/src/reconcile/expire-minions.ts
+++ b/packages/jobs/src/reconcile/expire-minions.ts
@@ -1,21 +1,21 @@
 import type { JobTable } from '../state/job-table.js';
 import type { TaskEntry } from '../state/task-entry.js';
 
-/** A minion's clock may be this many times slower than ours. */
-const SLOWEST_CLOCK_FACTOR = 1.02;
+/** The clock of a minion may be slower than the leader's by this factor. */
+const CLOCK_DRIFT_FACTOR = 1.02;
 
-/** Covers the way of a grant, and a minion that kills late. */
-const LAPSE_MARGIN_MILLISECONDS = 500;
+/** Covers the transit of a lease grant and a minion that stops runs late. */
+const EXPIRY_MARGIN_MILLISECONDS = 500;
 
-/** A minion whose lease is over, and the tasks that it set free. */
+/** A minion whose lease has expired, and the tasks released from it. */
 export interface ExpiredMinion {
   readonly incarnation: string;
   readonly freed: readonly TaskEntry[];
 }
 
 /**
- * Forgets minions whose agents were not heard for longer than their leases
- * can last, and sets their tasks free.
+ * Removes minions whose agents have sent nothing for longer than a lease can
+ * last, and releases their tasks.
  *
  * @param leaseMilliseconds - Longest lease that any leader grants.
  */
@@ -25,11 +25,14 @@
   now: number,
 ): readonly ExpiredMinion[] {
   const longest =
-    leaseMilliseconds * SLOWEST_CLOCK_FACTOR + LAPSE_MARGIN_MILLISECONDS;
+    leaseMilliseconds * CLOCK_DRIFT_FACTOR + EXPIRY_MARGIN_MILLISECONDS;
   return [...table.minions.values()]
-    .filter(({ connected, heardAt }) => !connected && now - heardAt > longest)
+    .filter(
+      ({ connected, lastContactAt }) =>
+        !connected && now - lastContactAt > longest,
+    )
     .map(({ incarnation }) => ({
       incarnation,
-      freed: table.forgetMinion(incarnation, now),
+      freed: table.removeMinion(incarnation, now),
     }));
 }
--- a/packages/jobs/src/reconcile/find-stuck-runs.ts
+++ b/packages/jobs/src/reconcile/find-stuck-runs.ts
@@ -1,18 +1,19 @@
 import type { JobTable } from '../state/job-table.js';
 import type { TaskEntry } from '../state/task-entry.js';
 
-/** No progress for so long means that a run stands still. */
-const STUCK_MILLISECONDS = 2500;
+/** A run without progress for this long is stuck. */
+const STUCK_TIMEOUT_MILLISECONDS = 2500;
 
-/** A filling task may be held back by its neighbours. */
-const STUCK_FILLING_MILLISECONDS = 8000;
+/** Longer, since a batch task may be throttled for its neighbours. */
+const STUCK_BATCH_TIMEOUT_MILLISECONDS = 8000;
 
-const WHOLE_PERCENT = 100;
+/** A long-running task at this progress handles requests. */
+const READY_PERCENT = 100;
 
-/** Pause of a minion on which a run stood still. */
-const STUCK_PAUSE_MILLISECONDS = 2000;
+/** Time without starts for a minion on which a run is stuck. */
+const STUCK_BACKOFF_MILLISECONDS = 2000;
 
-/** Returns the runs that were seen to begin and make no progress. */
+/** Returns the tasks whose runs have begun but make no progress. */
 export function findStuckRuns(
   table: JobTable,
   now: number,
@@ -24,9 +25,9 @@
     }
     for (const { entry, run } of minion.runs.values()) {
       if (entry.run === run && isStuck(entry, now)) {
-        minion.restsUntil = Math.max(
-          minion.restsUntil,
-          now + STUCK_PAUSE_MILLISECONDS,
+        minion.backoffUntil = Math.max(
+          minion.backoffUntil,
+          now + STUCK_BACKOFF_MILLISECONDS,
         );
         stuck.push(entry);
       }
@@ -39,11 +40,11 @@
   if (task.phase !== 'assigned' || task.seenRunningAt === 0 || task.stopping) {
     return false;
   }
-  if (task.specification.longRunning && task.percent >= WHOLE_PERCENT) {
+  if (task.specification.longRunning && task.percent >= READY_PERCENT) {
     return false;
   }
   const bound = task.specification.filling
-    ? STUCK_FILLING_MILLISECONDS
-    : STUCK_MILLISECONDS;
+    ? STUCK_BATCH_TIMEOUT_MILLISECONDS
+    : STUCK_TIMEOUT_MILLISECONDS;
   return now - task.progressAt > bound;
 }
--- a/packages/jobs/src/reconcile/report-outcome.ts
+++ b/packages/jobs/src/reconcile/report-outcome.ts
@@ -2,16 +2,16 @@
 import type { StopOrder } from '../model/stop-order.js';
 import type { JobEntry } from '../state/job-entry.js';
 
-/** What a report has led to. */
+/** Changes and orders that result from a report. */
 export interface ReportOutcome {
-  /** Ends up to this number may be forgotten once the changes are stored. */
+  /** The minion may drop ends up to this number once the changes are stored. */
   readonly endsThrough: number;
-  /** Runs that have no business there. */
+  /** Runs that are not assigned to the minion or whose job has ended. */
   readonly stops: readonly StopOrder[];
-  /** Ends of current runs. */
+  /** Ends that changed their tasks. */
   readonly ended: readonly RunEnd[];
-  /** Jobs of which the first task runs or has run, new in this report. */
+  /** Jobs whose first run this report shows. */
   readonly begun: readonly JobEntry[];
-  /** Assigned runs that never began. */
+  /** Names of tasks whose assigned runs never began. */
   readonly neverBegan: readonly string[];
 }
--- a/packages/jobs/src/reconcile/tasks-to-move.ts
+++ b/packages/jobs/src/reconcile/tasks-to-move.ts
@@ -1,12 +1,12 @@
 import type { JobTable } from '../state/job-table.js';
 import type { TaskEntry } from '../state/task-entry.js';
 
-/** Time that a stop and the way of its order take. */
-const STOP_MILLISECONDS = 700;
+/** Time that a stop takes, with the transit of its order. */
+const STOP_DURATION_MILLISECONDS = 700;
 
 /**
- * Returns the tasks to stop on draining minions: those that last, at once;
- * those that keep checkpoints and would not end in time, as late as is safe.
+ * Returns the tasks to stop on draining minions: long-running ones at once, and
+ * those that write checkpoints and would not end in time as late as is safe.
  */
 export function tasksToMove(
   table: JobTable,
@@ -17,10 +17,10 @@
     if (!minion.connected || minion.description?.draining !== true) {
       continue;
     }
-    const left = minion.description.remainingMilliseconds;
+    const timeLeft = minion.description.remainingMilliseconds;
     for (const { entry, run } of minion.runs.values()) {
       const current = entry.run === run && entry.phase === 'assigned';
-      if (current && !entry.stopping && mustMove(entry, left, now)) {
+      if (current && !entry.stopping && mustMove(entry, timeLeft, now)) {
         moving.push(entry);
       }
     }
@@ -28,7 +28,7 @@
   return moving;
 }
 
-function mustMove(task: TaskEntry, left: number, now: number): boolean {
+function mustMove(task: TaskEntry, timeLeft: number, now: number): boolean {
   const { specification } = task;
   if (specification.longRunning) {
     return true;
@@ -36,7 +36,8 @@
   if (!specification.checkpointing || task.seenRunningAt === 0) {
     return false;
   }
-  const ran = now - task.seenRunningAt;
-  const remaining = (ran / Math.max(1, task.percent)) * (100 - task.percent);
-  return left <= STOP_MILLISECONDS && remaining > left;
+  const elapsed = now - task.seenRunningAt;
+  const remaining =
+    (elapsed / Math.max(1, task.percent)) * (100 - task.percent);
+  return timeLeft <= STOP_DURATION_MILLISECONDS && remaining > timeLeft;
 }
--- a/packages/jobs/src/records/apply-progress.ts
+++ b/packages/jobs/src/records/apply-progress.ts
@@ -15,10 +15,11 @@
 };
 
 /**
- * Puts a stored record into the table. Runs that were on a minion count as
- * being there until its agent reports or its lease is over.
+ * Applies a stored record to the table. Runs that were on a minion count as
+ * being there until its agent reports or its lease expires.
  *
- * @param now - Present time; the leases of unheard agents count from here.
+ * @param now - Present time; the leases of minions whose agents have not
+ * reported yet count from here.
  */
 export function applyProgress(
   table: JobTable,
@@ -57,6 +58,6 @@
     task.incarnation = incarnation;
     task.assignedAt = now;
     task.progressAt = now;
-    table.minion(incarnation, now).hold(task, run);
+    table.getOrAddMinion(incarnation, now).addRun(task, run);
   }
 }
--- a/packages/jobs/src/records/encode-progress.ts
+++ b/packages/jobs/src/records/encode-progress.ts
@@ -13,7 +13,7 @@
   failed: 'f',
 };
 
-/** Returns the record of how far a job is; tasks never started are left out. */
+/** Returns the progress record of a job, without tasks that never started. */
 export function encodeProgress(job: JobEntry): ProgressRecord {
   const incarnations: string[] = [];
   const tasks: TaskRow[] = [];
@@ -49,6 +49,6 @@
   if (incarnation === '') {
     return -1;
   }
-  const known = incarnations.indexOf(incarnation);
-  return known >= 0 ? known : incarnations.push(incarnation) - 1;
+  const position = incarnations.indexOf(incarnation);
+  return position >= 0 ? position : incarnations.push(incarnation) - 1;
 }
--- a/packages/jobs/src/records/job-record.ts
+++ b/packages/jobs/src/records/job-record.ts
@@ -1,7 +1,7 @@
 import type { JobSpecification } from '../model/job-specification.js';
 import type { QueueSettings } from '../model/queue-settings.js';
 
-/** Record of an accepted job; written once. */
+/** An accepted job; the record is written once. */
 export interface JobRecord {
   readonly specification: JobSpecification;
   readonly queue: QueueSettings;
--- a/packages/jobs/src/records/progress-record.ts
+++ b/packages/jobs/src/records/progress-record.ts
@@ -1,16 +1,16 @@
-/** Record of how far a job is; replaced with each change. */
+/** Progress of a job; the record is replaced with each change. */
 export interface ProgressRecord {
   /** How the job ended; absent while it has not. */
   readonly ended?: 'completed' | 'failed' | 'cancelled';
   readonly endedAt?: number;
   readonly begun?: boolean;
-  /** Incarnations that the rows below name by their position here. */
+  /** Incarnations; the rows below refer to them by their position here. */
   readonly incarnations: readonly string[];
   readonly tasks: readonly TaskRow[];
 }
 
 /**
- * Occurrence, step, index, phase, run, failed runs, position of the
+ * A task: occurrence, step, index, phase, run, failed runs, position of the
  * incarnation (-1 for none), checkpoint.
  */
 export type TaskRow = readonly [
--- a/packages/jobs/src/state/job-entry.ts
+++ b/packages/jobs/src/state/job-entry.ts
@@ -3,17 +3,17 @@
 import type { QueueSettings } from '../model/queue-settings.js';
 import { TaskEntry } from './task-entry.js';
 
-/** One accepted job, as the leader sees it. */
+/** State of an accepted job on the leader. */
 export class JobEntry {
-  /** Why the job is over; undefined while it is not. */
+  /** How the job ended; undefined while it has not. */
   public ended: 'completed' | 'failed' | 'cancelled' | undefined;
 
   public endedAt = 0;
 
-  /** The end is known to be stored. */
+  /** Whether the store has confirmed the end. */
   public endStored = false;
 
-  /** Some task has been started. */
+  /** Whether a minion has listed a run of any task, or its end. */
   public begun = false;
 
   public queue: QueueSettings;
@@ -23,7 +23,7 @@
 
   public readonly specification: JobSpecification;
 
-  /** Unix milliseconds of the acceptance. */
+  /** Unix milliseconds at which the job was accepted. */
   public readonly acceptedAt: number;
 
   public constructor(
@@ -41,9 +41,9 @@
 
   /** Creates the tasks of one occurrence unless they exist. */
   public addOccurrence(occurrence: number): readonly TaskEntry[][] {
-    const known = this.occurrences.get(occurrence);
-    if (known !== undefined) {
-      return known;
+    const existing = this.occurrences.get(occurrence);
+    if (existing !== undefined) {
+      return existing;
     }
     const { identifier, steps } = this.specification;
     const tasks = steps.map((step, stepNumber) =>
@@ -57,7 +57,7 @@
     return tasks;
   }
 
-  /** Every task of the occurrences that exist. */
+  /** Yields each task of the existing occurrences. */
   public *tasks(): Generator<TaskEntry> {
     for (const steps of this.occurrences.values()) {
       for (const tasks of steps) {
@@ -66,7 +66,7 @@
     }
   }
 
-  /** Returns a task by its place. */
+  /** Returns a task by its occurrence, step and index. */
   public task(
     occurrence: number,
     step: number,
@@ -75,18 +75,18 @@
     return this.occurrences.get(occurrence)?.[step]?.[index];
   }
 
-  /** What callers are told. */
+  /** Status that is reported to callers. */
   public get status(): JobStatus {
     return this.ended ?? (this.begun ? 'running' : 'queued');
   }
 
-  /** Occurrences that the job has in all. */
+  /** Total number of occurrences, including those that are not due yet. */
   public get occurrenceCount(): number {
     return Math.max(1, this.specification.repetitions);
   }
 
-  /** Ends the job if all its tasks are done or one has failed for good. */
-  public endIfOver(now: number): void {
+  /** Ends the job if all its tasks are done or one has finally failed. */
+  public endIfFinished(now: number): void {
     if (this.ended !== undefined) {
       return;
     }
@@ -103,7 +103,6 @@
     }
   }
 
-  /** Ends the job. */
   public end(how: 'completed' | 'failed' | 'cancelled', now: number): void {
     this.ended = how;
     this.endedAt = now;
--- a/packages/jobs/src/state/job-table.ts
+++ b/packages/jobs/src/state/job-table.ts
@@ -5,7 +5,7 @@
 import { splitTaskName } from './split-task-name.js';
 import type { TaskEntry } from './task-entry.js';
 
-/** Everything that the leader knows: jobs, minions, and what changed. */
+/** State of the leader: jobs, minions and the jobs to store. */
 export class JobTable {
   public readonly jobs = new Map<string, JobEntry>();
 
@@ -14,7 +14,6 @@
   /** Jobs whose progress has changed since it was last stored. */
   public readonly changed = new Set<string>();
 
-  /** Adds a job. */
   public add(
     specification: JobSpecification,
     queue: QueueSettings,
@@ -35,8 +34,8 @@
           ?.task(place.occurrence, place.step, place.index);
   }
 
-  /** Returns the minion of the given incarnation, made if it is new. */
-  public minion(incarnation: string, now: number): MinionEntry {
+  /** Returns the minion of the given incarnation, created if needed. */
+  public getOrAddMinion(incarnation: string, now: number): MinionEntry {
     let minion = this.minions.get(incarnation);
     if (minion === undefined) {
       minion = new MinionEntry(incarnation, now);
@@ -45,13 +44,13 @@
     return minion;
   }
 
-  /** Notes that a task has changed. */
-  public touch(task: TaskEntry): void {
+  /** Records that the progress of a task's job has to be stored. */
+  public markChanged(task: TaskEntry): void {
     this.changed.add(task.jobIdentifier);
   }
 
-  /** Takes a minion off: its runs are over. Returns the tasks set free. */
-  public forgetMinion(incarnation: string, now: number): readonly TaskEntry[] {
+  /** Removes a minion, releases its current tasks and returns them. */
+  public removeMinion(incarnation: string, now: number): readonly TaskEntry[] {
     const minion = this.minions.get(incarnation);
     if (minion === undefined) {
       return [];
@@ -62,7 +61,7 @@
       .map(({ entry }) => entry);
     for (const entry of freed) {
       entry.release(now);
-      this.touch(entry);
+      this.markChanged(entry);
     }
     return freed;
   }
--- a/packages/jobs/src/state/minion-entry.ts
+++ b/packages/jobs/src/state/minion-entry.ts
@@ -2,46 +2,49 @@
 import type { MinionRun } from './minion-run.js';
 import type { TaskEntry } from './task-entry.js';
 
-/** One life of a minion, as the leader sees it. */
+/** State of one incarnation of a minion on the leader. */
 export class MinionEntry {
-  /** Everything that is or may be on the minion, by task and run. */
+  /** Runs that are or may be on the minion, by task and run. */
   public readonly runs = new Map<string, MinionRun>();
 
-  /** What its agent says of it; undefined until the agent has reported. */
+  /** Description by its agent; undefined until the agent has reported. */
   public description: MinionDescription | undefined;
 
-  /** Name of the agent beside it; empty until the agent has reported. */
+  /** Name of the agent on its VM; empty until the agent has reported. */
   public agent = '';
 
-  /** The agent's stream is open and its lists were read under its token. */
+  /**
+   * Whether the agent's stream is open and the agent has sent lists that it read
+   * under the fencing token of that stream.
+   */
   public connected = false;
 
   /** Fencing token of the agent's stream; 0 before its first report. */
   public fencingToken = 0;
 
-  /** When the agent was last heard. */
-  public heardAt: number;
+  /** Unix milliseconds of the last message from the agent. */
+  public lastContactAt: number;
 
-  /** Not used for new starts before this time. */
-  public restsUntil = 0;
+  /** Unix milliseconds before which the minion gets no new starts. */
+  public backoffUntil = 0;
 
-  /** Starts refused or failed in a row. */
-  public faultsInRow = 0;
+  /** Runs that failed without a success in between. */
+  public consecutiveFaults = 0;
 
   public readonly incarnation: string;
 
-  public constructor(incarnation: string, heardAt: number) {
+  public constructor(incarnation: string, lastContactAt: number) {
     this.incarnation = incarnation;
-    this.heardAt = heardAt;
+    this.lastContactAt = lastContactAt;
   }
 
-  /** Notes that a run is or may be on the minion. */
-  public hold(entry: TaskEntry, run: number): void {
+  /** Records that a run is or may be on the minion. */
+  public addRun(entry: TaskEntry, run: number): void {
     this.runs.set(`${entry.name}/${run}`, { entry, run });
   }
 
-  /** Notes that a run is on the minion no more. */
-  public drop(task: string, run: number): void {
+  /** Records that a run is no longer on the minion. */
+  public removeRun(task: string, run: number): void {
     this.runs.delete(`${task}/${run}`);
   }
 }
--- a/packages/jobs/src/state/split-task-name.ts
+++ b/packages/jobs/src/state/split-task-name.ts
@@ -1,4 +1,4 @@
-/** Place of a task: its job, occurrence, step and index. */
+/** Parts of a task's name: its job, occurrence, step and index. */
 export interface TaskPlace {
   readonly jobIdentifier: string;
   readonly occurrence: number;
@@ -6,7 +6,7 @@
   readonly index: number;
 }
 
-/** Splits a task's name; undefined if it is not one. */
+/** Splits a task's name; undefined if it is not valid. */
 export function splitTaskName(name: string): TaskPlace | undefined {
   const [jobIdentifier, occurrence, step, index, ...rest] = name.split('.');
   const numbers = [occurrence, step, index].map(Number);
--- a/packages/jobs/src/state/task-entry.ts
+++ b/packages/jobs/src/state/task-entry.ts
@@ -1,42 +1,43 @@
 import type { Capacity } from '../model/capacity.js';
 import type { StepSpecification } from '../model/step-specification.js';
 
-/** Where a task stands. */
+/** Phase of a task; a task that has to run again is `waiting`. */
 export type TaskPhase = 'waiting' | 'assigned' | 'done' | 'failed';
 
-/** One task of one occurrence of a job, as the leader sees it. */
+/** State of one task of a job's occurrence on the leader. */
 export class TaskEntry {
   public phase: TaskPhase = 'waiting';
 
   /** Highest run number used; 0 before the first start. */
   public run = 0;
 
-  /** Runs that ended through a fault. */
+  /** Number of runs that ended as failed. */
   public failedRuns = 0;
 
-  /** Incarnation of the minion that has the current run; empty if none. */
+  /** Incarnation of the minion that has the current run; empty for none. */
   public incarnation = '';
 
   public checkpoint = '';
 
-  /** Fencing token of the agent's stream that the order goes by. */
+  /** Fencing token of the agent's stream on which the start order is sent. */
   public orderToken = 0;
 
-  /** When the minion first listed the current run; 0 if it has not. */
+  /** Unix milliseconds at which the current run was first listed; 0 if never. */
   public seenRunningAt = 0;
 
-  /** When the current run was assigned. */
+  /** Unix milliseconds at which the current run was assigned. */
   public assignedAt = 0;
 
-  /** Progress last listed, and when it last changed. */
+  /** Share of the work done as last listed, 0 to 100. */
   public percent = 0;
 
+  /** Unix milliseconds of the last change of the progress. */
   public progressAt = 0;
 
-  /** When the task was first seen to be able to start; 0 if it was not. */
+  /** Unix milliseconds since which the task can start; 0 if it can not. */
   public waitingSince = 0;
 
-  /** Not started again before this time. */
+  /** Unix milliseconds before which the task is not started again. */
   public notBefore = 0;
 
   public stopping = false;
@@ -68,7 +69,7 @@
     this.name = `${jobIdentifier}.${occurrence}.${step}.${index}`;
   }
 
-  /** What the task takes of a minion's counted room. */
+  /** Resources that the task reserves; batch tasks reserve no processor time. */
   public get demand(): Capacity {
     const { specification } = this;
     return {
@@ -80,7 +81,7 @@
     };
   }
 
-  /** Puts the task on a minion under a new run number. */
+  /** Assigns the task to a minion under a new run number. */
   public assign(
     incarnation: string,
     run: number,
@@ -99,20 +100,20 @@
     this.stopping = false;
   }
 
-  /** Takes the task off its minion, to be started again. */
+  /** Removes the task from its minion, to be started again. */
   public release(notBefore: number): void {
     this.phase = 'waiting';
-    this.leaveMinion();
+    this.clearAssignment();
     this.notBefore = notBefore;
   }
 
-  /** Ends the task for good. */
+  /** Ends the task; it does not start again. */
   public finish(phase: 'done' | 'failed'): void {
     this.phase = phase;
-    this.leaveMinion();
+    this.clearAssignment();
   }
 
-  private leaveMinion(): void {
+  private clearAssignment(): void {
     this.incarnation = '';
     this.orderToken = 0;
     this.seenRunningAt = 0;
--- a/packages/jobs/tests/model/check-specification.test.ts
+++ b/packages/jobs/tests/model/check-specification.test.ts
@@ -15,7 +15,7 @@
   ['an unknown step', [makeStep(), makeStep({ after: [9] })], false],
 ];
 
-t.test('what can be accepted', t => {
+t.test('accepts valid specifications only', t => {
   for (const [title, steps, accepted] of CASES) {
     const problem = checkSpecification({
       identifier: 'j',
--- a/packages/jobs/tests/plan/occurrences.test.ts
+++ b/packages/jobs/tests/plan/occurrences.test.ts
@@ -8,7 +8,7 @@
 import { makeStep } from '../support/make-step.js';
 import { plan } from '../support/plan.js';
 
-function scheduled(table: JobTable): JobEntry {
+function addScheduledJob(table: JobTable): JobEntry {
   return table.add(
     {
       identifier: 'job',
@@ -24,7 +24,7 @@
   );
 }
 
-t.test('an occurrence exists from its time on, each once', t => {
+t.test('each occurrence is created once, when it is due', t => {
   const cases: readonly [number, number][] = [
     [999, 0],
     [1000, 1],
@@ -33,7 +33,7 @@
     [9000, 3],
   ];
   for (const [now, count] of cases) {
-    const job = scheduled(new JobTable());
+    const job = addScheduledJob(new JobTable());
     addDueOccurrences(job, now);
     addDueOccurrences(job, now);
     t.equal(job.occurrences.size, count, `at ${now}`);
@@ -41,33 +41,33 @@
   t.end();
 });
 
-t.test('occurrences overlap, and the job ends after the last', t => {
+t.test('occurrences can overlap, and the job ends after the last one', t => {
   const table = new JobTable();
   addMinion(table, 'a');
-  const job = scheduled(table);
+  const job = addScheduledJob(table);
   addDueOccurrences(job, 1500);
   t.same(plan(table, 1500), ['job.0.0.0 on a', 'job.1.0.0 on a']);
   for (const task of job.tasks()) {
     task.finish('done');
   }
-  job.endIfOver(1600);
+  job.endIfFinished(1600);
   t.equal(job.ended, undefined, 'one occurrence is not due yet');
   addDueOccurrences(job, 2000);
   job.task(2, 0, 0)?.finish('done');
-  job.endIfOver(2100);
+  job.endIfFinished(2100);
   t.equal(job.ended, 'completed');
   t.end();
 });
 
-t.test('a job that is over gets no more occurrences', t => {
-  const job = scheduled(new JobTable());
+t.test('an ended job gets no more occurrences', t => {
+  const job = addScheduledJob(new JobTable());
   job.end('cancelled', 1200);
   addDueOccurrences(job, 9000);
   t.equal(job.occurrences.size, 0);
   t.end();
 });
 
-t.test('tightly coupled tasks share a rack while it has room', t => {
+t.test('tightly coupled tasks share a rack while it has free capacity', t => {
   const table = new JobTable();
   addMinion(table, 'a', { labels: ['kind', 'rack-1'] });
   addMinion(table, 'b', { labels: ['kind', 'rack-2'] });
--- a/packages/jobs/tests/plan/plan-starts.test.ts
+++ b/packages/jobs/tests/plan/plan-starts.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 
-import { HarmTable } from '../../src/pace/harm-table.js';
+import { InterferenceTable } from '../../src/interference/interference-table.js';
 import { JobTable } from '../../src/state/job-table.js';
 import { addJob } from '../support/add-job.js';
 import { addMinion } from '../support/add-minion.js';
@@ -9,7 +9,7 @@
 import { plan } from '../support/plan.js';
 import { startOn } from '../support/start-on.js';
 
-t.test('never plans more than a minion has', t => {
+t.test('never exceeds the capacity of a minion', t => {
   const table = new JobTable();
   addMinion(table, 'a');
   addJob(table, 'j', [makeStep({ taskCount: 9 })]);
@@ -17,7 +17,7 @@
   t.end();
 });
 
-t.test('counts what may be there, also while it is being stopped', t => {
+t.test('counts a run until it has ended, also while it is being stopped', t => {
   const table = new JobTable();
   const minion = addMinion(table, 'a');
   const old = addJob(table, 'old', [makeStep({ processorMillicores: 3500 })]);
@@ -28,12 +28,12 @@
   t.end();
 });
 
-t.test('counts memory of filling tasks, but not their processor time', t => {
+t.test('counts the memory of batch tasks, but not their processor time', t => {
   const table = new JobTable();
   addMinion(table, 'a');
-  const filling = { filling: true, processorMillicores: 100 };
+  const batch = { filling: true, processorMillicores: 100 };
   addJob(table, 'f', [
-    makeStep({ ...filling, taskCount: 20, memoryMegabytes: 300 }),
+    makeStep({ ...batch, taskCount: 20, memoryMegabytes: 300 }),
   ]);
   t.equal(plan(table).length, 3);
   t.end();
@@ -49,7 +49,7 @@
   t.end();
 });
 
-t.test('keeps to labels, services and the most tasks per minion', t => {
+t.test('respects labels, services and the maximum of tasks per minion', t => {
   const table = new JobTable();
   addMinion(table, 'a');
   addMinion(table, 'b', { labels: ['other', 'rack'] });
@@ -62,10 +62,10 @@
   t.end();
 });
 
-t.test('uses no minion that drains, rests or is not connected', t => {
+t.test('uses no minion that drains, backs off or is not connected', t => {
   const table = new JobTable();
   addMinion(table, 'draining', { draining: true });
-  addMinion(table, 'resting').restsUntil = 10;
+  addMinion(table, 'resting').backoffUntil = 10;
   addMinion(table, 'silent').connected = false;
   addJob(table, 'j', [makeStep()]);
   t.same(plan(table, 9), []);
@@ -84,7 +84,7 @@
   t.end();
 });
 
-t.test('starts a gang whole or not at all', t => {
+t.test('starts a whole gang or nothing', t => {
   const table = new JobTable();
   addMinion(table, 'a');
   addJob(table, 'g', [makeStep({ gang: true, taskCount: 5 })]);
@@ -94,7 +94,7 @@
   t.end();
 });
 
-t.test('puts what can still be on time before what is late', t => {
+t.test('starts a job that can be on time before a late one', t => {
   const table = new JobTable();
   addMinion(table, 'a', {
     capacity: {
@@ -109,21 +109,21 @@
   t.end();
 });
 
-t.test('keeps a filling image from a serving one that it harms', t => {
+t.test('keeps batch images from serving images that they slow down', t => {
   const table = new JobTable();
-  const harmed = addMinion(table, 'harmed');
+  const sensitive = addMinion(table, 'harmed');
   const other = addMinion(table, 'other');
   const step = { tailTargetMilliseconds: 50, longRunning: true };
   const first = addJob(table, 's1', [makeStep({ ...step, image: 'frail' })]);
   const second = addJob(table, 's2', [
     makeStep({ ...step, image: 'sturdy', processorMillicores: 2000 }),
   ]);
-  startOn(harmed, firstTask(first));
+  startOn(sensitive, firstTask(first));
   startOn(other, firstTask(second));
-  const harms = new HarmTable();
-  harms.set('frail', 'heavy', 0.5, 9);
-  harms.set('sturdy', 'heavy', 0, 9);
+  const interference = new InterferenceTable();
+  interference.set('frail', 'heavy', 0.5, 9);
+  interference.set('sturdy', 'heavy', 0, 9);
   addJob(table, 'f', [makeStep({ filling: true, image: 'heavy' })]);
-  t.same(plan(table, 0, harms), ['f.0.0.0 on other']);
+  t.same(plan(table, 0, interference), ['f.0.0.0 on other']);
   t.end();
 });
--- a/packages/jobs/tests/plan/serving-together.test.ts
+++ b/packages/jobs/tests/plan/serving-placement.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 
-import { HarmTable } from '../../src/pace/harm-table.js';
+import { InterferenceTable } from '../../src/interference/interference-table.js';
 import { JobTable } from '../../src/state/job-table.js';
 import { addJob } from '../support/add-job.js';
 import { addMinion } from '../support/add-minion.js';
@@ -9,26 +9,28 @@
 
 const SERVING = { tailTargetMilliseconds: 50, longRunning: true };
 
-t.test('tasks that serve share minions, so that others are free', t => {
+t.test('serving tasks share minions, so that others stay free', t => {
   const table = new JobTable();
   ['a', 'b', 'c'].forEach(name => addMinion(table, name));
-  const feed = makeStep({ ...SERVING, image: 'frail', taskCount: 2 });
-  addJob(table, 's1', [feed]);
-  addJob(table, 's2', [{ ...feed, image: 'sturdy' }]);
+  const serving = makeStep({ ...SERVING, image: 'frail', taskCount: 2 });
+  addJob(table, 's1', [serving]);
+  addJob(table, 's2', [{ ...serving, image: 'sturdy' }]);
   const minions = plan(table).map(start => start.split(' on ')[1]);
   t.equal(minions.length, 4);
   t.equal(new Set(minions).size, 1);
   t.end();
 });
 
-t.test('a task that serves keeps from neighbours that harm it', t => {
+t.test('a serving task avoids batch tasks that slow it down', t => {
   const table = new JobTable();
   ['a', 'b'].forEach(name => addMinion(table, name));
   addJob(table, 's1', [makeStep({ ...SERVING, image: 'frail' })], {}, 0);
   addJob(table, 'f', [makeStep({ filling: true, image: 'heavy' })], {}, 0);
-  const harms = new HarmTable();
-  harms.set('frail', 'heavy', 0.9, 9);
-  const minions = plan(table, 0, harms).map(start => start.split(' on ')[1]);
+  const interference = new InterferenceTable();
+  interference.set('frail', 'heavy', 0.9, 9);
+  const minions = plan(table, 0, interference).map(
+    start => start.split(' on ')[1],
+  );
   t.equal(new Set(minions).size, 2);
   t.end();
 });
--- a/packages/jobs/tests/reconcile/apply-report.test.ts
+++ b/packages/jobs/tests/reconcile/apply-report.test.ts
@@ -3,7 +3,7 @@
 import type { AgentReport } from '../../src/model/agent-report.js';
 import type { EndReason } from '../../src/model/end-reason.js';
 import type { RunEnd } from '../../src/model/run-end.js';
-import { RoomView } from '../../src/plan/room-view.js';
+import { CandidateMinion } from '../../src/plan/candidate-minion.js';
 import { applyReport } from '../../src/reconcile/apply-report.js';
 import { JobTable } from '../../src/state/job-table.js';
 import { addJob } from '../support/add-job.js';
@@ -32,7 +32,7 @@
   return { task, run, checkpoint: '', percent: 5, gauge: 0 };
 }
 
-t.test('the end of a current run', t => {
+t.test('the end of a current run sets the phase of its task', t => {
   const cases: readonly [EndReason, string, number][] = [
     ['done', 'done', 0],
     ['failed', 'waiting', 1],
@@ -50,13 +50,13 @@
     applyReport(table, minion, makeReport({ ends }), 0);
     t.equal(task.phase, phase, `${reason}: the phase`);
     t.equal(task.failedRuns, failedRuns, `${reason}: failed runs`);
-    t.equal(minion.runs.size, 0, `${reason}: the room is free`);
+    t.equal(minion.runs.size, 0, `${reason}: the resources are released`);
     t.ok(table.changed.has('j'), `${reason}: the change is to be stored`);
   }
   t.end();
 });
 
-t.test('only faults use up the attempts of a task', t => {
+t.test('only failed runs count as attempts of a task', t => {
   const table = new JobTable();
   const minion = addMinion(table, 'a');
   const job = addJob(table, 'j', [makeStep()]);
@@ -71,7 +71,7 @@
   t.end();
 });
 
-t.test('a task that lasts starts again however it ends', t => {
+t.test('a long-running task starts again after any end', t => {
   for (const reason of ['done', 'failed', 'lapsed'] as const) {
     const table = new JobTable();
     const minion = addMinion(table, 'a');
@@ -88,35 +88,35 @@
   t.end();
 });
 
-t.test('an end of an earlier run changes nothing of a later one', t => {
+t.test('the end of an earlier run does not affect a later one', t => {
   const table = new JobTable();
   const old = addMinion(table, 'old');
   const minion = addMinion(table, 'new');
   const task = firstTask(addJob(table, 'j', [makeStep()]));
   startOn(old, task);
-  table.forgetMinion('old', 0);
+  table.removeMinion('old', 0);
   startOn(minion, task);
   const ends = [makeEnd(task.name, 1, 'done')];
-  applyReport(table, table.minion('old', 0), makeReport({ ends }), 0);
+  applyReport(table, table.getOrAddMinion('old', 0), makeReport({ ends }), 0);
   t.equal(task.phase, 'assigned');
   t.equal(task.run, 2);
   t.end();
 });
 
-t.test('a run given up too early that was done counts, if none followed', t => {
+t.test('the success of an abandoned run counts if no later run started', t => {
   const table = new JobTable();
   const minion = addMinion(table, 'a');
   const job = addJob(table, 'j', [makeStep()]);
   const task = firstTask(job);
   startOn(minion, task);
-  table.forgetMinion('a', 0);
+  table.removeMinion('a', 0);
   const ends = [makeEnd(task.name, 1, 'done')];
-  applyReport(table, table.minion('a', 0), makeReport({ ends }), 0);
+  applyReport(table, table.getOrAddMinion('a', 0), makeReport({ ends }), 0);
   t.equal(job.status, 'completed');
   t.end();
 });
 
-t.test('an order of this stream may still begin, one of an older not', t => {
+t.test('only an order of the current stream may still begin', t => {
   const table = new JobTable();
   const minion = addMinion(table, 'a');
   const task = firstTask(addJob(table, 'j', [makeStep()]));
@@ -131,11 +131,11 @@
   );
   t.equal(task.phase, 'waiting');
   t.same(outcome.neverBegan, [task.name]);
-  t.equal(task.run, 1, 'the number stays used');
+  t.equal(task.run, 1, 'the run number is not used again');
   t.end();
 });
 
-t.test('runs that have no business there are stopped and counted', t => {
+t.test('unexpected runs are stopped, and counted until they end', t => {
   const table = new JobTable();
   const minion = addMinion(table, 'a');
   const job = addJob(table, 'j', [makeStep()]);
@@ -147,11 +147,11 @@
     { task: task.name, run: 9 },
     { task: 'unknown.0.0.0', run: 1 },
   ]);
-  t.equal(new RoomView(minion).processorMillicores, 3000);
+  t.equal(new CandidateMinion(minion).processorMillicores, 3000);
   t.end();
 });
 
-t.test('a job is begun once a run is listed, not when it is assigned', t => {
+t.test('a job runs once a run is listed, not when it is assigned', t => {
   const table = new JobTable();
   const minion = addMinion(table, 'a');
   const job = addJob(table, 'j', [makeStep()]);
@@ -164,7 +164,7 @@
   t.end();
 });
 
-t.test('a refusal sets the task free and rests the minion', t => {
+t.test('a refusal releases the task and keeps starts from the minion', t => {
   const table = new JobTable();
   const minion = addMinion(table, 'a');
   const task = firstTask(addJob(table, 'j', [makeStep()]));
@@ -172,11 +172,11 @@
   const refusals = [{ task: task.name, run: 1, reason: 'room' }];
   applyReport(table, minion, makeReport({ refusals }), 50);
   t.equal(task.phase, 'waiting');
-  t.ok(minion.restsUntil > 50);
+  t.ok(minion.backoffUntil > 50);
   t.end();
 });
 
-t.test('one end done stands for the whole gang', t => {
+t.test('the success of one member completes the whole gang', t => {
   const table = new JobTable();
   const minion = addMinion(table, 'a');
   const job = addJob(table, 'j', [makeStep({ gang: true, taskCount: 3 })]);
--- a/packages/jobs/tests/reconcile/watch-runs.test.ts
+++ b/packages/jobs/tests/reconcile/minion-runs.test.ts
@@ -10,66 +10,69 @@
 import { makeStep } from '../support/make-step.js';
 import { startOn } from '../support/start-on.js';
 
-t.test('a silent minion keeps its tasks until its lease surely is over', t => {
-  const table = new JobTable();
-  const minion = addMinion(table, 'a');
-  const task = firstTask(addJob(table, 'j', [makeStep()]));
-  startOn(minion, task);
-  minion.heardAt = 1000;
-  minion.connected = false;
-  t.same(expireMinions(table, 6000, 7500), []);
-  t.equal(task.phase, 'assigned');
-  const [expired] = expireMinions(table, 6000, 7621);
-  t.equal(expired?.incarnation, 'a');
-  t.equal(task.phase, 'waiting');
-  t.end();
-});
+t.test(
+  'a disconnected minion keeps its tasks until its lease has expired',
+  t => {
+    const table = new JobTable();
+    const minion = addMinion(table, 'a');
+    const task = firstTask(addJob(table, 'j', [makeStep()]));
+    startOn(minion, task);
+    minion.lastContactAt = 1000;
+    minion.connected = false;
+    t.same(expireMinions(table, 6000, 7500), []);
+    t.equal(task.phase, 'assigned');
+    const [expired] = expireMinions(table, 6000, 7621);
+    t.equal(expired?.incarnation, 'a');
+    t.equal(task.phase, 'waiting');
+    t.end();
+  },
+);
 
 t.test('a connected minion never expires', t => {
   const table = new JobTable();
-  addMinion(table, 'a').heardAt = 0;
+  addMinion(table, 'a').lastContactAt = 0;
   t.same(expireMinions(table, 6000, 1_000_000), []);
   t.end();
 });
 
-t.test('a run without progress is found, a paced one is left longer', t => {
+t.test('a run without progress is stuck; a batch task gets more time', t => {
   const table = new JobTable();
   const minion = addMinion(table, 'a');
   const plain = firstTask(addJob(table, 'p', [makeStep()]));
-  const filling = firstTask(addJob(table, 'f', [makeStep({ filling: true })]));
-  const lasting = firstTask(
+  const batch = firstTask(addJob(table, 'f', [makeStep({ filling: true })]));
+  const longRunning = firstTask(
     addJob(table, 'l', [makeStep({ longRunning: true })]),
   );
-  for (const task of [plain, filling, lasting]) {
+  for (const task of [plain, batch, longRunning]) {
     startOn(minion, task);
     task.seenRunningAt = 1;
     task.progressAt = 1;
   }
-  lasting.percent = 100;
+  longRunning.percent = 100;
   t.same(findStuckRuns(table, 2000), []);
   t.same(findStuckRuns(table, 3000), [plain]);
-  t.ok(minion.restsUntil > 3000);
+  t.ok(minion.backoffUntil > 3000);
   t.end();
 });
 
-t.test('what moves off a draining minion', t => {
+t.test('long-running and checkpointing tasks move off a draining minion', t => {
   const table = new JobTable();
   const minion = addMinion(table, 'a', {
     draining: true,
     remainingMilliseconds: 500,
   });
-  const lasting = firstTask(
+  const longRunning = firstTask(
     addJob(table, 'l', [makeStep({ longRunning: true })]),
   );
   const saved = firstTask(
     addJob(table, 's', [makeStep({ checkpointing: true })]),
   );
   const plain = firstTask(addJob(table, 'p', [makeStep()]));
-  for (const task of [lasting, saved, plain]) {
+  for (const task of [longRunning, saved, plain]) {
     startOn(minion, task);
     task.seenRunningAt = 1;
     task.percent = 10;
   }
-  t.same(tasksToMove(table, 2000), [lasting, saved]);
+  t.same(tasksToMove(table, 2000), [longRunning, saved]);
   t.end();
 });
--- a/packages/jobs/tests/records/progress.test.ts
+++ b/packages/jobs/tests/records/progress.test.ts
@@ -10,14 +10,14 @@
 import { makeStep } from '../support/make-step.js';
 import { startOn } from '../support/start-on.js';
 
-t.test('a record brings back what the next leader has to know', t => {
+t.test('a record restores the state that the next leader needs', t => {
   const steps = [makeStep({ taskCount: 4, checkpointing: true })];
   const before = new JobTable();
   const job = addJob(before, 'j', steps);
   startOn(addMinion(before, 'a'), firstTask(job, 0, 0));
   startOn(addMinion(before, 'b'), firstTask(job, 0, 1));
   firstTask(job, 0, 1).failedRuns = 1;
-  startOn(before.minion('a', 0), firstTask(job, 0, 2));
+  startOn(before.getOrAddMinion('a', 0), firstTask(job, 0, 2));
   firstTask(job, 0, 2).finish('done');
   const text = JSON.stringify(encodeProgress(job));
 
@@ -28,8 +28,16 @@
   t.equal(firstTask(copy, 0, 1).failedRuns, 1);
   t.equal(firstTask(copy, 0, 2).phase, 'done');
   t.equal(firstTask(copy, 0, 3).run, 0);
-  t.equal(after.minion('a', 0).runs.size, 1, 'its room is taken');
-  t.equal(after.minion('a', 0).heardAt, 5000, 'its lease counts from now');
+  t.equal(
+    after.getOrAddMinion('a', 0).runs.size,
+    1,
+    'its resources are in use',
+  );
+  t.equal(
+    after.getOrAddMinion('a', 0).lastContactAt,
+    5000,
+    'its lease counts from the present time',
+  );
   t.equal(JSON.stringify(encodeProgress(copy)), text);
   t.end();
 });
--- a/packages/jobs/tests/support/add-minion.ts
+++ b/packages/jobs/tests/support/add-minion.ts
@@ -8,7 +8,7 @@
   incarnation: string,
   fields: Partial<MinionDescription> = {},
 ): MinionEntry {
-  const minion = table.minion(incarnation, 0);
+  const minion = table.getOrAddMinion(incarnation, 0);
   minion.connected = true;
   minion.agent = `agent-${incarnation}`;
   minion.fencingToken = 1;
--- a/packages/jobs/tests/support/make-step.ts
+++ b/packages/jobs/tests/support/make-step.ts
@@ -1,6 +1,6 @@
 import type { StepSpecification } from '../../src/model/step-specification.js';
 
-/** A step of one plain task of one core, with some fields replaced. */
+/** Returns a step with one plain task of one core, with some fields replaced. */
 export function makeStep(
   fields: Partial<StepSpecification> = {},
 ): StepSpecification {
--- a/packages/jobs/tests/support/start-on.ts
+++ b/packages/jobs/tests/support/start-on.ts
@@ -1,7 +1,7 @@
 import type { MinionEntry } from '../../src/state/minion-entry.js';
 import type { TaskEntry } from '../../src/state/task-entry.js';
 
-/** Puts a task on a minion under its next run number. */
+/** Assigns a task to a minion under its next run number. */
 export function startOn(
   minion: MinionEntry,
   task: TaskEntry,
@@ -9,5 +9,5 @@
   now = 0,
 ): void {
   task.assign(minion.incarnation, task.run + 1, token, now);
-  minion.hold(task, task.run);
+  minion.addRun(task, task.run);
 }
