--- a/packages/daemon/src/node/agent-node.ts
+++ b/packages/daemon/src/node/agent-node.ts
@@ -10,7 +10,7 @@
   loadOf,
 } from '@basilcourse/request-plane/transport/agent-routes';
 import { ControlServer } from '@basilcourse/request-plane/transport/control-server';
-import { PressureGauge } from '@basilcourse/scheduler/pressure/pressure-gauge';
+import { ServiceTimeWindows } from '@basilcourse/scheduler/pressure/service-time-windows';
 import * as Effect from 'effect/Effect';
 
 import { createAgentOperatorRoutes } from '../operators/agent-operator-routes.js';
@@ -47,7 +47,7 @@
 
   private readonly heartbeats: HeartbeatParts;
 
-  private readonly gauge = new PressureGauge();
+  private readonly gauge = new ServiceTimeWindows();
 
   private boundLocal = '';
 
--- a/packages/daemon/src/node/relieve-pressure.ts
+++ b/packages/daemon/src/node/relieve-pressure.ts
@@ -6,7 +6,7 @@
   decideThrottle,
   nextShare,
 } from '@basilcourse/scheduler/pressure/decide-throttle';
-import type { PressureGauge } from '@basilcourse/scheduler/pressure/pressure-gauge';
+import type { ServiceTimeWindows } from '@basilcourse/scheduler/pressure/service-time-windows';
 import * as Effect from 'effect/Effect';
 
 import type { NodeCore } from './node-core.js';
@@ -44,7 +44,7 @@
 function directionOf(
   core: NodeCore,
   registry: UpstreamRegistry,
-  gauge: PressureGauge,
+  gauge: ServiceTimeWindows,
 ): ThrottleDirection {
   const { configuration } = core.state.fold;
   return decideThrottle({
@@ -55,7 +55,7 @@
         configuration.services.get(service)?.targetMilliseconds ??
         Number.POSITIVE_INFINITY,
     })),
-    gauge,
+    serviceTimes: gauge,
   });
 }
 
@@ -66,7 +66,7 @@
 export function relievePressure(
   core: NodeCore,
   registry: UpstreamRegistry,
-  gauge: PressureGauge,
+  gauge: ServiceTimeWindows,
 ): Effect.Effect<never> {
   let calmSteps = 0;
   const step = Effect.suspend(() => {
--- a/packages/daemon/src/scheduling/cell-holder.ts
+++ b/packages/daemon/src/scheduling/cell-holder.ts
@@ -2,10 +2,10 @@
 import type { EventRecorder } from '@basilcourse/foundation/events/event-recorder';
 import type { IdentifierSource } from '@basilcourse/foundation/identifiers/identifier-source';
 import { keepPeerTasks } from '@basilcourse/request-plane/membership/keep-peer-tasks';
-import { LeaseLedger } from '@basilcourse/scheduler/cell/lease-ledger';
+import { GrantedLeases } from '@basilcourse/scheduler/cell/granted-leases';
 import { newWorkerView } from '@basilcourse/scheduler/cell/new-worker-view';
 import type { WorkerView } from '@basilcourse/scheduler/cell/worker-view';
-import { Learner } from '@basilcourse/scheduler/learning/learner';
+import { WorkloadEstimator } from '@basilcourse/scheduler/learning/workload-estimator';
 import type { ScorerName } from '@basilcourse/scheduler/placement/scorers';
 import { planCell } from '@basilcourse/scheduler/plan/plan-cell';
 import type { PlatformWorker } from '@basilcourse/scheduler/platform/platform-worker';
@@ -44,9 +44,9 @@
 
 /** Decides for one cell while this process holds its lease. */
 export class CellHolder {
-  public readonly learner = new Learner();
+  public readonly learner = new WorkloadEstimator();
 
-  private readonly ledger = new LeaseLedger();
+  private readonly ledger = new GrantedLeases();
 
   private readonly views = new Map<string, WorkerView>();
 
@@ -175,8 +175,8 @@
         configuration: state.fold.configuration,
         scheduling: state.fold.scheduling,
         views: this.views,
-        ledger: this.ledger,
-        learner: this.learner,
+        leases: this.ledger,
+        estimator: this.learner,
         announced: announced(),
         scorer: placement,
       },
--- a/packages/daemon/src/scheduling/start-share.ts
+++ b/packages/daemon/src/scheduling/start-share.ts
@@ -1,5 +1,5 @@
-import type { Learner } from '@basilcourse/scheduler/learning/learner';
-import { initialShare } from '@basilcourse/scheduler/placement/harm-budget';
+import type { WorkloadEstimator } from '@basilcourse/scheduler/learning/workload-estimator';
+import { initialShare } from '@basilcourse/scheduler/placement/interference-budget';
 import { taskKindOf } from '@basilcourse/shared-state/configuration/task-kind-of';
 import type { StateFold } from '@basilcourse/shared-state/fold/state-fold';
 
@@ -9,7 +9,7 @@
     configuration,
     scheduling,
   }: Pick<StateFold, 'configuration' | 'scheduling'>,
-  learner: Learner,
+  learner: WorkloadEstimator,
   worker: string,
   attempt: string,
   taskKind: string,
--- a/packages/daemon/src/scheduling/worker-task.ts
+++ b/packages/daemon/src/scheduling/worker-task.ts
@@ -1,14 +1,14 @@
 import type { Clock } from '@basilcourse/foundation/clock/clock';
 import { PeerUnreachableError } from '@basilcourse/foundation/errors/peer-unreachable-error';
 import type { EventRecorder } from '@basilcourse/foundation/events/event-recorder';
-import type { LeaseLedger } from '@basilcourse/scheduler/cell/lease-ledger';
+import type { GrantedLeases } from '@basilcourse/scheduler/cell/granted-leases';
 import { reconcileWorker } from '@basilcourse/scheduler/cell/reconcile-worker';
 import {
   viewAfterFailure,
   viewAfterReport,
 } from '@basilcourse/scheduler/cell/update-view';
 import type { WorkerView } from '@basilcourse/scheduler/cell/worker-view';
-import type { Learner } from '@basilcourse/scheduler/learning/learner';
+import type { WorkloadEstimator } from '@basilcourse/scheduler/learning/workload-estimator';
 import type { PlatformWorker } from '@basilcourse/scheduler/platform/platform-worker';
 import type { StartCommand } from '@basilcourse/scheduler/platform/start-command';
 import type { StopCommand } from '@basilcourse/scheduler/platform/stop-command';
@@ -34,8 +34,8 @@
   readonly clock: Clock;
   readonly events: EventRecorder;
   readonly workerAt: (address: string) => PlatformWorker;
-  readonly ledger: LeaseLedger;
-  readonly learner: Learner;
+  readonly ledger: GrantedLeases;
+  readonly learner: WorkloadEstimator;
   /** Starts tasks throttled that harm services beside them. */
   readonly startsThrottled: boolean;
   readonly mayDecide: (now: number) => boolean;
@@ -138,7 +138,7 @@
         configuration: state.fold.configuration,
         scheduling: state.fold.scheduling,
         view,
-        ledger,
+        leases: ledger,
         confirmed: this.confirmed,
       },
       now,
@@ -147,7 +147,7 @@
     for (const decision of actions.decisions) {
       this.parts.propose(decision);
     }
-    learner.learn(worker, report.usage);
+    learner.recordSamples(worker, report.usage);
     const commands = [
       ...actions.starts.map(start => this.start(platformWorker, start)),
       ...actions.stops.map(stop => this.stop(platformWorker, stop)),
@@ -169,7 +169,7 @@
       }
     }
     const neighbours = neighboursOf(this.parts.state.fold, running);
-    learner.noteRunning(worker, neighbours, now);
+    learner.recordRunning(worker, neighbours, now);
   }
 
   private start(
--- a/packages/proving/src/measure/colocation/decision-cost.ts
+++ b/packages/proving/src/measure/colocation/decision-cost.ts
@@ -1,5 +1,5 @@
-import { LeaseLedger } from '@basilcourse/scheduler/cell/lease-ledger';
-import { Learner } from '@basilcourse/scheduler/learning/learner';
+import { GrantedLeases } from '@basilcourse/scheduler/cell/granted-leases';
+import { WorkloadEstimator } from '@basilcourse/scheduler/learning/workload-estimator';
 import { planCell } from '@basilcourse/scheduler/plan/plan-cell';
 import { StateFold } from '@basilcourse/shared-state/fold/state-fold';
 
@@ -52,8 +52,8 @@
     configuration: fold.configuration,
     scheduling: fold.scheduling,
     views: new Map(),
-    ledger: new LeaseLedger(),
-    learner: new Learner(),
+    leases: new GrantedLeases(),
+    estimator: new WorkloadEstimator(),
     announced: [],
     scorer: 'least-harm' as const,
   };
--- a/packages/proving/src/measure/colocation/run-case.ts
+++ b/packages/proving/src/measure/colocation/run-case.ts
@@ -1,6 +1,6 @@
 import { seededBehaviour } from '@basilcourse/platform-stand-in/worker/seeded-behaviour';
 import type { TaskBehaviour } from '@basilcourse/platform-stand-in/worker/task-behaviour';
-import type { Learner } from '@basilcourse/scheduler/learning/learner';
+import type { WorkloadEstimator } from '@basilcourse/scheduler/learning/workload-estimator';
 
 import { SteppedRun } from '../../stepped/stepped-run.js';
 import { percentile } from '../percentile.js';
@@ -19,7 +19,7 @@
 
 const TEACHING_ROUNDS = 60;
 
-function teach(learner: Learner, behaviour: TaskBehaviour): void {
+function teach(learner: WorkloadEstimator, behaviour: TaskBehaviour): void {
   const kinds = ['label', ...JOB_KINDS];
   for (let round = 0; round < TEACHING_ROUNDS; round += 1) {
     for (const sufferer of kinds) {
--- a/packages/proving/src/measure/colocation/throttle-loop.ts
+++ b/packages/proving/src/measure/colocation/throttle-loop.ts
@@ -3,18 +3,18 @@
   decideThrottle,
   nextShare,
 } from '@basilcourse/scheduler/pressure/decide-throttle';
-import { PressureGauge } from '@basilcourse/scheduler/pressure/pressure-gauge';
+import { ServiceTimeWindows } from '@basilcourse/scheduler/pressure/service-time-windows';
 
 const SERVICE_MILLISECONDS = 100;
 
 /** The agents' control beside the services, on the run's clock. */
 export class ThrottleLoop {
-  private readonly gauges = new Map<string, PressureGauge>();
+  private readonly gauges = new Map<string, ServiceTimeWindows>();
 
   public constructor(private readonly latencyWeight: number) {}
 
   public async step(worker: WorkerStandIn): Promise<void> {
-    const gauge = this.gauges.get(worker.name) ?? new PressureGauge();
+    const gauge = this.gauges.get(worker.name) ?? new ServiceTimeWindows();
     this.gauges.set(worker.name, gauge);
     const services = worker.runner.tasks.filter(
       ({ command }) => command.role === 'service',
@@ -31,7 +31,7 @@
         attempt: command.attempt,
         targetMilliseconds: SERVICE_MILLISECONDS * 1.1,
       })),
-      gauge,
+      serviceTimes: gauge,
     });
     if (direction === 'keep') {
       return;
--- a/packages/scheduler/src/cell/new-worker-view.ts
+++ b/packages/scheduler/src/cell/new-worker-view.ts
@@ -1,6 +1,6 @@
 import type { WorkerView } from './worker-view.js';
 
-/** View of a worker that has not been heard from. */
+/** Creates the view of a worker that has not answered yet. */
 export function newWorkerView(worker: string): WorkerView {
   return {
     worker,
--- a/packages/scheduler/src/cell/reconcile-worker.ts
+++ b/packages/scheduler/src/cell/reconcile-worker.ts
@@ -15,7 +15,7 @@
 import type { StartCommand } from '../platform/start-command.js';
 import type { StopCommand } from '../platform/stop-command.js';
 import type { TaskReport } from '../platform/task-report.js';
-import type { LeaseLedger } from './lease-ledger.js';
+import type { GrantedLeases } from './granted-leases.js';
 import {
   CLOCK_ERROR_MILLISECONDS,
   JOB_GRACE_MILLISECONDS,
@@ -25,18 +25,18 @@
 import type { WorkerActions } from './worker-actions.js';
 import type { WorkerView } from './worker-view.js';
 
-/** What the reconciliation of one worker depends on. */
-export interface ReconcileQuestion {
+/** Input of the reconciliation of one worker. */
+export interface ReconcileInput {
   readonly worker: string;
   readonly configuration: Configuration;
   readonly scheduling: Scheduling;
   readonly view: WorkerView;
-  readonly ledger: LeaseLedger;
-  /** Attempts that this holder has seen running. */
+  readonly leases: GrantedLeases;
+  /** Attempts that the worker has reported as running to this holder. */
   readonly confirmed: ReadonlySet<string>;
 }
 
-function end(
+function endDecision(
   attemptId: string,
   outcome: AttemptOutcome,
   checkpoint: string,
@@ -45,7 +45,7 @@
   return { type: 'end', attemptId, outcome, checkpoint, reason };
 }
 
-/** Outcomes by the state in which a worker reports an attempt as ended. */
+/** Outcome of an attempt by the state that its worker reports. */
 const outcomesByState: Readonly<
   Record<TaskReport['state'], AttemptOutcome | undefined>
 > = {
@@ -56,8 +56,8 @@
   lapsed: 'lapsed',
 };
 
-function endOf(
-  question: ReconcileQuestion,
+function endDecisionFor(
+  input: ReconcileInput,
   attempt: Attempt,
   report: TaskReport,
 ): Decision | undefined {
@@ -65,12 +65,18 @@
   if (outcome === undefined) {
     return undefined;
   }
-  const inForce = isTaskInForce(question.configuration, attempt.task);
-  const counted = outcome === 'evicted' && !inForce ? 'cancelled' : outcome;
-  return end(attempt.id, counted, report.checkpoint, report.reason);
+  const inForce = isTaskInForce(input.configuration, attempt.task);
+  const recordedOutcome =
+    outcome === 'evicted' && !inForce ? 'cancelled' : outcome;
+  return endDecision(
+    attempt.id,
+    recordedOutcome,
+    report.checkpoint,
+    report.reason,
+  );
 }
 
-function stopOf(attempt: Attempt): StopCommand {
+function stopCommandFor(attempt: Attempt): StopCommand {
   const service = isServiceTask(attempt.task);
   return {
     attempt: attempt.id,
@@ -81,12 +87,12 @@
   };
 }
 
-function startOf(
-  question: ReconcileQuestion,
+function startCommandFor(
+  input: ReconcileInput,
   attempt: Attempt,
   now: number,
 ): StartCommand | undefined {
-  const { configuration, scheduling } = question;
+  const { configuration, scheduling } = input;
   const service = configuration.services.get(serviceOf(attempt.task));
   const job = configuration.jobs.get(jobOf(attempt.task));
   const taskKind = service?.taskKind ?? job?.taskKind;
@@ -109,67 +115,65 @@
 }
 
 function mayStart(
-  question: ReconcileQuestion,
+  input: ReconcileInput,
   attempt: Attempt,
   now: number,
 ): boolean {
   const inWindow = now < attempt.placedAt + START_WINDOW_MILLISECONDS;
   return (
-    attempt.state === 'assigned' &&
-    inWindow &&
-    !question.confirmed.has(attempt.id)
+    attempt.state === 'assigned' && inWindow && !input.confirmed.has(attempt.id)
   );
 }
 
 /**
- * Compares what the log says of a worker with what the worker says.
+ * Compares the state of a worker in the log with the worker's own report.
  *
- * An attempt that the worker does not know is started within its window. After
- * that it counts as ended only when every lease that could still start it has
- * lapsed.
+ * An attempt that is missing from the report is started if its start window is
+ * still open. After the window it is recorded as ended, but only once every
+ * lease under which it could still start has expired.
  */
 export function reconcileWorker(
-  question: ReconcileQuestion,
+  input: ReconcileInput,
   now: number,
 ): WorkerActions {
-  const { scheduling, view, ledger, worker } = question;
+  const { scheduling, view, leases, worker } = input;
   const starts: StartCommand[] = [];
   const stops: StopCommand[] = [];
   const decisions: Decision[] = [];
   const active = scheduling.attemptsOn(worker);
   for (const attempt of active) {
     const report = view.tasks.get(attempt.id);
-    const ended = report && endOf(question, attempt, report);
-    if (ended !== undefined) {
-      decisions.push(ended);
+    const decision = report && endDecisionFor(input, attempt, report);
+    if (decision !== undefined) {
+      decisions.push(decision);
       continue;
     }
     if (report !== undefined) {
       if (attempt.state === 'evicting') {
-        stops.push(stopOf(attempt));
+        stops.push(stopCommandFor(attempt));
       }
       continue;
     }
-    const start = mayStart(question, attempt, now)
-      ? startOf(question, attempt, now)
+    const start = mayStart(input, attempt, now)
+      ? startCommandFor(input, attempt, now)
       : undefined;
     if (start !== undefined) {
       starts.push(start);
       continue;
     }
-    if (now > ledger.lapsesAt(attempt.id) + CLOCK_ERROR_MILLISECONDS) {
-      const outcome = question.confirmed.has(attempt.id)
+    if (now > leases.expiresAt(attempt.id) + CLOCK_ERROR_MILLISECONDS) {
+      const outcome = input.confirmed.has(attempt.id)
         ? 'lapsed'
         : 'not-started';
       const reason = 'the worker does not know the attempt';
-      decisions.push(end(attempt.id, outcome, '', reason));
+      decisions.push(endDecision(attempt.id, outcome, '', reason));
     }
   }
-  const wanted = new Set(active.map(attempt => attempt.id));
-  const unwanted = [...view.tasks.values()].filter(
-    report => !wanted.has(report.attempt),
+  const activeIds = new Set(active.map(attempt => attempt.id));
+  const inactiveReports = [...view.tasks.values()].filter(
+    report => !activeIds.has(report.attempt),
   );
-  for (const report of unwanted) {
+  for (const report of inactiveReports) {
     if (report.state === 'running') {
       const graceMilliseconds = 0;
       stops.push({
@@ -179,7 +183,7 @@
       });
     }
   }
-  const acknowledged = unwanted
+  const acknowledged = inactiveReports
     .filter(report => report.state !== 'running')
     .map(report => report.attempt);
   return { starts, stops, decisions, acknowledged };
--- a/packages/scheduler/src/cell/timing.ts
+++ b/packages/scheduler/src/cell/timing.ts
@@ -1,14 +1,14 @@
-/** Stated bound on the difference between any two clocks. */
+/** Assumed upper bound on the difference between any two clocks. */
 export const CLOCK_ERROR_MILLISECONDS = 500;
 
-/** Time after its decision in which an attempt may be started. */
+/** Time after the placement decision during which an attempt may be started. */
 export const START_WINDOW_MILLISECONDS = 5000;
 
-/** Silence after which a worker counts as unreachable. */
-export const UNREACHABLE_AFTER_MILLISECONDS = 3000;
+/** Time without an answer after which a worker counts as unreachable. */
+export const UNREACHABLE_TIMEOUT_MILLISECONDS = 3000;
 
-/** Time for the graceful end of a minion. */
+/** Time for the graceful shutdown of a minion. */
 export const SERVICE_GRACE_MILLISECONDS = 10_000;
 
-/** Time for the graceful end of a batch task. */
+/** Time for the graceful shutdown of a batch task. */
 export const JOB_GRACE_MILLISECONDS = 2000;
--- a/packages/scheduler/src/cell/update-view.ts
+++ b/packages/scheduler/src/cell/update-view.ts
@@ -2,14 +2,14 @@
 import type { WorkerReport } from '../platform/worker-report.js';
 import type { WorkerView } from './worker-view.js';
 
-function total(
+function sumOver(
   samples: readonly UsageSample[],
-  read: (sample: UsageSample) => number,
+  valueOf: (sample: UsageSample) => number,
 ): number {
-  return samples.reduce((sum, sample) => sum + read(sample), 0);
+  return samples.reduce((sum, sample) => sum + valueOf(sample), 0);
 }
 
-/** View of a worker after its answer. */
+/** Returns the view of a worker updated with its report. */
 export function viewAfterReport(
   view: WorkerView,
   report: WorkerReport,
@@ -20,19 +20,19 @@
       .filter(({ state }) => state === 'running')
       .map(({ attempt }) => attempt),
   );
-  // Samples are late; those of tasks that have ended no longer count.
+  // Samples arrive late, so some belong to tasks that have ended since.
   const samples = report.usage.filter(({ attempt }) => running.has(attempt));
   return {
     worker: view.worker,
     answeredAt: now,
     failingSince: 0,
     tasks: new Map(report.tasks.map(task => [task.attempt, task])),
-    usedMemoryGigabytes: total(samples, sample => sample.memoryGigabytes),
-    usedProcessors: total(samples, sample => sample.processors),
+    usedMemoryGigabytes: sumOver(samples, sample => sample.memoryGigabytes),
+    usedProcessors: sumOver(samples, sample => sample.processors),
   };
 }
 
-/** View of a worker after a call to it that failed. */
+/** Returns the view of a worker updated with a failed call. */
 export function viewAfterFailure(view: WorkerView, now: number): WorkerView {
   const failingSince = view.failingSince === 0 ? now : view.failingSince;
   return { ...view, failingSince };
--- a/packages/scheduler/src/cell/worker-view.ts
+++ b/packages/scheduler/src/cell/worker-view.ts
@@ -1,15 +1,15 @@
 import type { TaskReport } from '../platform/task-report.js';
 
-/** What the holder of a cell last heard from a worker. */
+/** State of a worker as last observed by the holder of its cell. */
 export interface WorkerView {
   readonly worker: string;
-  /** Most recent answer; 0 before the first. */
+  /** Time of the most recent answer; 0 before the first. */
   readonly answeredAt: number;
-  /** First failure after the most recent answer; 0 without one. */
+  /** Time of the first failed call since that answer; 0 if none failed. */
   readonly failingSince: number;
   readonly tasks: ReadonlyMap<string, TaskReport>;
-  /** Memory in use by the most recent samples, in gigabytes. */
+  /** Memory in use according to the most recent samples. */
   readonly usedMemoryGigabytes: number;
-  /** Processors in use by the most recent samples. */
+  /** Processors in use according to the most recent samples. */
   readonly usedProcessors: number;
 }
--- a/packages/scheduler/src/learning/decaying-quantile.ts
+++ b/packages/scheduler/src/learning/decaying-quantile.ts
@@ -1,7 +1,7 @@
-/** Weight that a sample keeps after each further sample. */
+/** Factor by which the weight of a sample shrinks with each later sample. */
 const DECAY = 0.98;
 
-/** Buckets per doubling of the value. */
+/** Number of buckets per doubling of the value. */
 const BUCKETS_PER_DOUBLING = 8;
 
 const SMALLEST_VALUE = 1e-3;
@@ -12,11 +12,11 @@
 }
 
 /**
- * Quantiles of a stream that forget old samples.
+ * Estimates quantiles of a stream, with weights that decay as samples age.
  *
- * Logarithmic buckets as in Masson, Rim and Lee, "DDSketch", VLDB 2019, with
- * exponentially growing weights in place of decaying all buckets; the relative
- * error is at most 5 %.
+ * Uses logarithmic buckets as in Masson, Rim and Lee, "DDSketch", VLDB 2019.
+ * New samples get exponentially growing weights, which is equivalent to
+ * decaying all buckets. The relative error is at most 5 %.
  */
 export class DecayingQuantile {
   private readonly buckets = new Map<number, number>();
@@ -45,10 +45,10 @@
   /** Value at a quantile from 0 to 1; 0 without samples. */
   public at(quantile: number): number {
     const ordered = [...this.buckets].sort(([left], [right]) => left - right);
-    let passed = 0;
+    let cumulativeWeight = 0;
     for (const [bucket, weight] of ordered) {
-      passed += weight;
-      if (passed >= quantile * this.total) {
+      cumulativeWeight += weight;
+      if (cumulativeWeight >= quantile * this.total) {
         return SMALLEST_VALUE * 2 ** (bucket / BUCKETS_PER_DOUBLING);
       }
     }
--- a/packages/scheduler/src/learning/interference-model.ts
+++ b/packages/scheduler/src/learning/interference-model.ts
@@ -1,8 +1,8 @@
-/** Reads learned interference between kinds of tasks. */
+/** Estimated interference between kinds of tasks. */
 export interface InterferenceModel {
   /**
-   * Relative slowdown that one task of the second kind causes to the first
-   * kind on the same worker; 0 for none, 0.1 for a tenth.
+   * Relative slowdown that one task of the neighbour kind causes to tasks of
+   * the affected kind on the same worker: 0 for none, 0.1 for 10 %.
    */
-  readonly slowdown: (sufferer: string, neighbour: string) => number;
+  readonly slowdown: (affectedKind: string, neighbourKind: string) => number;
 }
--- a/packages/scheduler/src/learning/neighbour-history.ts
+++ b/packages/scheduler/src/learning/neighbour-history.ts
@@ -1,9 +1,10 @@
 import type { Neighbour } from './neighbour.js';
 
-/** How long the tasks of a worker are remembered. */
-const MEMORY_MILLISECONDS = 120_000;
+/** Time for which past tasks of a worker are kept. */
+const RETENTION_MILLISECONDS = 120_000;
 
-interface NeighbourState {
+/** Tasks that run on a worker from a time until the next entry. */
+interface RunningTasks {
   readonly from: number;
   readonly byAttempt: ReadonlyMap<string, Neighbour>;
 }
@@ -20,33 +21,33 @@
   );
 }
 
-/** Tasks that ran on a worker at earlier moments, for late usage reports. */
+/** Past tasks of a worker, to match usage samples that arrive late. */
 export class NeighbourHistory {
-  private states: readonly NeighbourState[] = [];
+  private entries: readonly RunningTasks[] = [];
 
-  /** Notes the tasks that run from now on. */
-  public note(byAttempt: ReadonlyMap<string, Neighbour>, now: number): void {
-    const last = this.states.at(-1);
+  /** Records the tasks that run from now on. */
+  public record(byAttempt: ReadonlyMap<string, Neighbour>, now: number): void {
+    const last = this.entries.at(-1);
     if (last !== undefined && isSame(last.byAttempt, byAttempt)) {
       return;
     }
-    const kept = this.states.filter(
+    const kept = this.entries.filter(
       (_, index) =>
-        (this.states[index + 1]?.from ?? now) > now - MEMORY_MILLISECONDS,
+        (this.entries[index + 1]?.from ?? now) > now - RETENTION_MILLISECONDS,
     );
-    this.states = [...kept, { from: now, byAttempt }];
+    this.entries = [...kept, { from: now, byAttempt }];
   }
 
-  /** Tasks that ran beside an attempt at a moment; undefined when unknown. */
-  public besides(
+  /** Other tasks at a time; undefined if the attempt is not recorded then. */
+  public neighboursAt(
     attempt: string,
     at: number,
   ): readonly Neighbour[] | undefined {
-    const state = this.states.findLast(candidate => candidate.from <= at);
-    if (state?.byAttempt.has(attempt) !== true) {
+    const entry = this.entries.findLast(candidate => candidate.from <= at);
+    if (entry?.byAttempt.has(attempt) !== true) {
       return undefined;
     }
-    return [...state.byAttempt]
+    return [...entry.byAttempt]
       .filter(([other]) => other !== attempt)
       .map(([, neighbour]) => neighbour);
   }
--- a/packages/scheduler/src/learning/neighbour.ts
+++ b/packages/scheduler/src/learning/neighbour.ts
@@ -1,6 +1,6 @@
-/** A task on a worker as its neighbours feel it. */
+/** A task that may slow down the other tasks on its worker. */
 export interface Neighbour {
   readonly taskKind: string;
-  /** Share of its processors that it might use, 0 to 1. */
+  /** Share of its processors that it was allowed to use, 0 to 1. */
   readonly share: number;
 }
--- a/packages/scheduler/src/learning/usage-model.ts
+++ b/packages/scheduler/src/learning/usage-model.ts
@@ -4,21 +4,21 @@
 import type { UsageSample } from '../platform/usage-sample.js';
 import { DecayingQuantile } from './decaying-quantile.js';
 
-/** Kinds of tasks that are remembered. */
+/** Maximum number of kinds with recorded usage. */
 const MAXIMUM_KINDS = 2000;
 
-/** Samples below which the declared size stands. */
-const ENOUGH_SAMPLES = 20;
+/** Number of samples below which the declared resources are assigned. */
+const MINIMUM_SAMPLES = 20;
 
 const HIGH_QUANTILE = 0.95;
 
 const BASELINE_QUANTILE = 0.1;
 
-/** Room above the learned quantile. */
-const HEADROOM = 1.15;
+/** Safety margin above the measured quantile. */
+const HEADROOM_FACTOR = 1.15;
 
-/** Least share of the declared size that is assigned. */
-const LEAST_SHARE = 0.5;
+/** Lowest share of the declared resources that is assigned. */
+const MINIMUM_DECLARED_SHARE = 0.5;
 
 interface KindUsage {
   readonly processors: DecayingQuantile;
@@ -35,11 +35,11 @@
 }
 
 function estimate(declared: number, usage: DecayingQuantile): number {
-  const learned = usage.at(HIGH_QUANTILE) * HEADROOM;
-  return Math.max(learned, declared * LEAST_SHARE);
+  const measured = usage.at(HIGH_QUANTILE) * HEADROOM_FACTOR;
+  return Math.max(measured, declared * MINIMUM_DECLARED_SHARE);
 }
 
-/** Learns what tasks of a kind use, against what they declare. */
+/** Estimates the resource usage and slowdown of tasks by their kind. */
 export class UsageModel {
   private readonly kinds = new BoundedMap<KindUsage>(MAXIMUM_KINDS);
 
@@ -51,10 +51,10 @@
     this.kinds.set(sample.taskKind, usage);
   }
 
-  /** Size to assign to a task of a kind; the declared one while unknown. */
-  public sizeFor(taskKind: string, declared: Resources): Resources {
+  /** Resources to assign to a task; the declared ones until enough samples. */
+  public resourcesFor(taskKind: string, declared: Resources): Resources {
     const usage = this.kinds.get(taskKind);
-    if (usage === undefined || usage.processors.samples < ENOUGH_SAMPLES) {
+    if (usage === undefined || usage.processors.samples < MINIMUM_SAMPLES) {
       return declared;
     }
     return {
@@ -67,10 +67,10 @@
     };
   }
 
-  /** Slowdown of a sample against the best that its kind has shown. */
+  /** Relative slowdown of a sample against a low quantile of its kind. */
   public slowdownOf(sample: UsageSample): number | undefined {
     const usage = this.kinds.get(sample.taskKind)?.cyclesPerInstruction;
-    if (usage === undefined || usage.samples < ENOUGH_SAMPLES) {
+    if (usage === undefined || usage.samples < MINIMUM_SAMPLES) {
       return undefined;
     }
     const baseline = usage.at(BASELINE_QUANTILE);
--- a/packages/scheduler/src/placement/choose-worker.ts
+++ b/packages/scheduler/src/placement/choose-worker.ts
@@ -4,15 +4,17 @@
 import type { PlacementRequest } from './placement-request.js';
 import type { Scorer, ScoringContext } from './scorer.js';
 
-/** The worker chosen for a task, and how it came out on top. */
+/** The worker chosen for a task, with the statistics of the choice. */
 export interface Choice {
   readonly worker: string;
   readonly score: number;
+  /** Number of candidates. */
   readonly considered: number;
-  readonly withRoom: number;
+  /** Number of candidates with enough available resources. */
+  readonly fitting: number;
 }
 
-/** Chooses the candidate with room and the highest score. */
+/** Chooses the best-scored candidate with enough available resources. */
 export function chooseWorker(
   request: PlacementRequest,
   candidates: readonly Candidate[],
@@ -20,7 +22,7 @@
   context: ScoringContext,
 ): Choice | undefined {
   const fitting = candidates.filter(candidate =>
-    fits(request.resources, candidate.room),
+    fits(request.resources, candidate.availableResources),
   );
   let best: Candidate | undefined;
   let bestScore = Number.NEGATIVE_INFINITY;
@@ -38,6 +40,6 @@
     worker: best.worker,
     score: bestScore,
     considered: candidates.length,
-    withRoom: fitting.length,
+    fitting: fitting.length,
   };
 }
--- a/packages/scheduler/src/placement/placement-request.ts
+++ b/packages/scheduler/src/placement/placement-request.ts
@@ -7,6 +7,6 @@
   readonly role: 'service' | 'job';
   readonly resources: Resources;
   readonly urgent: boolean;
-  /** Workers on which it failed before. */
+  /** Workers on which the task has failed. */
   readonly failedOn: readonly string[];
 }
--- a/packages/scheduler/src/placement/scorer.ts
+++ b/packages/scheduler/src/placement/scorer.ts
@@ -2,16 +2,16 @@
 import type { Candidate } from './candidate.js';
 import type { PlacementRequest } from './placement-request.js';
 
-/** What a scorer may use besides the candidate. */
+/** Input of a scorer besides the request and the candidate. */
 export interface ScoringContext {
   readonly interference: InterferenceModel;
   /** Weight of tail latency against batch throughput, 0 to 1. */
   readonly latencyWeight: number;
-  /** Kinds of services; harm to them counts as latency. */
+  /** Task kinds of services; their slowdown is weighted as latency. */
   readonly serviceKinds: ReadonlySet<string>;
 }
 
-/** Scores a candidate that has room; the highest score wins. */
+/** Scores a candidate with enough available resources; the highest wins. */
 export type Scorer = (
   request: PlacementRequest,
   candidate: Candidate,
--- a/packages/scheduler/src/placement/scorers.ts
+++ b/packages/scheduler/src/placement/scorers.ts
@@ -8,7 +8,7 @@
 
 const SAME_WORKER_WEIGHT = 4;
 
-const HARM_WEIGHT = 10;
+const INTERFERENCE_WEIGHT = 10;
 
 const PACKING_WEIGHT = 0.3;
 
@@ -16,11 +16,13 @@
 
 const ACCELERATOR_WEIGHT = 1;
 
-const FAILED_HERE_WEIGHT = 5;
+const PREVIOUS_FAILURE_WEIGHT = 5;
 
-function shareLeft({ room, capacity }: Candidate): number {
-  const processors = room.processors / Math.max(1, capacity.processors);
-  const memory = room.memoryGigabytes / Math.max(1, capacity.memoryGigabytes);
+function availableShare({ availableResources, capacity }: Candidate): number {
+  const processors =
+    availableResources.processors / Math.max(1, capacity.processors);
+  const memory =
+    availableResources.memoryGigabytes / Math.max(1, capacity.memoryGigabytes);
   return (processors + memory) / 2;
 }
 
@@ -28,7 +30,7 @@
   return (
     RACK_WEIGHT * candidate.sameServiceInRack +
     ZONE_WEIGHT * candidate.sameServiceInZone +
-    SAME_WORKER_WEIGHT * candidate.sameServiceHere
+    SAME_WORKER_WEIGHT * candidate.sameServiceOnWorker
   );
 }
 
@@ -37,17 +39,17 @@
   return serviceKinds.has(kind) ? latencyWeight : 1 - latencyWeight;
 }
 
-function harm(
+function interferenceCost(
   request: PlacementRequest,
   candidate: Candidate,
   context: ScoringContext,
 ): number {
   const { interference } = context;
   let sum = 0;
-  for (const [neighbour, count] of candidate.neighbours) {
-    const done = interference.slowdown(neighbour, request.taskKind);
-    const suffered = interference.slowdown(request.taskKind, neighbour);
-    sum += count * weightOf(neighbour, context) * done;
+  for (const [neighbourKind, count] of candidate.neighbours) {
+    const caused = interference.slowdown(neighbourKind, request.taskKind);
+    const suffered = interference.slowdown(request.taskKind, neighbourKind);
+    sum += count * weightOf(neighbourKind, context) * caused;
     sum += count * weightOf(request.taskKind, context) * suffered;
   }
   return sum;
@@ -58,37 +60,39 @@
   candidate: Candidate,
 ): number {
   const needed = request.resources.accelerators > 0;
-  return needed || candidate.room.accelerators === 0 ? 0 : 1;
+  return needed || candidate.availableResources.accelerators === 0 ? 0 : 1;
 }
 
-const leastHarm: Scorer = (request, candidate, context) => {
-  const left = shareLeft(candidate);
-  const fill =
-    request.role === 'service' ? SPREAD_WEIGHT * left : -PACKING_WEIGHT * left;
+const leastInterference: Scorer = (request, candidate, context) => {
+  const available = availableShare(candidate);
+  const capacityScore =
+    request.role === 'service'
+      ? SPREAD_WEIGHT * available
+      : -PACKING_WEIGHT * available;
   const spread = request.role === 'service' ? spreadPenalty(candidate) : 0;
   const failed = request.failedOn.includes(candidate.worker) ? 1 : 0;
   return (
-    fill -
+    capacityScore -
     spread -
-    HARM_WEIGHT * harm(request, candidate, context) -
+    INTERFERENCE_WEIGHT * interferenceCost(request, candidate, context) -
     ACCELERATOR_WEIGHT * wastedAccelerators(request, candidate) -
-    FAILED_HERE_WEIGHT * failed
+    PREVIOUS_FAILURE_WEIGHT * failed
   );
 };
 
 const separate: Scorer = (request, candidate, context) => {
-  const other = [...candidate.neighbours.keys()].filter(
+  const otherRoleKinds = [...candidate.neighbours.keys()].filter(
     kind => context.serviceKinds.has(kind) !== (request.role === 'service'),
   );
-  return (other.length === 0 ? 0 : -1000) + shareLeft(candidate);
+  return (otherRoleKinds.length === 0 ? 0 : -1000) + availableShare(candidate);
 };
 
 /** Scorers by name; `least-harm` is in use, the others are baselines. */
 export const scorers = {
   'first-fit': () => 0,
-  'least-assigned': (_request, candidate) => shareLeft(candidate),
+  'least-assigned': (_request, candidate) => availableShare(candidate),
   separate,
-  'least-harm': leastHarm,
+  'least-harm': leastInterference,
 } as const satisfies Readonly<Record<string, Scorer>>;
 
 /** Names of the scorers. */
--- a/packages/scheduler/src/plan/cheapest-victims.ts
+++ b/packages/scheduler/src/plan/cheapest-victims.ts
@@ -6,35 +6,35 @@
 
 import type { PlanPass } from './plan-pass.js';
 
-/** Evictions after which a job is not preempted again. */
+/** Number of evictions after which a job is not preempted again. */
 export const MAXIMUM_EVICTIONS = 5;
 
-/** Seconds of lost progress that one earlier eviction weighs as much as. */
+/** Cost of one earlier eviction, in seconds of lost progress. */
 const SECONDS_PER_EVICTION = 120;
 
 function costOf(pass: PlanPass, attempt: Attempt): number {
-  const { views, scheduling } = pass.question;
+  const { views, scheduling } = pass.input;
   const report = views.get(attempt.worker)?.tasks.get(attempt.id);
-  const age = (pass.now - attempt.placedAt) / 1000;
-  const lost = report?.uncheckpointedSeconds ?? age;
+  const ageSeconds = (pass.now - attempt.placedAt) / 1000;
+  const lostSeconds = report?.uncheckpointedSeconds ?? ageSeconds;
   const evictions = scheduling.tasks.get(attempt.task)?.evictions ?? 0;
-  return lost + evictions * SECONDS_PER_EVICTION;
+  return lostSeconds + evictions * SECONDS_PER_EVICTION;
 }
 
 function mayBeEvicted(pass: PlanPass, attempt: Attempt): boolean {
-  const { scheduling, configuration } = pass.question;
+  const { scheduling, configuration } = pass.input;
   const evictions = scheduling.tasks.get(attempt.task)?.evictions ?? 0;
   const urgent = configuration.jobs.get(jobOf(attempt.task))?.urgent === true;
   return (
     !isServiceTask(attempt.task) &&
     !urgent &&
-    !pass.isLeaving(attempt) &&
+    !pass.isEvicting(attempt) &&
     attempt.state === 'assigned' &&
     evictions < MAXIMUM_EVICTIONS
   );
 }
 
-/** Batch attempts that may be evicted, those that lose least first. */
+/** Batch attempts that may be evicted, in ascending order of cost. */
 export function cheapestVictims(
   pass: PlanPass,
   attempts: readonly Attempt[],
--- a/packages/scheduler/src/plan/evict-withdrawn.ts
+++ b/packages/scheduler/src/plan/evict-unneeded.ts
@@ -5,18 +5,18 @@
 
 function surplusOf(
   attempts: readonly Attempt[],
-  wanted: number,
+  targetCount: number,
 ): readonly Attempt[] {
   const assigned = attempts.filter(attempt => attempt.state === 'assigned');
   const newestFirst = [...assigned].sort(
     (left, right) => right.placedAt - left.placedAt,
   );
-  return newestFirst.slice(0, Math.max(0, assigned.length - wanted));
+  return newestFirst.slice(0, Math.max(0, assigned.length - targetCount));
 }
 
-/** Ends attempts of withdrawn services and jobs, and surplus minions. */
-export function evictWithdrawn(pass: PlanPass): void {
-  const { configuration, scheduling, cell } = pass.question;
+/** Evicts attempts of withdrawn services and jobs, and surplus minions. */
+export function evictUnneeded(pass: PlanPass): void {
+  const { configuration, scheduling, cell } = pass.input;
   for (const attempt of scheduling.attempts.values()) {
     if (attempt.cell === cell && !isTaskInForce(configuration, attempt.task)) {
       pass.evict(attempt, 'withdrawn by a release note');
@@ -24,10 +24,10 @@
   }
   for (const service of configuration.services.values()) {
     const attempts = scheduling.attemptsOf(`service/${service.name}`);
-    const kept = attempts.filter(
+    const undrained = attempts.filter(
       attempt => !configuration.drained.has(attempt.worker),
     );
-    for (const attempt of surplusOf(kept, service.minions)) {
+    for (const attempt of surplusOf(undrained, service.minions)) {
       if (attempt.cell === cell) {
         pass.evict(attempt, `more than ${service.minions} minions run`);
       }
--- a/packages/scheduler/src/plan/join-workers.ts
+++ b/packages/scheduler/src/plan/join-workers.ts
@@ -7,17 +7,17 @@
   return JSON.stringify(left) === JSON.stringify(right);
 }
 
-/** Takes in workers that were announced and are new or have changed. */
+/** Records announced workers that are new or whose description has changed. */
 export function joinWorkers(pass: PlanPass): void {
-  const { announced, scheduling, configuration, cell } = pass.question;
+  const { announced, scheduling, configuration, cell } = pass.input;
   const { cellsPerRegion } = configuration.limits;
   for (const description of announced) {
-    const known = scheduling.workers.get(description.worker);
+    const recorded = scheduling.workers.get(description.worker);
     const owner =
-      known?.cell ??
+      recorded?.cell ??
       cellOfWorker(description.worker, description.region, cellsPerRegion);
     const changed =
-      known === undefined || !isSame(known.description, description);
+      recorded === undefined || !isSame(recorded.description, description);
     if (owner === cell && changed) {
       pass.decide({ type: 'worker-join', description });
     }
--- a/packages/scheduler/src/plan/place-jobs.ts
+++ b/packages/scheduler/src/plan/place-jobs.ts
@@ -5,67 +5,77 @@
 import type { TaskProgress } from '@basilcourse/shared-state/scheduling/task-progress';
 
 import type { PlacementRequest } from '../placement/placement-request.js';
-import { MAXIMUM_FAILURES, retryDelay } from '../repair/retry-delay.js';
-import { makeRoom } from './make-room.js';
+import {
+  earliestRetryTime,
+  UNPLACEABLE_FAILURE_COUNT,
+} from '../repair/retry-delay.js';
 import type { PlanPass } from './plan-pass.js';
+import { preemptBatch } from './preempt-batch.js';
 import { TeamShares } from './team-shares.js';
 import type { WaitingJob } from './waiting-job.js';
 import { waitingJobs } from './waiting-jobs.js';
 
-/** Different workers on which a job must fail to count as at fault itself. */
-const WORKERS_TO_BLAME_JOB = 3;
+/** Number of workers on which a job must fail to be reported as unplaceable. */
+const MINIMUM_FAILED_WORKERS = 3;
 
-/** Jobs without room after which the rest of a pass is left for the next. */
-const MAXIMUM_MISSES = 20;
+/** Number of jobs that could not be placed after which a pass stops. */
+const MAXIMUM_UNPLACED_JOBS = 20;
 
-/** Wait for room after which a job may go to another cell. */
-const FORWARD_AFTER_MILLISECONDS = 2000;
+/** Time to wait for available resources before forwarding to another cell. */
+const FORWARD_DELAY_MILLISECONDS = 2000;
 
 function requestFor(pass: PlanPass, waiting: WaitingJob): PlacementRequest {
   const { job, task, progress } = waiting;
-  const { usage } = pass.question.learner;
+  const { usage } = pass.input.estimator;
   return {
     task,
     taskKind: job.taskKind,
     role: 'job',
-    resources: usage.sizeFor(job.taskKind, job.resources),
+    resources: usage.resourcesFor(job.taskKind, job.resources),
     urgent: job.urgent,
     failedOn: progress?.failedOn ?? [],
   };
 }
 
-function blameOf(
+function unplaceableReason(
   progress: TaskProgress | undefined,
   workers: number,
 ): string | undefined {
   const failures = progress?.failures ?? 0;
-  const places = new Set(progress?.failedOn ?? []).size;
-  const enoughPlaces = Math.min(WORKERS_TO_BLAME_JOB, workers);
-  return failures >= MAXIMUM_FAILURES && places >= enoughPlaces
-    ? `failed ${failures} times on ${places} workers: ${progress?.lastReason ?? ''}`
+  const failedWorkers = new Set(progress?.failedOn ?? []).size;
+  const requiredWorkers = Math.min(MINIMUM_FAILED_WORKERS, workers);
+  return failures >= UNPLACEABLE_FAILURE_COUNT &&
+    failedWorkers >= requiredWorkers
+    ? `failed ${failures} times on ${failedWorkers} workers: ${progress?.lastReason ?? ''}`
     : undefined;
 }
 
-function cellThatHolds(
+function findOtherCell(
   pass: PlanPass,
   request: PlacementRequest,
-  withRoom: boolean,
+  mustFitNow: boolean,
 ): string | undefined {
-  const { scheduling, configuration, cell } = pass.question;
+  const { scheduling, configuration, cell } = pass.input;
   for (const worker of scheduling.workers.values()) {
     const { resources, worker: name } = worker.description;
-    const room = withRoom ? subtract(resources, worker.assigned) : resources;
-    const open =
+    const available = mustFitNow
+      ? subtract(resources, worker.assigned)
+      : resources;
+    const acceptsTasks =
       worker.condition === 'ready' && !configuration.drained.has(name);
-    if (worker.cell !== cell && open && fits(request.resources, room)) {
+    if (
+      worker.cell !== cell &&
+      acceptsTasks &&
+      fits(request.resources, available)
+    ) {
       return worker.cell;
     }
   }
   return undefined;
 }
 
-function fitsHere(pass: PlanPass, request: PlacementRequest): boolean {
-  const { scheduling, cell } = pass.question;
+function fitsInThisCell(pass: PlanPass, request: PlacementRequest): boolean {
+  const { scheduling, cell } = pass.input;
   for (const worker of scheduling.workers.values()) {
     if (
       worker.cell === cell &&
@@ -77,31 +87,35 @@
   return false;
 }
 
-function report(pass: PlanPass, waiting: WaitingJob, reason: string): void {
+function reportUnplaceable(
+  pass: PlanPass,
+  waiting: WaitingJob,
+  reason: string,
+): void {
   if ((waiting.progress?.unplaceable ?? '') === '') {
     pass.decide({ type: 'report-unplaceable', task: waiting.task, reason });
   }
 }
 
-function passOn(
+function forwardOrReport(
   pass: PlanPass,
   waiting: WaitingJob,
   request: PlacementRequest,
 ): void {
-  const here = fitsHere(pass, request);
-  const patience = waiting.readyAt + FORWARD_AFTER_MILLISECONDS;
-  if (here && pass.now < patience) {
+  const fitsHere = fitsInThisCell(pass, request);
+  const forwardAt = waiting.readyAt + FORWARD_DELAY_MILLISECONDS;
+  if (fitsHere && pass.now < forwardAt) {
     return;
   }
-  const cell = cellThatHolds(pass, request, here);
+  const cell = findOtherCell(pass, request, fitsHere);
   if (cell !== undefined) {
     pass.decide({ type: 'forward', task: waiting.task, cell });
-  } else if (!here && pass.question.scheduling.workers.size > 0) {
-    report(pass, waiting, 'larger than every worker');
+  } else if (!fitsHere && pass.input.scheduling.workers.size > 0) {
+    reportUnplaceable(pass, waiting, 'larger than every worker');
   }
 }
 
-function mayPreempt(
+function preemptionFilter(
   job: BatchJob,
   shares: TeamShares,
 ): ((attempt: Attempt) => boolean) | undefined {
@@ -121,40 +135,47 @@
   const request = requestFor(pass, waiting);
   const choice = pass.choose(request);
   if (choice !== undefined) {
-    shares.take(waiting.job.team, request.resources);
+    shares.addUsage(waiting.job.team, request.resources);
     pass.place(request, choice);
     return true;
   }
-  const rule = mayPreempt(waiting.job, shares);
+  const mayEvict = preemptionFilter(waiting.job, shares);
   const reason = `room for job ${waiting.job.name}`;
-  if (rule === undefined || !makeRoom(pass, request, reason, rule)) {
-    passOn(pass, waiting, request);
+  if (
+    mayEvict === undefined ||
+    !preemptBatch(pass, request, reason, mayEvict)
+  ) {
+    forwardOrReport(pass, waiting, request);
   }
   return false;
 }
 
 /** Places waiting jobs: urgent ones first, then by fair share. */
 export function placeJobs(pass: PlanPass): void {
-  const { scheduling } = pass.question;
-  const waitingNow = waitingJobs(pass.question);
-  if (waitingNow.length === 0) {
+  const { scheduling } = pass.input;
+  const allWaiting = waitingJobs(pass.input);
+  if (allWaiting.length === 0) {
     return;
   }
-  const shares = new TeamShares(pass.question);
-  let misses = 0;
-  for (const waiting of shares.inOrder(waitingNow)) {
-    const blame = blameOf(waiting.progress, scheduling.workers.size);
-    if (blame !== undefined) {
-      // It goes on being tried at the longest delay: the workers may mend.
-      report(pass, waiting, blame);
+  const shares = new TeamShares(pass.input);
+  let unplacedJobs = 0;
+  for (const waiting of shares.inPlacementOrder(allWaiting)) {
+    const failureReason = unplaceableReason(
+      waiting.progress,
+      scheduling.workers.size,
+    );
+    if (failureReason !== undefined) {
+      // Retries go on at the maximum delay, since the workers may recover.
+      reportUnplaceable(pass, waiting, failureReason);
     }
     const tooEarly =
-      waiting.progress !== undefined && pass.now < retryDelay(waiting.progress);
+      waiting.progress !== undefined &&
+      pass.now < earliestRetryTime(waiting.progress);
     if (tooEarly) {
       continue;
     }
-    misses += placeJob(pass, waiting, shares) ? 0 : 1;
-    if (pass.full || misses >= MAXIMUM_MISSES) {
+    unplacedJobs += placeJob(pass, waiting, shares) ? 0 : 1;
+    if (pass.isFull || unplacedJobs >= MAXIMUM_UNPLACED_JOBS) {
       return;
     }
   }
--- a/packages/scheduler/src/plan/place-services.ts
+++ b/packages/scheduler/src/plan/place-services.ts
@@ -2,15 +2,18 @@
 import { serviceTask } from '@basilcourse/shared-state/scheduling/task-names';
 
 import type { PlacementRequest } from '../placement/placement-request.js';
-import { retryDelay } from '../repair/retry-delay.js';
-import { makeRoom } from './make-room.js';
+import { earliestRetryTime } from '../repair/retry-delay.js';
 import type { PlanPass } from './plan-pass.js';
+import { preemptBatch } from './preempt-batch.js';
 
-/** Names tried beyond the wanted number, in place of lost minions. */
-const SPARE_NAMES = 64;
+/**
+ * Minion numbers to try beyond the configured count, because a lost minion
+ * keeps its number while its attempt is active.
+ */
+const SPARE_MINION_NUMBERS = 64;
 
 function missingMinions(pass: PlanPass, service: Service): number {
-  const { scheduling, configuration } = pass.question;
+  const { scheduling, configuration } = pass.input;
   const present = scheduling
     .attemptsOf(`service/${service.name}`)
     .filter(
@@ -21,40 +24,47 @@
   return service.minions - present.length;
 }
 
-function freeTasks(
+function inactiveTasks(
   pass: PlanPass,
   service: Service,
   missing: number,
 ): readonly string[] {
-  const { scheduling } = pass.question;
-  const free: string[] = [];
-  const names = service.minions + SPARE_NAMES;
-  for (let minion = 0; minion < names && free.length < missing; minion += 1) {
+  const { scheduling } = pass.input;
+  const inactive: string[] = [];
+  const maximumNumber = service.minions + SPARE_MINION_NUMBERS;
+  for (
+    let minion = 0;
+    minion < maximumNumber && inactive.length < missing;
+    minion += 1
+  ) {
     const task = serviceTask(service.name, minion);
     if ((scheduling.tasks.get(task)?.active ?? '') === '') {
-      free.push(task);
+      inactive.push(task);
     }
   }
-  return free;
+  return inactive;
 }
 
 function placeMinion(pass: PlanPass, service: Service, task: string): void {
-  const { learner, scheduling } = pass.question;
+  const { estimator, scheduling } = pass.input;
   const progress = scheduling.tasks.get(task);
   const request: PlacementRequest = {
     task,
     taskKind: service.taskKind,
     role: 'service',
-    resources: learner.usage.sizeFor(service.taskKind, service.resources),
+    resources: estimator.usage.resourcesFor(
+      service.taskKind,
+      service.resources,
+    ),
     urgent: true,
     failedOn: progress?.failedOn ?? [],
   };
-  if (progress !== undefined && pass.now < retryDelay(progress)) {
+  if (progress !== undefined && pass.now < earliestRetryTime(progress)) {
     return;
   }
   const choice = pass.choose(request);
   if (choice === undefined) {
-    makeRoom(pass, request, `room for a minion of ${service.name}`);
+    preemptBatch(pass, request, `room for a minion of ${service.name}`);
     return;
   }
   pass.place(request, choice);
@@ -62,11 +72,11 @@
 
 /** Places the missing minions of the services. */
 export function placeServices(pass: PlanPass): void {
-  const { configuration, scheduling, cell } = pass.question;
+  const { configuration, scheduling, cell } = pass.input;
   for (const service of configuration.services.values()) {
     const missing = missingMinions(pass, service);
-    for (const task of freeTasks(pass, service, missing)) {
-      if (scheduling.ownerCell(task) === cell && !pass.full) {
+    for (const task of inactiveTasks(pass, service, missing)) {
+      if (scheduling.ownerCell(task) === cell && !pass.isFull) {
         placeMinion(pass, service, task);
       }
     }
--- a/packages/scheduler/src/plan/plan-cell.ts
+++ b/packages/scheduler/src/plan/plan-cell.ts
@@ -1,30 +1,27 @@
 import type { Decision } from '@basilcourse/shared-state/records/decision';
 
-import { evictWithdrawn } from './evict-withdrawn.js';
+import { evictUnneeded } from './evict-unneeded.js';
 import { joinWorkers } from './join-workers.js';
-import { judgeWorkers } from './judge-workers.js';
 import { placeJobs } from './place-jobs.js';
 import { placeServices } from './place-services.js';
+import type { PlanInput } from './plan-input.js';
 import { PlanPass } from './plan-pass.js';
-import type { PlanQuestion } from './plan-question.js';
 import { relieveWorkers } from './relieve-workers.js';
+import { updateWorkerConditions } from './update-worker-conditions.js';
 
-/** Steps of a pass in their order; each adds its decisions. */
+/** Steps of a pass in the order in which they add their decisions. */
 const steps: readonly ((pass: PlanPass) => void)[] = [
   joinWorkers,
-  judgeWorkers,
-  evictWithdrawn,
+  updateWorkerConditions,
+  evictUnneeded,
   relieveWorkers,
   placeServices,
   placeJobs,
 ];
 
-/** Decides what shall change in a cell. */
-export function planCell(
-  question: PlanQuestion,
-  now: number,
-): readonly Decision[] {
-  const pass = new PlanPass(question, now);
+/** Runs one plan pass for a cell and returns its decisions. */
+export function planCell(input: PlanInput, now: number): readonly Decision[] {
+  const pass = new PlanPass(input, now);
   for (const step of steps) {
     step(pass);
   }
--- a/packages/scheduler/src/plan/plan-question.ts
+++ b/packages/scheduler/src/plan/plan-input.ts
@@ -2,20 +2,20 @@
 import type { WorkerDescription } from '@basilcourse/shared-state/records/worker-description';
 import type { Scheduling } from '@basilcourse/shared-state/scheduling/scheduling';
 
-import type { LeaseLedger } from '../cell/lease-ledger.js';
+import type { GrantedLeases } from '../cell/granted-leases.js';
 import type { WorkerView } from '../cell/worker-view.js';
-import type { Learner } from '../learning/learner.js';
+import type { WorkloadEstimator } from '../learning/workload-estimator.js';
 import type { ScorerName } from '../placement/scorers.js';
 
-/** What one pass of decisions for a cell depends on. */
-export interface PlanQuestion {
+/** Input of one plan pass for a cell. */
+export interface PlanInput {
   readonly cell: string;
   readonly configuration: Configuration;
   readonly scheduling: Scheduling;
   readonly views: ReadonlyMap<string, WorkerView>;
-  readonly ledger: LeaseLedger;
-  readonly learner: Learner;
-  /** Workers announced by the agents beside them. */
+  readonly leases: GrantedLeases;
+  readonly estimator: WorkloadEstimator;
+  /** Workers announced by the agents that run on them. */
   readonly announced: readonly WorkerDescription[];
   readonly scorer: ScorerName;
 }
--- a/packages/scheduler/src/plan/plan-pass.ts
+++ b/packages/scheduler/src/plan/plan-pass.ts
@@ -2,73 +2,79 @@
 import type { Attempt } from '@basilcourse/shared-state/scheduling/attempt';
 
 import type { Candidate } from '../placement/candidate.js';
+import { CapacityTracker } from '../placement/capacity-tracker.js';
 import type { Choice } from '../placement/choose-worker.js';
 import { chooseWorker } from '../placement/choose-worker.js';
-import { isWithinBudget } from '../placement/harm-budget.js';
+import { isWithinBudget } from '../placement/interference-budget.js';
 import type { PlacementRequest } from '../placement/placement-request.js';
-import { RoomLedger } from '../placement/room-ledger.js';
 import type { ScoringContext } from '../placement/scorer.js';
 import { scorers } from '../placement/scorers.js';
-import type { PlanQuestion } from './plan-question.js';
+import type { PlanInput } from './plan-input.js';
 
-/** Decisions of one pass at the most. */
+/** Number of decisions at which a pass stops placing tasks. */
 const MAXIMUM_DECISIONS = 500;
 
-/** One pass of decisions while it is being made. */
+/** Collects the decisions of one plan pass for a cell. */
 export class PlanPass {
-  private ledger: RoomLedger | undefined;
+  private capacityTracker: CapacityTracker | undefined;
 
   public readonly scoring: ScoringContext;
 
-  private readonly made: Decision[] = [];
+  private readonly decisionsMade: Decision[] = [];
 
   private readonly evicted = new Set<string>();
 
   public constructor(
-    public readonly question: PlanQuestion,
+    public readonly input: PlanInput,
     public readonly now: number,
   ) {
-    const { configuration, learner } = question;
+    const { configuration, estimator } = input;
     const services = [...configuration.services.values()];
     this.scoring = {
-      interference: learner.interference,
+      interference: estimator.interference,
       latencyWeight: configuration.limits.latencyWeight,
       serviceKinds: new Set(services.map(service => service.taskKind)),
     };
   }
 
-  /** Room of the workers; worked out when first asked for. */
-  public get rooms(): RoomLedger {
-    const { configuration, scheduling, cell } = this.question;
-    this.ledger ??= new RoomLedger(configuration, scheduling, cell);
-    return this.ledger;
+  /** Available resources of the workers; computed on first use. */
+  public get capacity(): CapacityTracker {
+    const { configuration, scheduling, cell } = this.input;
+    this.capacityTracker ??= new CapacityTracker(
+      configuration,
+      scheduling,
+      cell,
+    );
+    return this.capacityTracker;
   }
 
   public get decisions(): readonly Decision[] {
-    return this.made;
+    return this.decisionsMade;
   }
 
-  public get full(): boolean {
-    return this.made.length >= MAXIMUM_DECISIONS;
+  public get isFull(): boolean {
+    return this.decisionsMade.length >= MAXIMUM_DECISIONS;
   }
 
   public decide(decision: Decision): void {
-    this.made.push(decision);
+    this.decisionsMade.push(decision);
   }
 
-  /** Candidates with room that the request may use, and the best of them. */
+  /** Chooses the best worker for a request; undefined if none fits. */
   public choose(request: PlacementRequest): Choice | undefined {
-    const candidates = this.allowedFor(request);
-    const scorer = scorers[this.question.scorer];
+    const candidates = this.candidatesWithinBudget(request);
+    const scorer = scorers[this.input.scorer];
     return chooseWorker(request, candidates, scorer, this.scoring);
   }
 
-  /** Candidates where the request keeps within the harm to services. */
-  public allowedFor(request: PlacementRequest): readonly Candidate[] {
+  /** Candidates where the request keeps within the interference budget. */
+  public candidatesWithinBudget(
+    request: PlacementRequest,
+  ): readonly Candidate[] {
     const all = this.candidatesFor(request);
-    const isFree = request.role === 'service' || request.urgent;
-    // The baselines know no harm.
-    if (isFree || this.question.scorer !== 'least-harm') {
+    const isExempt = request.role === 'service' || request.urgent;
+    // The baseline scorers ignore interference.
+    if (isExempt || this.input.scorer !== 'least-harm') {
       return all;
     }
     return all.filter(({ neighbours }) =>
@@ -77,35 +83,35 @@
   }
 
   public candidatesFor(request: PlacementRequest): readonly Candidate[] {
-    return this.rooms.candidatesFor(request.task);
+    return this.capacity.candidatesFor(request.task);
   }
 
   /** Decides the next attempt of a task on a worker. */
   public place(request: PlacementRequest, choice: Choice): void {
-    const progress = this.question.scheduling.tasks.get(request.task);
-    this.rooms.take(choice.worker, request.task, request.resources);
+    const progress = this.input.scheduling.tasks.get(request.task);
+    this.capacity.reserve(choice.worker, request.task, request.resources);
     this.decide({
       type: 'place',
       task: request.task,
       attempt: (progress?.attempts ?? 0) + 1,
       worker: choice.worker,
       resources: request.resources,
-      reason: `score ${choice.score.toFixed(3)}, ${choice.withRoom} of ${choice.considered} workers had room`,
+      reason: `score ${choice.score.toFixed(3)}, ${choice.fitting} of ${choice.considered} workers had room`,
     });
   }
 
-  /** Decides to evict an attempt, once. */
+  /** Decides to evict an attempt, unless that is already decided. */
   public evict(attempt: Attempt, reason: string): void {
     if (attempt.state === 'evicting' || this.evicted.has(attempt.id)) {
       return;
     }
     this.evicted.add(attempt.id);
-    this.rooms.expect(attempt);
+    this.capacity.addPendingRelease(attempt);
     this.decide({ type: 'evict', attemptId: attempt.id, reason });
   }
 
-  /** Tells whether an attempt is leaving or was decided to leave. */
-  public isLeaving(attempt: Attempt): boolean {
+  /** Returns whether the eviction of an attempt is in progress or decided. */
+  public isEvicting(attempt: Attempt): boolean {
     return attempt.state === 'evicting' || this.evicted.has(attempt.id);
   }
 }
--- a/packages/scheduler/src/plan/make-room.ts
+++ b/packages/scheduler/src/plan/preempt-batch.ts
@@ -17,24 +17,26 @@
   request: PlacementRequest,
   mayEvict: (attempt: Attempt) => boolean,
 ): readonly Attempt[] | undefined {
-  const attempts = pass.question.scheduling.attemptsOn(worker);
+  const attempts = pass.input.scheduling.attemptsOn(worker);
   const victims: Attempt[] = [];
-  let room = pass.rooms.roomToCome(worker);
+  let available = pass.capacity.availableAfterEvictions(worker);
   for (const victim of cheapestVictims(pass, attempts).filter(mayEvict)) {
-    if (fits(request.resources, room)) {
+    if (fits(request.resources, available)) {
       break;
     }
     victims.push(victim);
-    room = add(room, victim.resources);
+    available = add(available, victim.resources);
   }
-  return fits(request.resources, room) ? victims : undefined;
+  return fits(request.resources, available) ? victims : undefined;
 }
 
 /**
- * Evicts the fewest and cheapest batch attempts that make room for a task, and
- * sets the room aside until they have left; false when nothing helps.
+ * Evicts batch attempts on the worker that needs the fewest evictions, cheapest
+ * first, and reserves the released resources for the task.
+ *
+ * @returns Whether a worker was found.
  */
-export function makeRoom(
+export function preemptBatch(
   pass: PlanPass,
   request: PlacementRequest,
   reason: string,
@@ -43,10 +45,10 @@
   let best: Preemption | undefined;
   for (const { worker } of pass.candidatesFor(request)) {
     const victims = victimsOn(pass, worker, request, mayEvict);
-    const better =
+    const isBetter =
       victims !== undefined &&
       (best === undefined || victims.length < best.victims.length);
-    if (better) {
+    if (isBetter) {
       best = { worker, victims };
     }
   }
@@ -56,6 +58,6 @@
   for (const victim of best.victims) {
     pass.evict(victim, reason);
   }
-  pass.rooms.reserveComing(best.worker, request.resources);
+  pass.capacity.reservePendingRelease(best.worker, request.resources);
   return true;
 }
--- a/packages/scheduler/src/plan/relieve-workers.ts
+++ b/packages/scheduler/src/plan/relieve-workers.ts
@@ -7,23 +7,24 @@
 } from '@basilcourse/shared-state/scheduling/task-names';
 import type { Worker } from '@basilcourse/shared-state/scheduling/worker';
 
-import { initialShare } from '../placement/harm-budget.js';
+import { initialShare } from '../placement/interference-budget.js';
 import { cheapestVictims } from './cheapest-victims.js';
 import type { PlanPass } from './plan-pass.js';
 
-/** Share of a worker's memory above which its batch tasks are thinned out. */
-const FULL_MEMORY_SHARE = 0.97;
+/** Share of a worker's memory in use above which batch tasks are evicted. */
+const MAXIMUM_MEMORY_SHARE = 0.97;
 
-/** Throttle at or below which a batch task may be moved elsewhere. */
-const SQUEEZED_THROTTLE = 0.2;
+/** Share of its processors at or below which a batch task may be moved. */
+const MAXIMUM_THROTTLED_SHARE = 0.2;
 
-/** Run time below which a throttled task stays where it is. */
-const LEAST_STAY_MILLISECONDS = 60_000;
+/** Run time below which a throttled task is not moved. */
+const MINIMUM_RUN_MILLISECONDS = 60_000;
 
+/** Returns whether enough other minions run for a minion to be evicted. */
 function hasReplacement(pass: PlanPass, attempt: Attempt): boolean {
-  const { scheduling, configuration, views } = pass.question;
+  const { scheduling, configuration, views } = pass.input;
   const service = configuration.services.get(serviceOf(attempt.task));
-  const serving = scheduling
+  const running = scheduling
     .attemptsOf(`service/${service?.name ?? ''}`)
     .filter(
       other =>
@@ -31,10 +32,10 @@
         !configuration.drained.has(other.worker) &&
         views.get(other.worker)?.tasks.get(other.id)?.state === 'running',
     );
-  return serving.length >= (service?.minions ?? 0);
+  return running.length >= (service?.minions ?? 0);
 }
 
-function drain(pass: PlanPass, attempts: readonly Attempt[]): void {
+function evictFromDrained(pass: PlanPass, attempts: readonly Attempt[]): void {
   for (const attempt of attempts) {
     if (!isServiceTask(attempt.task) || hasReplacement(pass, attempt)) {
       pass.evict(attempt, 'the worker is drained');
@@ -42,16 +43,16 @@
   }
 }
 
-function relieveMemory(pass: PlanPass, worker: Worker): void {
+function evictForMemory(pass: PlanPass, worker: Worker): void {
   const { worker: name, resources } = worker.description;
-  const view = pass.question.views.get(name);
-  const bound = resources.memoryGigabytes * FULL_MEMORY_SHARE;
-  const attempts = pass.question.scheduling.attemptsOn(name);
-  const alreadyLeaving = attempts.some(attempt => pass.isLeaving(attempt));
+  const view = pass.input.views.get(name);
+  const maximumGigabytes = resources.memoryGigabytes * MAXIMUM_MEMORY_SHARE;
+  const attempts = pass.input.scheduling.attemptsOn(name);
+  const isEvictionPending = attempts.some(attempt => pass.isEvicting(attempt));
   if (
     view === undefined ||
-    view.usedMemoryGigabytes <= bound ||
-    alreadyLeaving
+    view.usedMemoryGigabytes <= maximumGigabytes ||
+    isEvictionPending
   ) {
     return;
   }
@@ -61,42 +62,43 @@
   }
 }
 
-/** A worker that the task would harm less, with room for it now. */
-function hasBetterPlace(pass: PlanPass, attempt: Attempt): boolean {
-  const { configuration, learner } = pass.question;
+/** Returns whether another worker could run the task unthrottled now. */
+function hasUnthrottledWorker(pass: PlanPass, attempt: Attempt): boolean {
+  const { configuration, estimator } = pass.input;
   const taskKind = taskKindOf(configuration, attempt.task);
-  return pass.rooms
+  return pass.capacity
     .candidatesFor(attempt.task)
     .some(
-      ({ worker, room, neighbours }) =>
+      ({ worker, availableResources, neighbours }) =>
         worker !== attempt.worker &&
-        fits(attempt.resources, room) &&
+        fits(attempt.resources, availableResources) &&
         initialShare(
-          { ...pass.scoring, interference: learner.interference },
+          { ...pass.scoring, interference: estimator.interference },
           neighbours,
           taskKind,
         ) === 1,
     );
 }
 
-function moveSqueezed(pass: PlanPass, worker: string): void {
-  const all = pass.question.scheduling.attemptsOn(worker);
+function evictThrottled(pass: PlanPass, worker: string): void {
+  const all = pass.input.scheduling.attemptsOn(worker);
   for (const attempt of cheapestVictims(pass, all)) {
-    const view = pass.question.views.get(attempt.worker);
+    const view = pass.input.views.get(attempt.worker);
     const report = view?.tasks.get(attempt.id);
-    const squeezed =
-      report?.state === 'running' && report.throttle <= SQUEEZED_THROTTLE;
-    const hasStayed = pass.now - attempt.placedAt > LEAST_STAY_MILLISECONDS;
-    if (squeezed && hasStayed && hasBetterPlace(pass, attempt)) {
+    const isThrottled =
+      report?.state === 'running' && report.throttle <= MAXIMUM_THROTTLED_SHARE;
+    const hasRunMinimum =
+      pass.now - attempt.placedAt > MINIMUM_RUN_MILLISECONDS;
+    if (isThrottled && hasRunMinimum && hasUnthrottledWorker(pass, attempt)) {
       pass.evict(attempt, 'throttled to its least, and another worker is free');
       return;
     }
   }
 }
 
-/** Empties drained workers and takes batch tasks off overfull ones. */
+/** Evicts tasks from drained and overloaded workers. */
 export function relieveWorkers(pass: PlanPass): void {
-  const { scheduling, configuration, cell } = pass.question;
+  const { scheduling, configuration, cell } = pass.input;
   for (const worker of scheduling.workers.values()) {
     if (worker.cell !== cell) {
       continue;
@@ -104,9 +106,9 @@
     const { worker: name } = worker.description;
     const attempts = scheduling.attemptsOn(name);
     if (configuration.drained.has(name)) {
-      drain(pass, attempts);
+      evictFromDrained(pass, attempts);
     }
-    relieveMemory(pass, worker);
-    moveSqueezed(pass, name);
+    evictForMemory(pass, worker);
+    evictThrottled(pass, name);
   }
 }
--- a/packages/scheduler/src/plan/team-shares.ts
+++ b/packages/scheduler/src/plan/team-shares.ts
@@ -8,7 +8,7 @@
   serviceOf,
 } from '@basilcourse/shared-state/scheduling/task-names';
 
-import type { PlanQuestion } from './plan-question.js';
+import type { PlanInput } from './plan-input.js';
 import type { WaitingJob } from './waiting-job.js';
 
 function dominantShare(used: Resources, total: Resources): number {
@@ -20,46 +20,48 @@
 }
 
 /**
- * What each team uses, against its quota and its fair share.
+ * Resource usage of each team, compared with its quota and its fair share.
  *
  * Weighted dominant resource fairness: Ghodsi et al., "Dominant Resource
- * Fairness", NSDI 2011. Teams over their quota borrow what others leave.
+ * Fairness", NSDI 2011. Teams above their quota borrow unused resources.
  */
 export class TeamShares {
-  private readonly used = new Map<string, Resources>();
+  private readonly usage = new Map<string, Resources>();
 
   private readonly total: Resources = NO_RESOURCES;
 
-  public constructor(private readonly question: PlanQuestion) {
-    for (const worker of question.scheduling.workers.values()) {
+  public constructor(private readonly input: PlanInput) {
+    for (const worker of input.scheduling.workers.values()) {
       this.total = add(this.total, worker.description.resources);
     }
-    for (const attempt of question.scheduling.attempts.values()) {
-      this.take(this.teamOf(attempt.task), attempt.resources);
+    for (const attempt of input.scheduling.attempts.values()) {
+      this.addUsage(this.teamOf(attempt.task), attempt.resources);
     }
   }
 
-  public take(team: string, resources: Resources): void {
-    this.used.set(team, add(this.usedBy(team), resources));
+  public addUsage(team: string, resources: Resources): void {
+    this.usage.set(team, add(this.usedBy(team), resources));
   }
 
-  /** Tells whether a team stays within its quota with one more task. */
+  /** Returns whether a team stays within its quota with one more task. */
   public isWithinQuota(team: string, resources: Resources): boolean {
-    const quota = this.question.configuration.teams.get(team)?.quota;
+    const quota = this.input.configuration.teams.get(team)?.quota;
     return (
       quota !== undefined && fits(add(this.usedBy(team), resources), quota)
     );
   }
 
-  /** Tells whether an attempt runs on room beyond its team's quota. */
+  /** Returns whether the team of an attempt uses more than its quota. */
   public isBorrowing(attempt: Attempt): boolean {
     const team = this.teamOf(attempt.task);
-    const quota = this.question.configuration.teams.get(team)?.quota;
+    const quota = this.input.configuration.teams.get(team)?.quota;
     return quota !== undefined && !fits(this.usedBy(team), quota);
   }
 
-  /** Urgent jobs first, then teams within their quota, then fair share. */
-  public inOrder(waiting: readonly WaitingJob[]): readonly WaitingJob[] {
+  /** Sorts urgent jobs first, then by quota, then by fair share. */
+  public inPlacementOrder(
+    waiting: readonly WaitingJob[],
+  ): readonly WaitingJob[] {
     const ranked = waiting.map((entry, index) => ({
       entry,
       index,
@@ -78,16 +80,16 @@
   }
 
   private shareOf(team: string): number {
-    const weight = this.question.configuration.teams.get(team)?.weight ?? 1;
+    const weight = this.input.configuration.teams.get(team)?.weight ?? 1;
     return dominantShare(this.usedBy(team), this.total) / weight;
   }
 
   private usedBy(team: string): Resources {
-    return this.used.get(team) ?? NO_RESOURCES;
+    return this.usage.get(team) ?? NO_RESOURCES;
   }
 
   private teamOf(task: string): string {
-    const { services, jobs } = this.question.configuration;
+    const { services, jobs } = this.input.configuration;
     return (
       services.get(serviceOf(task))?.team ?? jobs.get(jobOf(task))?.team ?? ''
     );
--- a/packages/scheduler/src/plan/judge-workers.ts
+++ b/packages/scheduler/src/plan/update-worker-conditions.ts
@@ -4,26 +4,26 @@
 
 import {
   CLOCK_ERROR_MILLISECONDS,
-  UNREACHABLE_AFTER_MILLISECONDS,
+  UNREACHABLE_TIMEOUT_MILLISECONDS,
 } from '../cell/timing.js';
 import type { WorkerView } from '../cell/worker-view.js';
-import { suspectWorkers } from '../repair/suspect-workers.js';
+import { updateProbation } from '../repair/update-probation.js';
 import type { PlanPass } from './plan-pass.js';
 
-/** Silence after which a worker without attempts is forgotten. */
-const FORGET_AFTER_MILLISECONDS = 600_000;
+/** Time without an answer after which a worker without attempts is removed. */
+const REMOVAL_TIMEOUT_MILLISECONDS = 600_000;
 
-function isSilent(view: WorkerView | undefined, now: number): boolean {
+function isUnreachable(view: WorkerView | undefined, now: number): boolean {
   return (
     view !== undefined &&
     view.failingSince > 0 &&
-    now - view.failingSince >= UNREACHABLE_AFTER_MILLISECONDS
+    now - view.failingSince >= UNREACHABLE_TIMEOUT_MILLISECONDS
   );
 }
 
-function giveUp(pass: PlanPass, attempt: Attempt): void {
-  const lapsesAt = pass.question.ledger.lapsesAt(attempt.id);
-  if (pass.now > lapsesAt + CLOCK_ERROR_MILLISECONDS) {
+function endOrMarkLost(pass: PlanPass, attempt: Attempt): void {
+  const expiresAt = pass.input.leases.expiresAt(attempt.id);
+  if (pass.now > expiresAt + CLOCK_ERROR_MILLISECONDS) {
     pass.decide({
       type: 'end',
       attemptId: attempt.id,
@@ -39,9 +39,13 @@
   }
 }
 
-function judgeSilent(pass: PlanPass, worker: Worker, view: WorkerView): void {
+function handleUnreachable(
+  pass: PlanPass,
+  worker: Worker,
+  view: WorkerView,
+): void {
   const { worker: name } = worker.description;
-  const attempts = pass.question.scheduling.attemptsOn(name);
+  const attempts = pass.input.scheduling.attemptsOn(name);
   if (worker.condition !== 'unreachable') {
     const seconds = Math.round((pass.now - view.failingSince) / 1000);
     const reason = `no answer for ${seconds} s`;
@@ -49,23 +53,26 @@
     pass.decide({ type: 'worker-condition', worker: name, condition, reason });
   }
   for (const attempt of attempts) {
-    giveUp(pass, attempt);
+    endOrMarkLost(pass, attempt);
   }
-  const silence = pass.now - view.failingSince;
-  if (attempts.length === 0 && silence > FORGET_AFTER_MILLISECONDS) {
+  const unreachableMilliseconds = pass.now - view.failingSince;
+  if (
+    attempts.length === 0 &&
+    unreachableMilliseconds > REMOVAL_TIMEOUT_MILLISECONDS
+  ) {
     pass.decide({ type: 'worker-leave', worker: name, reason: 'silent' });
   }
 }
 
-function judgeAnswering(pass: PlanPass, worker: Worker): void {
+function handleResponding(pass: PlanPass, worker: Worker): void {
   const { worker: name } = worker.description;
   if (worker.condition === 'unreachable') {
     const reason = 'answers again';
     const condition = 'ready';
     pass.decide({ type: 'worker-condition', worker: name, condition, reason });
   }
-  for (const attempt of pass.question.scheduling.attemptsOn(name)) {
-    const report = pass.question.views.get(name)?.tasks.get(attempt.id);
+  for (const attempt of pass.input.scheduling.attemptsOn(name)) {
+    const report = pass.input.views.get(name)?.tasks.get(attempt.id);
     if (attempt.state === 'lost' && report?.state === 'running') {
       pass.decide({ type: 'recover', attemptId: attempt.id });
     }
@@ -73,25 +80,25 @@
 }
 
 /**
- * Marks silent workers as unreachable and ends their attempts once no lease
- * can be in force; lets workers back that answer again.
+ * Marks workers that do not answer as unreachable, and ends their attempts once
+ * no lease can be in force. Marks workers that answer again as ready.
  */
-export function judgeWorkers(pass: PlanPass): void {
-  const { scheduling, views, cell } = pass.question;
+export function updateWorkerConditions(pass: PlanPass): void {
+  const { scheduling, views, cell } = pass.input;
   for (const worker of scheduling.workers.values()) {
     if (worker.cell !== cell) {
       continue;
     }
     const view = views.get(worker.description.worker);
-    if (view !== undefined && isSilent(view, pass.now)) {
-      judgeSilent(pass, worker, view);
+    if (view !== undefined && isUnreachable(view, pass.now)) {
+      handleUnreachable(pass, worker, view);
     } else if (
       view !== undefined &&
       view.answeredAt > 0 &&
       view.failingSince === 0
     ) {
-      judgeAnswering(pass, worker);
+      handleResponding(pass, worker);
     }
   }
-  suspectWorkers(pass);
+  updateProbation(pass);
 }
--- a/packages/scheduler/src/plan/waiting-job.ts
+++ b/packages/scheduler/src/plan/waiting-job.ts
@@ -7,6 +7,6 @@
   readonly task: string;
   /** Undefined before the first attempt. */
   readonly progress: TaskProgress | undefined;
-  /** When its most recent attempt ended; 0 before the first. */
+  /** Time at which its most recent attempt ended; 0 before the first. */
   readonly readyAt: number;
 }
--- a/packages/scheduler/src/plan/waiting-jobs.ts
+++ b/packages/scheduler/src/plan/waiting-jobs.ts
@@ -2,7 +2,7 @@
 import type { Scheduling } from '@basilcourse/shared-state/scheduling/scheduling';
 import { jobTask } from '@basilcourse/shared-state/scheduling/task-names';
 
-import type { PlanQuestion } from './plan-question.js';
+import type { PlanInput } from './plan-input.js';
 import type { WaitingJob } from './waiting-job.js';
 
 function isFinished(
@@ -14,22 +14,22 @@
   return scheduling.tasks.get(task)?.finished === true;
 }
 
-/** Jobs of a cell that may run and have no active attempt. */
-export function waitingJobs(question: PlanQuestion): readonly WaitingJob[] {
-  const { configuration, scheduling, cell } = question;
+/** Lists the jobs of a cell that may run and have no active attempt. */
+export function waitingJobs(input: PlanInput): readonly WaitingJob[] {
+  const { configuration, scheduling, cell } = input;
   const waiting: WaitingJob[] = [];
   for (const job of configuration.jobs.values()) {
     const task = jobTask(job.name, configuration.jobsSince.get(job.name) ?? 0);
     const progress = scheduling.tasks.get(task);
-    const settled =
+    const isFinishedOrActive =
       progress !== undefined && (progress.finished || progress.active !== '');
-    if (settled || scheduling.ownerCell(task) !== cell) {
+    if (isFinishedOrActive || scheduling.ownerCell(task) !== cell) {
       continue;
     }
-    const blocked = job.after.some(
+    const isBlocked = job.after.some(
       previous => !isFinished(configuration, scheduling, previous),
     );
-    if (!blocked) {
+    if (!isBlocked) {
       waiting.push({ job, task, progress, readyAt: progress?.endedAt ?? 0 });
     }
   }
--- a/packages/scheduler/src/platform/http-platform-worker.ts
+++ b/packages/scheduler/src/platform/http-platform-worker.ts
@@ -13,7 +13,7 @@
 
 const reportCheck = TypeCompiler.Compile(WorkerReportSchema);
 
-/** A worker of the platform over HTTP with JSON bodies. */
+/** Client of a worker of the platform over HTTP with JSON bodies. */
 export class HttpPlatformWorker implements PlatformWorker {
   public constructor(private readonly address: string) {}
 
--- a/packages/scheduler/src/platform/lease-renewal.ts
+++ b/packages/scheduler/src/platform/lease-renewal.ts
@@ -1,6 +1,6 @@
-/** The lease of one attempt at its worker. */
+/** Renewed lease of one attempt at its worker. */
 export interface LeaseRenewal {
   readonly attempt: string;
-  /** End of the lease in milliseconds since the epoch. */
+  /** End of the lease in milliseconds of Unix time. */
   readonly until: number;
 }
--- a/packages/scheduler/src/platform/platform-worker.ts
+++ b/packages/scheduler/src/platform/platform-worker.ts
@@ -4,10 +4,11 @@
 import type { WorkerReport } from './worker-report.js';
 
 /**
- * One worker of the platform.
+ * Client of one worker of the platform.
  *
- * Each call rejects with PeerUnreachableError when no answer arrived, though it
- * may have taken effect, and with PeerRefusedError when the worker refused.
+ * Each call rejects with PeerUnreachableError if no valid answer arrived, in
+ * which case it may still have taken effect, and with PeerRefusedError if the
+ * worker refused it.
  */
 export interface PlatformWorker {
   readonly sync: (command: SyncCommand) => Promise<WorkerReport>;
--- a/packages/scheduler/src/platform/stop-command.ts
+++ b/packages/scheduler/src/platform/stop-command.ts
@@ -1,8 +1,8 @@
-/** Asks a worker to end an attempt. */
+/** Asks a worker to stop an attempt. */
 export interface StopCommand {
   readonly attempt: string;
-  /** Takes a checkpoint first where the task can. */
+  /** Whether to take a checkpoint first if the task supports it. */
   readonly checkpoint: boolean;
-  /** Time for a graceful end. */
+  /** Time for a graceful shutdown. */
   readonly graceMilliseconds: number;
 }
--- a/packages/scheduler/src/platform/worker-report.ts
+++ b/packages/scheduler/src/platform/worker-report.ts
@@ -6,7 +6,7 @@
 
 const MAXIMUM_TASKS = 5000;
 
-/** A worker's answer to one synchronisation. */
+/** A worker's answer to a sync command. */
 export const WorkerReportSchema = Type.Object({
   worker: Type.Readonly(Type.String({ maxLength: 200 })),
   tasks: Type.Readonly(
--- a/packages/scheduler/src/pressure/decide-throttle.ts
+++ b/packages/scheduler/src/pressure/decide-throttle.ts
@@ -1,72 +1,76 @@
-import type { PressureGauge } from './pressure-gauge.js';
+import type { ServiceTimeWindows } from './service-time-windows.js';
 
-/** Least share of its processors that a batch task keeps. */
-export const LEAST_SHARE = 0.2;
+/** Lowest share of its processors to which a batch task is throttled. */
+export const MINIMUM_SHARE = 0.2;
 
-/** Factor on the share while a service is too slow. */
-const DECREASE = 0.6;
+/** Factor by which the share shrinks while a service misses its target. */
+const DECREASE_FACTOR = 0.6;
 
-/** Step by which the share is given back. */
-const INCREASE = 0.1;
+/** Step by which the share grows again. */
+const INCREASE_STEP = 0.1;
 
-/** Share of the target below which room is given back. */
-const COMFORT = 0.95;
+/** Ratio of tail latency to the tolerated latency below which shares grow. */
+const INCREASE_THRESHOLD = 0.95;
 
-/** Weight of latency from which on the target holds to the letter. */
-const STRICT_WEIGHT = 0.8;
+/** Latency weight from which no latency above the target is tolerated. */
+const STRICT_LATENCY_WEIGHT = 0.8;
 
-/** What happens to the shares of the batch tasks of a VM. */
+/** Change to the processor shares of the batch tasks on a VM. */
 export type ThrottleDirection = 'decrease' | 'keep' | 'increase';
 
-/** What the decision on throttling depends on. */
-export interface ThrottleQuestion {
+/** Input of the throttling decision for one VM. */
+export interface ThrottleInput {
   /** Weight of tail latency against batch throughput, 0 to 1. */
   readonly latencyWeight: number;
   readonly services: readonly {
     readonly attempt: string;
     readonly targetMilliseconds: number;
   }[];
-  readonly gauge: PressureGauge;
+  readonly serviceTimes: ServiceTimeWindows;
 }
 
-function worstRatio({ services, gauge }: ThrottleQuestion): number | undefined {
+function highestLatencyRatio({
+  services,
+  serviceTimes,
+}: ThrottleInput): number | undefined {
   const ratios = services.flatMap(({ attempt, targetMilliseconds }) => {
-    const high = gauge.highPercentile(attempt);
+    const high = serviceTimes.highPercentile(attempt);
     return high === undefined ? [] : [high / targetMilliseconds];
   });
   return ratios.length === 0 ? undefined : Math.max(...ratios);
 }
 
 /**
- * Decides whether batch tasks beside a service yield: multiplicative decrease
- * above the target, additive increase below it, and nothing in between, so that
- * neither side swings.
+ * Decides how to throttle batch tasks that share a VM with a service:
+ * multiplicative decrease above the tolerated latency, additive increase well
+ * below it. The band in between leaves shares unchanged to avoid oscillation.
  */
-export function decideThrottle(question: ThrottleQuestion): ThrottleDirection {
-  const ratio = worstRatio(question);
-  if (question.services.length === 0) {
+export function decideThrottle(input: ThrottleInput): ThrottleDirection {
+  const ratio = highestLatencyRatio(input);
+  if (input.services.length === 0) {
     return 'increase';
   }
   if (ratio === undefined) {
     return 'keep';
   }
-  // Where throughput weighs more, a service may be later before batch yields.
-  const tolerance = 1 + Math.max(0, STRICT_WEIGHT - question.latencyWeight);
+  // A lower latency weight tolerates more latency before batch is throttled.
+  const tolerance =
+    1 + Math.max(0, STRICT_LATENCY_WEIGHT - input.latencyWeight);
   if (ratio > tolerance) {
     return 'decrease';
   }
-  return ratio < COMFORT * tolerance ? 'increase' : 'keep';
+  return ratio < INCREASE_THRESHOLD * tolerance ? 'increase' : 'keep';
 }
 
-const nextShares: Readonly<
+const nextShareByDirection: Readonly<
   Record<ThrottleDirection, (share: number) => number>
 > = {
-  decrease: share => Math.max(LEAST_SHARE, share * DECREASE),
+  decrease: share => Math.max(MINIMUM_SHARE, share * DECREASE_FACTOR),
   keep: share => share,
-  increase: share => Math.min(1, share + INCREASE),
+  increase: share => Math.min(1, share + INCREASE_STEP),
 };
 
-/** Share of one batch task after a step in a direction. */
+/** Returns the share of one batch task after one throttling step. */
 export function nextShare(share: number, direction: ThrottleDirection): number {
-  return nextShares[direction](share);
+  return nextShareByDirection[direction](share);
 }
--- a/packages/scheduler/src/pressure/pressure-gauge.ts
+++ b/packages/scheduler/src/pressure/service-time-windows.ts
@@ -1,13 +1,13 @@
-/** Samples that a judgement rests on. */
+/** Number of most recent samples kept for each attempt. */
 const WINDOW_SAMPLES = 200;
 
-/** Samples below which there is no judgement. */
-const ENOUGH_SAMPLES = 20;
+/** Number of samples below which no percentile is reported. */
+const MINIMUM_SAMPLES = 20;
 
 const HIGH_QUANTILE = 0.99;
 
-/** Recent service times of the upstreams of one VM. */
-export class PressureGauge {
+/** Sliding windows of the recent service times of the upstreams on one VM. */
+export class ServiceTimeWindows {
   private readonly samples = new Map<string, number[]>();
 
   public observe(attempt: string, milliseconds: number): void {
@@ -19,17 +19,17 @@
     this.samples.set(attempt, window);
   }
 
-  /** 99th percentile of an upstream; undefined with too few samples. */
+  /** 99th percentile of an attempt; undefined if it has too few samples. */
   public highPercentile(attempt: string): number | undefined {
     const window = this.samples.get(attempt) ?? [];
-    if (window.length < ENOUGH_SAMPLES) {
+    if (window.length < MINIMUM_SAMPLES) {
       return undefined;
     }
     const sorted = [...window].sort((left, right) => left - right);
     return sorted[Math.floor(HIGH_QUANTILE * (sorted.length - 1))];
   }
 
-  /** Starts a new window, after a change whose effect is to be seen. */
+  /** Discards all samples, so that later ones show the effect of a change. */
   public reset(): void {
     this.samples.clear();
   }
--- a/packages/scheduler/src/repair/collect-evidence.ts
+++ b/packages/scheduler/src/repair/collect-evidence.ts
@@ -3,19 +3,19 @@
 
 import type { WorkerEvidence } from './worker-evidence.js';
 
-/** Failures older than this no longer count. */
-const EVIDENCE_MILLISECONDS = 120_000;
+/** Age at which failures no longer count. */
+const MAXIMUM_FAILURE_AGE_MILLISECONDS = 120_000;
 
 const NO_EVIDENCE: WorkerEvidence = { failedTasks: 0, failedOnlyHere: 0 };
 
 function isRecent(progress: TaskProgress, now: number): boolean {
   return (
     progress.failedOn.length > 0 &&
-    now - progress.endedAt < EVIDENCE_MILLISECONDS
+    now - progress.endedAt < MAXIMUM_FAILURE_AGE_MILLISECONDS
   );
 }
 
-/** Collects the recent failures of tasks by worker. */
+/** Counts the recent failures of tasks by worker. */
 export function collectEvidence(
   scheduling: Scheduling,
   now: number,
@@ -25,12 +25,12 @@
     if (!isRecent(progress, now)) {
       continue;
     }
-    const places = new Set(progress.failedOn);
-    for (const worker of places) {
-      const before = evidence.get(worker) ?? NO_EVIDENCE;
+    const workers = new Set(progress.failedOn);
+    for (const worker of workers) {
+      const previous = evidence.get(worker) ?? NO_EVIDENCE;
       evidence.set(worker, {
-        failedTasks: before.failedTasks + 1,
-        failedOnlyHere: before.failedOnlyHere + (places.size === 1 ? 1 : 0),
+        failedTasks: previous.failedTasks + 1,
+        failedOnlyHere: previous.failedOnlyHere + (workers.size === 1 ? 1 : 0),
       });
     }
   }
--- a/packages/scheduler/src/repair/retry-delay.ts
+++ b/packages/scheduler/src/repair/retry-delay.ts
@@ -1,17 +1,17 @@
 import type { TaskProgress } from '@basilcourse/shared-state/scheduling/task-progress';
 
-/** Failures after which a job is examined as one that can never run. */
-export const MAXIMUM_FAILURES = 6;
+/** Number of failures from which a job may be reported as unplaceable. */
+export const UNPLACEABLE_FAILURE_COUNT = 6;
 
-const FIRST_DELAY_MILLISECONDS = 500;
+const INITIAL_DELAY_MILLISECONDS = 500;
 
-const LONGEST_DELAY_MILLISECONDS = 60_000;
+const MAXIMUM_DELAY_MILLISECONDS = 60_000;
 
-/** Time before which a task that failed is not tried again. */
-export function retryDelay(progress: TaskProgress): number {
+/** Time before which a failed task is not retried: exponential backoff. */
+export function earliestRetryTime(progress: TaskProgress): number {
   if (progress.lastOutcome !== 'failed') {
     return 0;
   }
-  const doubled = FIRST_DELAY_MILLISECONDS * 2 ** (progress.failures - 1);
-  return progress.endedAt + Math.min(doubled, LONGEST_DELAY_MILLISECONDS);
+  const delay = INITIAL_DELAY_MILLISECONDS * 2 ** (progress.failures - 1);
+  return progress.endedAt + Math.min(delay, MAXIMUM_DELAY_MILLISECONDS);
 }
--- a/packages/scheduler/src/repair/suspect-workers.ts
+++ b/packages/scheduler/src/repair/update-probation.ts
@@ -3,10 +3,10 @@
 import type { PlanPass } from '../plan/plan-pass.js';
 import { collectEvidence } from './collect-evidence.js';
 
-/** Tasks that must fail on one worker and on no other. */
-const FAILURES_FOR_PROBATION = 3;
+/** Number of tasks that must fail on this worker only for probation. */
+const PROBATION_FAILURE_COUNT = 3;
 
-/** Time on probation before the next probe. */
+/** Time on probation before a worker accepts tasks again. */
 const PROBATION_MILLISECONDS = 30_000;
 
 const PROBATION_PREFIX = 'since ';
@@ -23,27 +23,29 @@
   const onProbation = workers.filter(
     worker => worker.condition === 'probation',
   ).length;
-  const bound = Math.max(1, Math.floor(workers.length * share));
-  return onProbation + added < bound;
+  const maximum = Math.max(1, Math.floor(workers.length * share));
+  return onProbation + added < maximum;
 }
 
 /**
- * Puts workers on probation that fail many tasks which do not fail elsewhere,
- * and lets them back after a while to prove themselves.
+ * Puts workers on probation on which many tasks fail that fail nowhere else.
+ * Marks them as ready again after a fixed time, so that new tasks show whether
+ * they have recovered.
  */
-export function suspectWorkers(pass: PlanPass): void {
-  const { scheduling, configuration, cell } = pass.question;
+export function updateProbation(pass: PlanPass): void {
+  const { scheduling, configuration, cell } = pass.input;
   const workers = [...scheduling.workers.values()].filter(
     worker => worker.cell === cell,
   );
-  const evidence = collectEvidence(scheduling, pass.now);
+  const failuresByWorker = collectEvidence(scheduling, pass.now);
   const { probationShare } = configuration.limits;
   let added = 0;
   for (const worker of workers) {
     const name = worker.description.worker;
     if (worker.condition === 'probation') {
-      const over = pass.now - probationStart(worker) > PROBATION_MILLISECONDS;
-      if (over) {
+      const hasEnded =
+        pass.now - probationStart(worker) > PROBATION_MILLISECONDS;
+      if (hasEnded) {
         pass.decide({
           type: 'worker-condition',
           worker: name,
@@ -53,10 +55,10 @@
       }
       continue;
     }
-    const failures = evidence.get(name)?.failedOnlyHere ?? 0;
-    const guilty =
-      worker.condition === 'ready' && failures >= FAILURES_FOR_PROBATION;
-    if (guilty && mayAddProbation(workers, probationShare, added)) {
+    const failures = failuresByWorker.get(name)?.failedOnlyHere ?? 0;
+    const hasTooManyFailures =
+      worker.condition === 'ready' && failures >= PROBATION_FAILURE_COUNT;
+    if (hasTooManyFailures && mayAddProbation(workers, probationShare, added)) {
       added += 1;
       pass.decide({
         type: 'worker-condition',
--- a/packages/scheduler/src/repair/worker-evidence.ts
+++ b/packages/scheduler/src/repair/worker-evidence.ts
@@ -1,7 +1,7 @@
-/** Failures on one worker against the record of the same kinds elsewhere. */
+/** Recent failures on one worker, compared with those on other workers. */
 export interface WorkerEvidence {
-  /** Different tasks that failed there most recently. */
+  /** Number of tasks that failed there recently. */
   readonly failedTasks: number;
-  /** Of these, tasks that have not failed on another worker. */
+  /** Number of these tasks that have not failed on another worker. */
   readonly failedOnlyHere: number;
 }
--- a/packages/scheduler/tests/learning/decaying-quantile.test.ts
+++ b/packages/scheduler/tests/learning/decaying-quantile.test.ts
@@ -16,7 +16,7 @@
   t.end();
 });
 
-t.test('old samples are forgotten', t => {
+t.test('recent samples outweigh old ones', t => {
   const quantile = new DecayingQuantile();
   for (let index = 0; index < 20_000; index += 1) {
     quantile.add(1);
@@ -28,7 +28,7 @@
   t.end();
 });
 
-t.test('no samples, no value', t => {
+t.test('the quantile is 0 without samples', t => {
   t.equal(new DecayingQuantile().at(0.99), 0);
   t.end();
 });
--- a/packages/scheduler/tests/placement/harm-budget.test.ts
+++ b/packages/scheduler/tests/placement/interference-budget.test.ts
@@ -1,12 +1,12 @@
 import t from 'tap';
 
 import {
-  harmBudget,
   initialShare,
+  interferenceBudget,
   isWithinBudget,
-} from '../../src/placement/harm-budget.js';
+} from '../../src/placement/interference-budget.js';
 
-const harm: Readonly<Record<string, number>> = {
+const slowdowns: Readonly<Record<string, number>> = {
   grade: 0.5,
   feed: 0,
   awful: 2,
@@ -14,8 +14,8 @@
 
 const context = {
   interference: {
-    slowdown: (sufferer: string, neighbour: string): number =>
-      sufferer === 'label' ? (harm[neighbour] ?? 0) : 0,
+    slowdown: (affectedKind: string, neighbourKind: string): number =>
+      affectedKind === 'label' ? (slowdowns[neighbourKind] ?? 0) : 0,
   },
   serviceKinds: new Set(['label']),
   latencyWeight: 1,
@@ -23,12 +23,12 @@
 
 const beside = new Map([['label', 1]]);
 
-t.test('where latency weighs less, batch may harm more', t => {
-  t.ok(harmBudget(0.2) > harmBudget(0.9));
+t.test('a lower latency weight allows more interference', t => {
+  t.ok(interferenceBudget(0.2) > interferenceBudget(0.9));
   t.end();
 });
 
-t.test('a harmful task starts throttled, a harmless one does not', t => {
+t.test('only a task that interferes with a service starts throttled', t => {
   t.equal(initialShare(context, beside, 'grade'), 0.2);
   t.equal(
     initialShare({ ...context, latencyWeight: 0.4 }, beside, 'grade'),
@@ -39,7 +39,7 @@
   t.end();
 });
 
-t.test('a task too harmful even when throttled stays away', t => {
+t.test('a task over the budget even at the minimum share is rejected', t => {
   t.ok(isWithinBudget(context, beside, 'grade'));
   t.notOk(
     isWithinBudget(
--- a/packages/scheduler/tests/placement/scorers.test.ts
+++ b/packages/scheduler/tests/placement/scorers.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 
-import { LearnedInterference } from '../../src/learning/learned-interference.js';
+import { InterferenceEstimator } from '../../src/learning/interference-estimator.js';
 import type { Candidate } from '../../src/placement/candidate.js';
 import { chooseWorker } from '../../src/placement/choose-worker.js';
 import type { PlacementRequest } from '../../src/placement/placement-request.js';
@@ -11,18 +11,21 @@
 
 const capacity = { processors: 16, memoryGigabytes: 64, accelerators: 0 };
 
-function candidate(worker: string, change: Partial<Candidate> = {}): Candidate {
+function candidate(
+  worker: string,
+  overrides: Partial<Candidate> = {},
+): Candidate {
   return {
     worker,
     rack: 'rack-1',
     availabilityZone: 'zone-1',
     capacity,
-    room: capacity,
+    availableResources: capacity,
     neighbours: new Map(),
-    sameServiceHere: 0,
+    sameServiceOnWorker: 0,
     sameServiceInRack: 0,
     sameServiceInZone: 0,
-    ...change,
+    ...overrides,
   };
 }
 
@@ -35,8 +38,8 @@
   failedOn: [],
 };
 
-function harmfulModel(): LearnedInterference {
-  const model = new LearnedInterference();
+function interferenceModel(): InterferenceEstimator {
+  const model = new InterferenceEstimator();
   for (let round = 0; round < 50; round += 1) {
     model.observe('label', [{ taskKind: 'reconcile', share: 1 }], 0.5);
     model.observe('label', [{ taskKind: 'feed', share: 1 }], 0);
@@ -49,18 +52,19 @@
 
 function choose(
   name: ScorerName,
-  wanted: PlacementRequest,
+  placementRequest: PlacementRequest,
   candidates: readonly Candidate[],
 ): string | undefined {
   const context = {
-    interference: harmfulModel(),
+    interference: interferenceModel(),
     latencyWeight: 0.8,
     serviceKinds: new Set(['label']),
   };
-  return chooseWorker(wanted, candidates, scorers[name], context)?.worker;
+  return chooseWorker(placementRequest, candidates, scorers[name], context)
+    ?.worker;
 }
 
-t.test('batch keeps away from the service that it harms', t => {
+t.test('batch is placed away from a service that it interferes with', t => {
   const all = [
     candidate('w1', { neighbours: new Map([['label', 1]]) }),
     candidate('w2', { neighbours: new Map([['feed', 1]]) }),
@@ -71,7 +75,7 @@
   t.end();
 });
 
-t.test('minions are spread over racks and zones', t => {
+t.test('minions are spread over racks and availability zones', t => {
   const minion = { ...request, role: 'service' as const, taskKind: 'label' };
   const all = [
     candidate('w1', { sameServiceInRack: 1, sameServiceInZone: 1 }),
@@ -83,21 +87,27 @@
   t.end();
 });
 
-t.test('accelerators are kept for those who need them', t => {
+t.test('workers with accelerators are kept for tasks that need them', t => {
   const withAccelerators = { ...capacity, accelerators: 4 };
   const all = [
-    candidate('w1', { capacity: withAccelerators, room: withAccelerators }),
+    candidate('w1', {
+      capacity: withAccelerators,
+      availableResources: withAccelerators,
+    }),
     candidate('w2'),
   ];
   t.equal(choose('least-harm', request, all), 'w2');
-  const needy = { ...request, resources: { ...size, accelerators: 1 } };
-  t.equal(choose('least-harm', needy, all), 'w1');
+  const acceleratorRequest = {
+    ...request,
+    resources: { ...size, accelerators: 1 },
+  };
+  t.equal(choose('least-harm', acceleratorRequest, all), 'w1');
   t.end();
 });
 
-t.test('a worker without room is no choice', t => {
+t.test('a worker without enough available resources is not chosen', t => {
   const full = candidate('w1', {
-    room: { processors: 1, memoryGigabytes: 64, accelerators: 0 },
+    availableResources: { processors: 1, memoryGigabytes: 64, accelerators: 0 },
   });
   t.equal(choose('least-harm', request, [full]), undefined);
   t.end();
--- a/packages/scheduler/tests/pressure/decide-throttle.test.ts
+++ b/packages/scheduler/tests/pressure/decide-throttle.test.ts
@@ -2,17 +2,17 @@
 
 import {
   decideThrottle,
-  LEAST_SHARE,
+  MINIMUM_SHARE,
   nextShare,
 } from '../../src/pressure/decide-throttle.js';
-import { PressureGauge } from '../../src/pressure/pressure-gauge.js';
+import { ServiceTimeWindows } from '../../src/pressure/service-time-windows.js';
 
-function gaugeWith(milliseconds: number): PressureGauge {
-  const gauge = new PressureGauge();
+function windowsWith(milliseconds: number): ServiceTimeWindows {
+  const windows = new ServiceTimeWindows();
   for (let index = 0; index < 50; index += 1) {
-    gauge.observe('service/labels/0#1', milliseconds);
+    windows.observe('service/labels/0#1', milliseconds);
   }
-  return gauge;
+  return windows;
 }
 
 function decide(
@@ -23,62 +23,71 @@
   const direction = decideThrottle({
     latencyWeight,
     services: [{ attempt: 'service/labels/0#1', targetMilliseconds: 100 }],
-    gauge: gaugeWith(milliseconds),
+    serviceTimes: windowsWith(milliseconds),
   });
   return nextShare(share, direction);
 }
 
 const cases = [
-  { name: 'too slow: batch yields', share: 1, weight: 1, at: 150, wanted: 0.6 },
   {
-    name: 'never below the least share',
+    name: 'latency above the target: the share decreases',
+    share: 1,
+    weight: 1,
+    latency: 150,
+    expected: 0.6,
+  },
+  {
+    name: 'the share never falls below the minimum',
     share: 0.25,
     weight: 1,
-    at: 900,
-    wanted: LEAST_SHARE,
+    latency: 900,
+    expected: MINIMUM_SHARE,
   },
   {
-    name: 'below: step by step back',
+    name: 'latency below the target: the share increases by one step',
     share: 0.5,
     weight: 1,
-    at: 50,
-    wanted: 0.6,
+    latency: 50,
+    expected: 0.6,
   },
   {
-    name: 'in between: nothing swings',
+    name: 'latency just below the target: the share stays unchanged',
     share: 0.5,
     weight: 1,
-    at: 98,
-    wanted: 0.5,
+    latency: 98,
+    expected: 0.5,
   },
   {
-    name: 'throughput first: batch yields later',
+    name: 'a low latency weight tolerates latency above the target',
     share: 1,
     weight: 0.2,
-    at: 150,
-    wanted: 1,
+    latency: 150,
+    expected: 1,
   },
 ];
 
-for (const { name, share, weight, at, wanted } of cases) {
+for (const { name, share, weight, latency, expected } of cases) {
   t.test(name, t => {
-    t.ok(Math.abs(decide(share, weight, at) - wanted) < 1e-9);
+    t.ok(Math.abs(decide(share, weight, latency) - expected) < 1e-9);
     t.end();
   });
 }
 
-t.test('too few samples decide nothing', t => {
-  const gauge = new PressureGauge();
-  gauge.observe('service/labels/0#1', 900);
+t.test('too few samples leave the shares unchanged', t => {
+  const windows = new ServiceTimeWindows();
+  windows.observe('service/labels/0#1', 900);
   const services = [{ attempt: 'service/labels/0#1', targetMilliseconds: 100 }];
-  t.equal(decideThrottle({ latencyWeight: 1, services, gauge }), 'keep');
+  t.equal(
+    decideThrottle({ latencyWeight: 1, services, serviceTimes: windows }),
+    'keep',
+  );
   t.end();
 });
 
-t.test('without a service on the VM batch gets all back', t => {
-  const gauge = new PressureGauge();
+t.test('without a service on the VM the shares increase', t => {
+  const windows = new ServiceTimeWindows();
   t.equal(
-    decideThrottle({ latencyWeight: 1, services: [], gauge }),
+    decideThrottle({ latencyWeight: 1, services: [], serviceTimes: windows }),
     'increase',
   );
   t.end();
