--- a/packages/daemon/src/node/agent-node.ts
+++ b/packages/daemon/src/node/agent-node.ts
@@ -4,10 +4,10 @@
 import { RequestRunner } from '@basilcourse/request-plane/agent/request-runner';
 import { RunLedger } from '@basilcourse/request-plane/agent/run-ledger';
 import { UpstreamRegistry } from '@basilcourse/request-plane/agent/upstream-registry';
-import type { HeartbeatParts } from '@basilcourse/request-plane/membership/exchange-with';
+import type { HeartbeatDependencies } from '@basilcourse/request-plane/membership/exchange-heartbeats';
 import {
   agentRoutes,
-  loadOf,
+  loadReportOf,
 } from '@basilcourse/request-plane/transport/agent-routes';
 import { ControlServer } from '@basilcourse/request-plane/transport/control-server';
 import { PressureGauge } from '@basilcourse/scheduler/pressure/pressure-gauge';
@@ -45,7 +45,7 @@
 
   private readonly tasks: NodeTasks;
 
-  private readonly heartbeats: HeartbeatParts;
+  private readonly heartbeats: HeartbeatDependencies;
 
   private readonly gauge = new PressureGauge();
 
@@ -62,7 +62,7 @@
       events,
       instance,
       teamWeight: team => state.fold.configuration.teams.get(team)?.weight ?? 1,
-      observe: (attempt, milliseconds) => {
+      observeDuration: (attempt, milliseconds) => {
         this.gauge.observe(attempt, milliseconds);
       },
     });
@@ -100,7 +100,7 @@
     const operatorsAddress = await this.operators.listen(
       settings.operatorsAddress,
     );
-    own.change({ address, operatorsAddress });
+    own.update({ address, operatorsAddress });
     // Known before the first announcement, the end lies below any placement here.
     await Effect.runPromise(noteLogEnd(core, this.register));
     events.record('process-started', `Agent ${settings.name} at ${address}.`);
@@ -121,7 +121,7 @@
   public async stop(): Promise<void> {
     const { events, own, settings, clock } = this.core;
     events.record('process-stopping', 'Finishes what is in progress.');
-    own.change({ state: 'leaving' });
+    own.update({ state: 'leaving' });
     await Effect.runPromise(announceNow(this.core, this.heartbeats));
     this.registry.close('the agent is stopping');
     const deadline = clock.now() + settings.shutdownSeconds * 1000;
@@ -144,9 +144,9 @@
     this.runner.close();
   }
 
-  private loads(): ReturnType<HeartbeatParts['loads']> {
+  private loads(): ReturnType<HeartbeatDependencies['loads']> {
     return this.registry.all.flatMap(({ attempt }) => {
-      const load = loadOf(this.registry, attempt);
+      const load = loadReportOf(this.registry, attempt);
       return load === undefined ? [] : [{ attemptId: attempt, load }];
     });
   }
@@ -166,7 +166,7 @@
       this.tellEntries();
       return { status: 200, body: {} };
     }
-    if (this.registry.announce(announcement, now)) {
+    if (this.registry.applyAnnouncement(announcement, now)) {
       this.tellEntries();
     }
     return { status: 200, body: {} };
@@ -176,7 +176,7 @@
     const upstreams = this.registry.all
       .filter(({ leaving }) => !leaving)
       .map(({ service, attempt, slots }) => ({ service, attempt, slots }));
-    this.core.own.change({ upstreams });
+    this.core.own.update({ upstreams });
     Effect.runFork(announceNow(this.core, this.heartbeats));
   }
 
--- a/packages/daemon/src/node/entry-node.ts
+++ b/packages/daemon/src/node/entry-node.ts
@@ -3,12 +3,12 @@
 import { KeyClaimer } from '@basilcourse/request-plane/claim/key-claimer';
 import { CallerServer } from '@basilcourse/request-plane/entry/caller-server';
 import { RequestDispatcher } from '@basilcourse/request-plane/entry/request-dispatcher';
+import type { HeartbeatDependencies } from '@basilcourse/request-plane/membership/exchange-heartbeats';
 import { exchangeRoutes } from '@basilcourse/request-plane/membership/exchange-routes';
-import type { HeartbeatParts } from '@basilcourse/request-plane/membership/exchange-with';
 import { RetryBudget } from '@basilcourse/request-plane/retry/retry-budget';
 import { ByteBudget } from '@basilcourse/request-plane/routing/byte-budget';
 import { OutlierDetector } from '@basilcourse/request-plane/routing/outlier-detector';
-import { RefusingPeers } from '@basilcourse/request-plane/routing/refusing-peers';
+import { UnreachableAgents } from '@basilcourse/request-plane/routing/unreachable-agents';
 import { UpstreamRouter } from '@basilcourse/request-plane/routing/upstream-router';
 import { ControlServer } from '@basilcourse/request-plane/transport/control-server';
 import { entryRoutes } from '@basilcourse/request-plane/transport/entry-routes';
@@ -43,7 +43,7 @@
 
   private readonly tasks: NodeTasks;
 
-  private readonly heartbeats: HeartbeatParts;
+  private readonly heartbeats: HeartbeatDependencies;
 
   private readonly cells: CellManager;
 
@@ -59,8 +59,8 @@
     const history = new DecisionHistory();
     noteOutcomes(core, history);
     const outliers = new OutlierDetector(random);
-    const refusing = new RefusingPeers();
-    const budget = new RetryBudget();
+    const unreachableAgents = new UnreachableAgents();
+    const retryBudget = new RetryBudget();
     const crossRegionBytes = new ByteBudget(
       () => state.fold.configuration.limits.crossRegionBytesPerSecond,
       clock.now(),
@@ -69,7 +69,7 @@
       members,
       loads,
       outliers,
-      refusing,
+      unreachableAgents,
       crossRegionBytes,
       clock,
       random,
@@ -93,8 +93,8 @@
       entryId: settings.name,
       router,
       outliers,
-      refusing,
-      budget,
+      unreachableAgents,
+      retryBudget,
       claimer,
       crossRegionBytes,
       clock,
@@ -110,7 +110,7 @@
     });
     metrics.watchEntry({
       inFlight: () => this.callers.requestsInFlight,
-      retries: () => budget.spent,
+      retries: () => retryBudget.spent,
       crossRegionBytes: () => crossRegionBytes.spent,
     });
     const exchange = exchangeRoutes({
@@ -155,7 +155,7 @@
     const operatorsAddress = await this.operators.listen(
       settings.operatorsAddress,
     );
-    own.change({ address, operatorsAddress });
+    own.update({ address, operatorsAddress });
     this.boundCallers = await this.callers.listen(settings.callersAddress);
     events.record('process-started', `Entry ${settings.name} at ${address}.`);
     const callersAddress = this.boundCallers;
@@ -174,8 +174,8 @@
     const { core } = this;
     const { clock, events, own, settings } = core;
     events.record('process-stopping', 'Finishes what is in progress.');
-    await this.callers.giveNotice(settings.noticeSeconds * 1000);
-    own.change({ state: 'leaving' });
+    await this.callers.startLeaving(settings.noticeSeconds * 1000);
+    own.update({ state: 'leaving' });
     await Effect.runPromise(announceNow(core, this.heartbeats));
     const drained = this.callers.drain();
     const longest = settings.shutdownSeconds * 1000;
--- a/packages/daemon/src/node/heartbeats.ts
+++ b/packages/daemon/src/node/heartbeats.ts
@@ -1,10 +1,10 @@
-import type { HeartbeatParts } from '@basilcourse/request-plane/membership/exchange-with';
+import { entriesForAgent } from '@basilcourse/request-plane/membership/entries-for-agent';
+import type { HeartbeatDependencies } from '@basilcourse/request-plane/membership/exchange-heartbeats';
 import {
-  exchangeForever,
-  exchangeOnce,
-} from '@basilcourse/request-plane/membership/exchange-with';
-import { homeEntries } from '@basilcourse/request-plane/membership/home-entries';
-import { keepPeerTasks } from '@basilcourse/request-plane/membership/keep-peer-tasks';
+  exchangeHeartbeat,
+  exchangeHeartbeatsForever,
+} from '@basilcourse/request-plane/membership/exchange-heartbeats';
+import { runTaskPerPeer } from '@basilcourse/request-plane/membership/run-task-per-peer';
 import * as Effect from 'effect/Effect';
 
 import type { NodeCore } from './node-core.js';
@@ -12,8 +12,8 @@
 /** Creates the parts that a node's heartbeats work on. */
 export function heartbeatParts(
   core: NodeCore,
-  loads: HeartbeatParts['loads'],
-): HeartbeatParts {
+  loads: HeartbeatDependencies['loads'],
+): HeartbeatDependencies {
   const { transports, members, own, clock } = core;
   const { random } = core.dependencies;
   return { transports, members, own, clock, random, loads };
@@ -37,27 +37,27 @@
   const all = [
     ...new Set([...addresses, ...(self.role === 'entry' ? seeds : [])]),
   ];
-  return self.role === 'entry' ? all : homeEntries(self.id, all);
+  return self.role === 'entry' ? all : entriesForAgent(self.id, all);
 }
 
 /** Sends heartbeats to the peers for as long as the node runs. */
 export function keepHeartbeats(
   core: NodeCore,
-  parts: HeartbeatParts,
+  parts: HeartbeatDependencies,
 ): Effect.Effect<never> {
-  return keepPeerTasks(
+  return runTaskPerPeer(
     () => heartbeatPeers(core),
-    address => exchangeForever(parts, address),
+    address => exchangeHeartbeatsForever(parts, address),
   );
 }
 
 /** Tells all heartbeat peers at once that something has changed. */
 export function announceNow(
   core: NodeCore,
-  parts: HeartbeatParts,
+  parts: HeartbeatDependencies,
 ): Effect.Effect<void> {
   const exchanges = heartbeatPeers(core).map(address =>
-    exchangeOnce(parts, address),
+    exchangeHeartbeat(parts, address),
   );
   return Effect.all(exchanges, { concurrency: 'unbounded', discard: true });
 }
--- a/packages/daemon/src/node/keep-log-end.ts
+++ b/packages/daemon/src/node/keep-log-end.ts
@@ -25,7 +25,7 @@
     return Effect.tryPromise(() => log.read(core.state.fold.next, 1)).pipe(
       Effect.timeout(READ_TIMEOUT_MILLISECONDS),
       Effect.map(({ end }) => {
-        register.noteLogEnd(end, memoryStart);
+        register.recordLogEnd(end, memoryStart);
       }),
       Effect.ignore,
     );
--- a/packages/daemon/src/scheduling/cell-holder.ts
+++ b/packages/daemon/src/scheduling/cell-holder.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@basilcourse/foundation/clock/clock';
 import type { EventRecorder } from '@basilcourse/foundation/events/event-recorder';
 import type { IdentifierSource } from '@basilcourse/foundation/identifiers/identifier-source';
-import { keepPeerTasks } from '@basilcourse/request-plane/membership/keep-peer-tasks';
+import { runTaskPerPeer } from '@basilcourse/request-plane/membership/run-task-per-peer';
 import { LeaseLedger } from '@basilcourse/scheduler/cell/lease-ledger';
 import { newWorkerView } from '@basilcourse/scheduler/cell/new-worker-view';
 import type { WorkerView } from '@basilcourse/scheduler/cell/worker-view';
@@ -70,7 +70,7 @@
 
   /** Runs the workers' tasks and the passes of decisions. */
   public run(): Effect.Effect<never> {
-    const workers = keepPeerTasks(
+    const workers = runTaskPerPeer(
       () => this.ownWorkers(),
       worker => this.taskOf(worker).run(),
     );
--- a/packages/daemon/src/scheduling/cell-manager.ts
+++ b/packages/daemon/src/scheduling/cell-manager.ts
@@ -1,5 +1,5 @@
 import { rendezvousRank } from '@basilcourse/foundation/util/rendezvous-rank';
-import { keepPeerTasks } from '@basilcourse/request-plane/membership/keep-peer-tasks';
+import { runTaskPerPeer } from '@basilcourse/request-plane/membership/run-task-per-peer';
 import type { WorkerView } from '@basilcourse/scheduler/cell/worker-view';
 import {
   cellNames,
@@ -36,7 +36,7 @@
 
   /** Runs a task for each cell of the region, and one for snapshots. */
   public run(): Effect.Effect<never> {
-    return keepPeerTasks(
+    return runTaskPerPeer(
       () => [...this.cellsOfRegion(), SNAPSHOT_CELL],
       cell => this.runCell(cell),
     );
--- a/packages/request-plane/src/agent/call-upstream.ts
+++ b/packages/request-plane/src/agent/call-upstream.ts
@@ -54,7 +54,7 @@
   });
 }
 
-function classify(error: Error, address: string): RunOutcome {
+function outcomeOfError(error: Error, address: string): RunOutcome {
   return neverConnected(error)
     ? notRun(STEP, address, error.message)
     : unknown(STEP, address, error.message);
@@ -79,7 +79,7 @@
     readAnswer(answer, address, finish);
   });
   outgoing.on('error', error => {
-    finish(classify(error, address));
+    finish(outcomeOfError(error, address));
   });
   outgoing.end(run.body);
   return outgoing;
--- a/packages/request-plane/src/agent/claim-register.ts
+++ b/packages/request-plane/src/agent/claim-register.ts
@@ -40,7 +40,7 @@
    *
    * @param memoryStart - Start of the memory when the read began.
    */
-  public noteLogEnd(end: number, memoryStart: number): void {
+  public recordLogEnd(end: number, memoryStart: number): void {
     if (memoryStart === this.start) {
       this.startOffset ??= end;
     }
@@ -48,9 +48,9 @@
 
   /** Claims a key for a request; returns the request that holds it. */
   public claim(key: string, requestId: string, now: number): string {
-    const known = this.claims.get(key);
-    if (known !== undefined) {
-      return known.requestId;
+    const existing = this.claims.get(key);
+    if (existing !== undefined) {
+      return existing.requestId;
     }
     const dropped = this.claims.dropped;
     this.claims.set(key, { requestId, claimedAt: now });
--- a/packages/request-plane/src/agent/request-runner.ts
+++ b/packages/request-plane/src/agent/request-runner.ts
@@ -14,10 +14,10 @@
 
 const STEP = 'agent.run';
 
-const SOCKET_IDLE_MILLISECONDS = 4000;
+const SOCKET_IDLE_TIMEOUT_MILLISECONDS = 4000;
 
 /** Parts that running requests works on. */
-interface RunnerParts {
+interface RunnerDependencies {
   readonly registry: UpstreamRegistry;
   readonly ledger: RunLedger;
   readonly clock: Clock;
@@ -26,19 +26,19 @@
   readonly instance: string;
   readonly teamWeight: (team: string) => number;
   /** Takes in the time that a request took, by attempt. */
-  readonly observe: (attempt: string, milliseconds: number) => void;
+  readonly observeDuration: (attempt: string, milliseconds: number) => void;
 }
 
 /** Runs the requests handed to one agent at the upstreams beside it. */
 export class RequestRunner {
   private readonly connectionPools = new Map<string, Agent>();
 
-  public constructor(private readonly parts: RunnerParts) {}
+  public constructor(private readonly dependencies: RunnerDependencies) {}
 
   /** Runs a request once a slot is free; never a second time. */
   public run(request: RunRequest): Effect.Effect<RunOutcome> {
     return Effect.suspend(() => {
-      const { registry, ledger, clock, instance } = this.parts;
+      const { registry, ledger, clock, instance } = this.dependencies;
       const now = clock.now();
       const upstream = registry.find(request.attemptId);
       if (request.agentInstance !== instance || upstream === undefined) {
@@ -61,7 +61,7 @@
   }
 
   private answerRepeat(requestId: string): RunOutcome {
-    const { ledger, instance } = this.parts;
+    const { ledger, instance } = this.dependencies;
     const entry = ledger.find(requestId);
     if (entry?.state === 'fenced') {
       return notRun(STEP, instance, 'the request was fenced');
@@ -75,10 +75,10 @@
     upstream: LocalUpstream,
     deadline: number,
   ): Effect.Effect<RunOutcome> {
-    const { ledger, clock } = this.parts;
-    const keep = request.claimKey !== '';
+    const { ledger, clock } = this.dependencies;
+    const keepAnswer = request.claimKey !== '';
     const work = Effect.uninterruptibleMask(restore =>
-      restore(this.takeSlot(request, upstream, deadline)).pipe(
+      restore(this.waitForSlot(request, upstream, deadline)).pipe(
         Effect.flatMap(refusal =>
           refusal === undefined
             ? this.runInSlot(request, upstream, deadline, restore)
@@ -89,19 +89,19 @@
     return work.pipe(
       Effect.tap(outcome =>
         Effect.sync(() => {
-          ledger.end(request.requestId, outcome, keep, clock.now());
+          ledger.end(request.requestId, outcome, keepAnswer, clock.now());
         }),
       ),
       Effect.onInterrupt(() =>
         Effect.sync(() => {
-          this.noteInterrupted(request.requestId);
+          this.recordInterruption(request.requestId);
         }),
       ),
     );
   }
 
-  private noteInterrupted(requestId: string): void {
-    const { ledger, clock, instance } = this.parts;
+  private recordInterruption(requestId: string): void {
+    const { ledger, clock, instance } = this.dependencies;
     const began = ledger.find(requestId)?.state === 'began';
     const reason = 'the caller left';
     const outcome = began
@@ -110,12 +110,12 @@
     ledger.end(requestId, outcome, false, clock.now());
   }
 
-  private takeSlot(
+  private waitForSlot(
     request: RunRequest,
     upstream: LocalUpstream,
     deadline: number,
   ): Effect.Effect<RunOutcome | undefined> {
-    const { clock, teamWeight, instance } = this.parts;
+    const { clock, teamWeight, instance } = this.dependencies;
     const { requestId, team } = request;
     return Effect.async<RunOutcome | undefined>(resume => {
       let granted = false;
@@ -134,16 +134,16 @@
         clearTimeout(timer);
         resume(Effect.succeed(undefined));
       };
-      const teamShare = teamWeight(team);
-      upstream.gate.enter(
-        { requestId, team, teamWeight: teamShare, deadline, grant, refuse },
+      const weight = teamWeight(team);
+      upstream.gate.requestSlot(
+        { requestId, team, teamWeight: weight, deadline, grant, refuse },
         clock.now(),
       );
       return Effect.sync(() => {
         clearTimeout(timer);
         upstream.gate.cancel(requestId);
         if (granted) {
-          upstream.gate.leave(clock.now());
+          upstream.gate.releaseSlot(clock.now());
         }
       });
     });
@@ -155,7 +155,8 @@
     deadline: number,
     restore: <Value>(work: Effect.Effect<Value>) => Effect.Effect<Value>,
   ): Effect.Effect<RunOutcome> {
-    const { clock, ledger, observe, events, instance } = this.parts;
+    const { clock, ledger, observeDuration, events, instance } =
+      this.dependencies;
     const startedAt = clock.now();
     const remainingMilliseconds = Math.max(0, Math.floor(deadline - startedAt));
     const call = Effect.suspend(() => {
@@ -174,20 +175,20 @@
       });
     });
     // A keyed request runs on after its caller left: its answer is kept.
-    const lasting = request.claimKey === '' ? restore(call) : call;
-    return lasting.pipe(
+    const interruptibleCall = request.claimKey === '' ? restore(call) : call;
+    return interruptibleCall.pipe(
       Effect.tap(outcome =>
         Effect.sync(() => {
           if (outcome.kind === 'completed') {
-            const took = clock.now() - startedAt;
-            upstream.gate.serviceTime.add(took, clock.now());
-            observe(upstream.attempt, took);
+            const duration = clock.now() - startedAt;
+            upstream.gate.serviceTime.add(duration, clock.now());
+            observeDuration(upstream.attempt, duration);
           }
         }),
       ),
       Effect.ensuring(
         Effect.sync(() => {
-          upstream.gate.leave(clock.now());
+          upstream.gate.releaseSlot(clock.now());
         }),
       ),
     );
@@ -195,14 +196,14 @@
 
   private poolFor(upstream: LocalUpstream): Agent {
     const { attempt, connections } = upstream;
-    const known = this.connectionPools.get(attempt);
-    if (known !== undefined) {
-      return known;
+    const existing = this.connectionPools.get(attempt);
+    if (existing !== undefined) {
+      return existing;
     }
     const pool = new Agent({
       keepAlive: true,
       maxSockets: connections,
-      timeout: SOCKET_IDLE_MILLISECONDS,
+      timeout: SOCKET_IDLE_TIMEOUT_MILLISECONDS,
     });
     this.connectionPools.set(attempt, pool);
     return pool;
--- a/packages/request-plane/src/agent/run-ledger.ts
+++ b/packages/request-plane/src/agent/run-ledger.ts
@@ -5,13 +5,13 @@
 import type { LedgerEntry } from './ledger-entry.js';
 
 /** Requests that one agent remembers. */
-const MAXIMUM_REQUESTS = 50_000;
+const MAXIMUM_RECORDED_REQUESTS = 50_000;
 
 /** Bytes of answers that one agent keeps for repeats. */
 const MAXIMUM_KEPT_BYTES = 16 * 1024 * 1024;
 
 /** Largest answer kept for repeats. */
-const LARGEST_KEPT_BYTES = 256 * 1024;
+const MAXIMUM_KEPT_ANSWER_BYTES = 256 * 1024;
 
 function sizeOf(outcome: RunOutcome | undefined): number {
   return outcome?.kind === 'completed' ? outcome.body.length : 0;
@@ -24,7 +24,9 @@
  * fenced request stays fenced, however late its message arrives.
  */
 export class RunLedger {
-  private readonly entries = new BoundedMap<LedgerEntry>(MAXIMUM_REQUESTS);
+  private readonly entries = new BoundedMap<LedgerEntry>(
+    MAXIMUM_RECORDED_REQUESTS,
+  );
 
   private keptBytes = 0;
 
@@ -54,8 +56,9 @@
     now: number,
   ): void {
     const bytes = sizeOf(outcome);
-    const roomLeft = this.keptBytes + bytes <= MAXIMUM_KEPT_BYTES;
-    const isKept = keepAnswer && bytes <= LARGEST_KEPT_BYTES && roomLeft;
+    const fitsInMemory = this.keptBytes + bytes <= MAXIMUM_KEPT_BYTES;
+    const isKept =
+      keepAnswer && bytes <= MAXIMUM_KEPT_ANSWER_BYTES && fitsInMemory;
     const kept =
       outcome.kind === 'completed' && !isKept
         ? unknown('agent.recover', 'local', 'ran, and its answer was not kept')
--- a/packages/request-plane/src/agent/slot-gate.ts
+++ b/packages/request-plane/src/agent/slot-gate.ts
@@ -1,6 +1,6 @@
 import { FairQueue } from './fair-queue.js';
-import type { GateRequest } from './gate-request.js';
 import { ServiceTime } from './service-time.js';
+import type { SlotRequest } from './slot-request.js';
 import type { WaitingRequest } from './waiting-request.js';
 
 /** Requests that may wait for one slot, as a bound on the queue's memory. */
@@ -19,7 +19,7 @@
 
   private runningCount = 0;
 
-  private closedBecause = '';
+  private closeReason = '';
 
   public constructor(public readonly slots: number) {}
 
@@ -32,8 +32,8 @@
   }
 
   /** Asks for a slot; answers by one of the request's callbacks. */
-  public enter(request: GateRequest, now: number): void {
-    const reason = this.refusal(request, now);
+  public requestSlot(request: SlotRequest, now: number): void {
+    const reason = this.refusalReason(request, now);
     if (reason !== '') {
       request.refuse(reason);
       return;
@@ -48,9 +48,9 @@
   }
 
   /** Gives a slot back and passes it on. */
-  public leave(now: number): void {
+  public releaseSlot(now: number): void {
     this.runningCount -= 1;
-    this.passOn(now);
+    this.grantFreeSlots(now);
   }
 
   /** Takes a waiting request out; false when it does not wait. */
@@ -60,42 +60,44 @@
 
   /** Refuses all that waits and all that comes. */
   public close(reason: string): void {
-    this.closedBecause = reason;
+    this.closeReason = reason;
     for (const waiting of this.queue.removeAll()) {
       waiting.refuse(reason);
     }
   }
 
-  private refusal(request: GateRequest, now: number): string {
-    if (this.closedBecause !== '') {
-      return this.closedBecause;
+  private refusalReason(request: SlotRequest, now: number): string {
+    if (this.closeReason !== '') {
+      return this.closeReason;
     }
     if (this.queue.length >= this.slots * MAXIMUM_WAITING_PER_SLOT) {
       return 'the queue is full';
     }
-    return this.isTooLate(request, this.queue.length, now)
+    return this.wouldMissDeadline(request, this.queue.length, now)
       ? 'cannot finish before the deadline'
       : '';
   }
 
-  private isTooLate(
+  private wouldMissDeadline(
     request: Pick<WaitingRequest, 'deadline'>,
-    ahead: number,
+    requestsAhead: number,
     now: number,
   ): boolean {
-    const service = this.serviceTime.hopefulMilliseconds(now);
-    const busy = this.runningCount >= this.slots;
-    const wait = busy ? ((ahead + 1) * service) / this.slots : 0;
-    return now + wait + service > request.deadline;
+    const serviceMilliseconds = this.serviceTime.decayedMilliseconds(now);
+    const allSlotsTaken = this.runningCount >= this.slots;
+    const waitMilliseconds = allSlotsTaken
+      ? ((requestsAhead + 1) * serviceMilliseconds) / this.slots
+      : 0;
+    return now + waitMilliseconds + serviceMilliseconds > request.deadline;
   }
 
-  private passOn(now: number): void {
+  private grantFreeSlots(now: number): void {
     while (this.runningCount < this.slots) {
       const next = this.queue.shift();
       if (next === undefined) {
         return;
       }
-      if (this.isTooLate(next, -1, now)) {
+      if (this.wouldMissDeadline(next, -1, now)) {
         next.refuse('cannot finish before the deadline');
         continue;
       }
--- a/packages/request-plane/src/agent/gate-request.ts
+++ b/packages/request-plane/src/agent/slot-request.ts
@@ -1,5 +1,5 @@
 /** What a request brings to the gate. */
-export interface GateRequest {
+export interface SlotRequest {
   readonly requestId: string;
   readonly team: string;
   readonly teamWeight: number;
--- a/packages/request-plane/src/agent/upstream-registry.ts
+++ b/packages/request-plane/src/agent/upstream-registry.ts
@@ -9,29 +9,29 @@
 export class UpstreamRegistry {
   private readonly upstreams = new Map<string, LocalUpstream>();
 
-  private readonly gone = new Set<string>();
+  private readonly endedAttempts = new Set<string>();
 
-  private closedBecause = '';
+  private closeReason = '';
 
   public get all(): readonly LocalUpstream[] {
     return [...this.upstreams.values()];
   }
 
   /** Takes in an announcement; true when something changed for callers. */
-  public announce(announcement: Announcement, now: number): boolean {
+  public applyAnnouncement(announcement: Announcement, now: number): boolean {
     const { attempt, leaving } = announcement;
-    if (this.gone.has(attempt)) {
+    if (this.endedAttempts.has(attempt)) {
       return false;
     }
-    const known = this.upstreams.get(attempt);
-    const gate = known?.gate ?? new SlotGate(announcement.slots);
+    const current = this.upstreams.get(attempt);
+    const gate = current?.gate ?? new SlotGate(announcement.slots);
     if (leaving) {
       gate.close('the upstream is leaving');
-    } else if (this.closedBecause !== '') {
-      gate.close(this.closedBecause);
+    } else if (this.closeReason !== '') {
+      gate.close(this.closeReason);
     }
     this.upstreams.set(attempt, { ...announcement, announcedAt: now, gate });
-    return known?.leaving !== leaving;
+    return current?.leaving !== leaving;
   }
 
   /** Finds the upstream that serves an attempt. */
@@ -41,31 +41,31 @@
 
   /** Tells whether an attempt has ended here for good. */
   public hasEnded(attempt: string): boolean {
-    return this.gone.has(attempt);
+    return this.endedAttempts.has(attempt);
   }
 
   public remove(attempt: string): void {
     this.upstreams.get(attempt)?.gate.close('the upstream has left');
     this.upstreams.delete(attempt);
-    this.gone.add(attempt);
+    this.endedAttempts.add(attempt);
   }
 
   /** Drops upstreams that have been silent; true when one was dropped. */
   public sweep(now: number): boolean {
-    const silent = this.all.filter(
+    const expired = this.all.filter(
       ({ announcedAt }) =>
         now - announcedAt > ANNOUNCEMENT_TIMEOUT_MILLISECONDS,
     );
-    for (const { attempt, gate } of silent) {
+    for (const { attempt, gate } of expired) {
       gate.close('the upstream is silent');
       this.upstreams.delete(attempt);
     }
-    return silent.length > 0;
+    return expired.length > 0;
   }
 
   /** Refuses all new work on the VM. */
   public close(reason: string): void {
-    this.closedBecause = reason;
+    this.closeReason = reason;
     for (const { gate } of this.upstreams.values()) {
       gate.close(reason);
     }
--- a/packages/request-plane/src/claim/claim-memory.ts
+++ b/packages/request-plane/src/claim/claim-memory.ts
@@ -32,10 +32,10 @@
   }
 
   /** Notes that a request claims a key; returns the request that did first. */
-  public note(key: string, requestId: string, now: number): string {
-    const known = this.claims.get(key);
-    if (known !== undefined) {
-      return known.requestId;
+  public claim(key: string, requestId: string, now: number): string {
+    const existing = this.claims.get(key);
+    if (existing !== undefined) {
+      return existing.requestId;
     }
     const dropped = this.claims.dropped;
     this.claims.set(key, { key, requestId, claimedAt: now });
@@ -46,7 +46,7 @@
   }
 
   /** Replaces the holder of a key by the one that its keeper named. */
-  public settle(key: string, requestId: string, now: number): void {
+  public replaceHolder(key: string, requestId: string, now: number): void {
     this.claims.set(key, { key, requestId, claimedAt: now });
   }
 
@@ -63,7 +63,7 @@
   /** Takes over the memory of a stopping entry. */
   public inherit(
     instance: string,
-    older: readonly string[],
+    previouslyInherited: readonly string[],
     claims: readonly RememberedClaim[],
   ): void {
     for (const claim of claims) {
@@ -71,7 +71,7 @@
         this.claims.set(claim.key, claim);
       }
     }
-    for (const name of [instance, ...older]) {
+    for (const name of [instance, ...previouslyInherited]) {
       this.inherited.add(name);
     }
   }
--- a/packages/request-plane/src/claim/find-keeper.ts
+++ b/packages/request-plane/src/claim/find-key-owner.ts
@@ -2,12 +2,12 @@
 import type { SharedState } from '@basilcourse/shared-state/follow/shared-state';
 
 import type { MemberTable } from '../membership/member-table.js';
-import type { Keeper } from './keeper.js';
-import { keepersSince } from './keeper-history.js';
+import type { KeyOwner } from './key-owner.js';
+import { keyOwnersSince } from './key-owners-since.js';
 import { memoryWindowStart } from './memory-window-start.js';
 
 /** What finding the keeper of a key depends on. */
-interface KeeperParts {
+interface KeyOwnerDependencies {
   readonly state: SharedState;
   readonly members: MemberTable;
   readonly clock: Clock;
@@ -17,15 +17,15 @@
  * Finds the agent that keeps a key; undefined when no attempt of the service
  * is active, or the agent beside it is out of reach.
  */
-export function findKeeper(
-  { state, members, clock }: KeeperParts,
+export function findKeyOwner(
+  { state, members, clock }: KeyOwnerDependencies,
   service: string,
   key: string,
-): Keeper | undefined {
+): KeyOwner | undefined {
   const { scheduling, configuration } = state.fold;
-  const since = memoryWindowStart(configuration, clock.now());
-  const keepers = keepersSince(scheduling, service, key, since);
-  const attempt = scheduling.attempts.get(keepers[0] ?? '');
+  const windowStart = memoryWindowStart(configuration, clock.now());
+  const owners = keyOwnersSince(scheduling, service, key, windowStart);
+  const attempt = scheduling.attempts.get(owners[0] ?? '');
   if (attempt === undefined || attempt.state === 'lost') {
     return undefined;
   }
@@ -38,7 +38,7 @@
         address: agent.member.address,
         attempt: attempt.id,
         sinceOffset: attempt.keeperSinceOffset,
-        windowStart: since,
-        changedWithinMemory: keepers.length > 1,
+        windowStart,
+        changedWithinWindow: owners.length > 1,
       };
 }
--- a/packages/request-plane/src/claim/key-claimer.ts
+++ b/packages/request-plane/src/claim/key-claimer.ts
@@ -12,9 +12,9 @@
 import { notRun, unknown } from '../outcome/outcomes.js';
 import type { ClaimMemory } from './claim-memory.js';
 import type { ClaimResult } from './claim-result.js';
-import { findKeeper } from './find-keeper.js';
-import type { Keeper } from './keeper.js';
-import { recallEverywhere } from './recall-everywhere.js';
+import { findKeyOwner } from './find-key-owner.js';
+import type { KeyOwner } from './key-owner.js';
+import { recallFromEntries } from './recall-from-entries.js';
 import { recoverAnswer } from './recover-answer.js';
 
 const STEP = 'entry.claim';
@@ -23,7 +23,7 @@
 
 const BACKOFF_BOUNDS = { firstMilliseconds: 20, longestMilliseconds: 250 };
 
-interface ClaimerParts {
+interface ClaimerDependencies {
   readonly state: SharedState;
   readonly members: MemberTable;
   readonly memory: ClaimMemory;
@@ -35,24 +35,24 @@
   readonly instance: string;
 }
 
-function settled(outcome: ReturnType<typeof notRun>): ClaimResult {
+function settledClaim(outcome: ReturnType<typeof notRun>): ClaimResult {
   return { kind: 'settled', outcome };
 }
 
 /** Nothing was handed over yet, so the request surely was not run. */
-function refused(reason: string): ClaimResult {
-  return settled(notRun(STEP, 'keeper', reason));
+function refusedClaim(reason: string): ClaimResult {
+  return settledClaim(notRun(STEP, 'keeper', reason));
 }
 
 /**
  * Tells whether an agent remembers all keys that it was asked to keep: it
  * started before the log made it their keeper, or before the keys that count.
  */
-function remembersAll(keeper: Keeper, answer: ClaimResponse): boolean {
+function remembersAllClaims(owner: KeyOwner, answer: ClaimResponse): boolean {
   const { memoryStartOffset: offset } = answer;
-  const startedBefore = offset !== undefined && offset <= keeper.sinceOffset;
+  const startedBefore = offset !== undefined && offset <= owner.sinceOffset;
   const start = Number(answer.memoryStartMilliseconds);
-  return startedBefore || start <= keeper.windowStart;
+  return startedBefore || start <= owner.windowStart;
 }
 
 /**
@@ -63,7 +63,7 @@
  * every entry is asked as well, and each promises not to claim the key.
  */
 export class KeyClaimer {
-  public constructor(private readonly parts: ClaimerParts) {}
+  public constructor(private readonly dependencies: ClaimerDependencies) {}
 
   /**
    * Claims a key for a request; tries again until the deadline while the key's
@@ -79,13 +79,13 @@
         if (result.kind === 'first' || result.outcome.kind !== 'not-run') {
           return Effect.succeed(result);
         }
-        const { random, clock } = this.parts;
-        const pause = jitteredBackoff(tries, BACKOFF_BOUNDS, random);
+        const { random, clock } = this.dependencies;
+        const delay = jitteredBackoff(tries, BACKOFF_BOUNDS, random);
         // A release that came late would free a key that a later try claimed,
         // so the claim is given back after the last try only.
-        return clock.now() + pause >= request.deadline
+        return clock.now() + delay >= request.deadline
           ? this.release(key, request).pipe(Effect.as(result))
-          : Effect.sleep(pause).pipe(
+          : Effect.sleep(delay).pipe(
               Effect.zipRight(this.claim(key, request, tries + 1)),
             );
       }),
@@ -95,13 +95,13 @@
   /** Gives a claim back after its request surely was not run. */
   public release(key: string, request: CallerRequest): Effect.Effect<void> {
     return Effect.suspend(() => {
-      const { memory, clients } = this.parts;
+      const { memory, clients } = this.dependencies;
       memory.release(key, request.requestId);
-      const keeper = findKeeper(this.parts, request.service, key);
-      return keeper === undefined
+      const owner = findKeyOwner(this.dependencies, request.service, key);
+      return owner === undefined
         ? Effect.void
         : clients
-            .agentAt(keeper.address)
+            .agentAt(owner.address)
             .release(key, request.requestId)
             .pipe(Effect.timeout(CLAIM_TIMEOUT_MILLISECONDS), Effect.ignore);
     });
@@ -112,34 +112,34 @@
     request: CallerRequest,
   ): Effect.Effect<ClaimResult> {
     return Effect.suspend(() => {
-      const { memory, clock, state, instance } = this.parts;
+      const { memory, clock, state, instance } = this.dependencies;
       // Others ask an entry for its keys from its joining on; a state without
       // the own joining may name a keeper that others have replaced.
       if (!state.fold.configuration.entries.has(instance)) {
         const reason = 'the joining of this entry is not in force yet';
-        return Effect.succeed(settled(notRun(STEP, 'local', reason)));
+        return Effect.succeed(settledClaim(notRun(STEP, 'local', reason)));
       }
-      const holder = memory.note(key, request.requestId, clock.now());
+      const holder = memory.claim(key, request.requestId, clock.now());
       if (holder !== request.requestId) {
-        return this.repeat(key, holder, request);
+        return this.recoverEarlierAnswer(key, holder, request);
       }
-      const keeper = findKeeper(this.parts, request.service, key);
-      if (keeper === undefined) {
+      const owner = findKeyOwner(this.dependencies, request.service, key);
+      if (owner === undefined) {
         const reason = 'the agent that keeps the key is out of reach';
-        return Effect.succeed(settled(notRun(STEP, 'local', reason)));
+        return Effect.succeed(settledClaim(notRun(STEP, 'local', reason)));
       }
-      return this.claimAt(keeper, key, request);
+      return this.claimAt(owner, key, request);
     });
   }
 
   private claimAt(
-    keeper: Keeper,
+    owner: KeyOwner,
     key: string,
     request: CallerRequest,
   ): Effect.Effect<ClaimResult> {
-    const { clients } = this.parts;
-    const client = clients.agentAt(keeper.address);
-    return client.claim(key, request.requestId, keeper.attempt).pipe(
+    const { clients } = this.dependencies;
+    const client = clients.agentAt(owner.address);
+    return client.claim(key, request.requestId, owner.attempt).pipe(
       Effect.timeoutFail({
         duration: CLAIM_TIMEOUT_MILLISECONDS,
         onTimeout: () => new Error('the claim timed out'),
@@ -148,43 +148,46 @@
         const { outcome } = answer;
         if (outcome.case !== 'holderRequestId') {
           const reason = outcome.value ?? 'malformed answer';
-          return Effect.succeed(refused(reason));
+          return Effect.succeed(refusedClaim(reason));
         }
         if (outcome.value !== request.requestId) {
-          return this.repeat(key, outcome.value, request);
+          return this.recoverEarlierAnswer(key, outcome.value, request);
         }
-        return this.confirm(keeper, answer, key, request);
+        return this.confirmFirst(owner, answer, key, request);
       }),
-      Effect.catchAll(({ message }) => Effect.succeed(refused(message))),
+      Effect.catchAll(({ message }) => Effect.succeed(refusedClaim(message))),
     );
   }
 
-  private confirm(
-    keeper: Keeper,
+  private confirmFirst(
+    owner: KeyOwner,
     answer: ClaimResponse,
     key: string,
     request: CallerRequest,
   ): Effect.Effect<ClaimResult> {
-    const { events, state } = this.parts;
+    const { events, state } = this.dependencies;
     const first: ClaimResult = { kind: 'first' };
-    const remembers = remembersAll(keeper, answer);
-    if (remembers && !keeper.changedWithinMemory) {
+    const remembersAll = remembersAllClaims(owner, answer);
+    if (remembersAll && !owner.changedWithinWindow) {
       return Effect.succeed(first);
     }
     // Without these records an entry that claimed the key may be unknown here.
-    const needed = answer.memoryStartOffset;
-    if (!remembers && (needed === undefined || state.fold.next < needed)) {
+    const requiredOffset = answer.memoryStartOffset;
+    if (
+      !remembersAll &&
+      (requiredOffset === undefined || state.fold.next < requiredOffset)
+    ) {
       const reason = 'the log is not read far enough to ask every entry';
-      return Effect.succeed(refused(reason));
+      return Effect.succeed(refusedClaim(reason));
     }
-    return recallEverywhere(this.parts, key, request.requestId).pipe(
+    return recallFromEntries(this.dependencies, key, request.requestId).pipe(
       Effect.flatMap(recall => {
         if (recall.holder !== '') {
-          return this.repeat(key, recall.holder, request);
+          return this.recoverEarlierAnswer(key, recall.holder, request);
         }
         if (recall.missing.length > 0) {
           const reason = `entries that may know the key do not answer: ${recall.missing.join(', ')}`;
-          return Effect.succeed(settled(unknown(STEP, 'entries', reason)));
+          return Effect.succeed(settledClaim(unknown(STEP, 'entries', reason)));
         }
         events.record('claim-granted', 'The key is claimed.', {
           request: request.requestId,
@@ -194,15 +197,25 @@
     );
   }
 
-  private repeat(
+  private recoverEarlierAnswer(
     key: string,
     holder: string,
     request: CallerRequest,
   ): Effect.Effect<ClaimResult> {
-    this.parts.memory.settle(key, holder, this.parts.clock.now());
-    this.parts.events.record('claim-repeated', `A repeat of ${holder}.`, {
-      request: request.requestId,
-    });
-    return recoverAnswer(this.parts, holder, request).pipe(Effect.map(settled));
+    this.dependencies.memory.replaceHolder(
+      key,
+      holder,
+      this.dependencies.clock.now(),
+    );
+    this.dependencies.events.record(
+      'claim-repeated',
+      `A repeat of ${holder}.`,
+      {
+        request: request.requestId,
+      },
+    );
+    return recoverAnswer(this.dependencies, holder, request).pipe(
+      Effect.map(settledClaim),
+    );
   }
 }
--- a/packages/request-plane/src/claim/keeper.ts
+++ b/packages/request-plane/src/claim/key-owner.ts
@@ -1,5 +1,5 @@
 /** The agent that keeps a key. */
-export interface Keeper {
+export interface KeyOwner {
   readonly address: string;
   /** Attempt of the minion beside the agent. */
   readonly attempt: string;
@@ -8,5 +8,5 @@
   /** Time from which on keys must be remembered. */
   readonly windowStart: number;
   /** Another agent may have kept the key within the memory of keys. */
-  readonly changedWithinMemory: boolean;
+  readonly changedWithinWindow: boolean;
 }
--- a/packages/request-plane/src/claim/keeper-history.ts
+++ b/packages/request-plane/src/claim/key-owners-since.ts
@@ -1,16 +1,19 @@
 import { rendezvousRank } from '@basilcourse/foundation/util/rendezvous-rank';
 import type { Scheduling } from '@basilcourse/shared-state/scheduling/scheduling';
 
-interface Period {
+interface OwnershipPeriod {
   readonly attempt: string;
   readonly from: number;
   readonly until: number;
 }
 
-function periodsOf(scheduling: Scheduling, service: string): readonly Period[] {
-  const owner = `service/${service}`;
+function ownershipPeriods(
+  scheduling: Scheduling,
+  service: string,
+): readonly OwnershipPeriod[] {
+  const workload = `service/${service}`;
   const active = scheduling
-    .attemptsOf(owner)
+    .attemptsOf(workload)
     .filter(({ state }) => state !== 'lost')
     .map(({ id, keeperSince }) => ({
       attempt: id,
@@ -18,7 +21,7 @@
       until: Number.POSITIVE_INFINITY,
     }));
   const past = [...scheduling.pastMinions.values()]
-    .filter(minion => minion.owner === owner)
+    .filter(minion => minion.owner === workload)
     .map(({ attempt, keptFrom, keptUntil }) => ({
       attempt,
       from: keptFrom,
@@ -27,9 +30,9 @@
   return [...active, ...past];
 }
 
-function keeperAt(
+function ownerAt(
   key: string,
-  periods: readonly Period[],
+  periods: readonly OwnershipPeriod[],
   time: number,
 ): string | undefined {
   const attempts = periods
@@ -45,18 +48,22 @@
  * Each key is kept by the agent beside the first attempt of its service by
  * rendezvous hashing; attempts whose worker is silent are left out.
  */
-export function keepersSince(
+export function keyOwnersSince(
   scheduling: Scheduling,
   service: string,
   key: string,
   since: number,
 ): readonly string[] {
-  const periods = periodsOf(scheduling, service);
-  const present = keeperAt(key, periods, Number.MAX_SAFE_INTEGER);
+  const periods = ownershipPeriods(scheduling, service);
+  const currentOwner = ownerAt(key, periods, Number.MAX_SAFE_INTEGER);
   const changes = periods
     .flatMap(({ from, until }) => [from, until])
     .filter(time => time > since && Number.isFinite(time));
-  const keepers = [since, ...changes].map(time => keeperAt(key, periods, time));
-  const known = [present, ...keepers].filter(keeper => keeper !== undefined);
-  return [...new Set(known)];
+  const ownersInWindow = [since, ...changes].map(time =>
+    ownerAt(key, periods, time),
+  );
+  const owners = [currentOwner, ...ownersInWindow].filter(
+    owner => owner !== undefined,
+  );
+  return [...new Set(owners)];
 }
--- a/packages/request-plane/src/claim/memory-window-start.ts
+++ b/packages/request-plane/src/claim/memory-window-start.ts
@@ -1,13 +1,13 @@
 import type { Configuration } from '@basilcourse/shared-state/configuration/configuration';
 
 /** Room for the difference between the clocks of two processes. */
-const CLOCK_ERROR_MILLISECONDS = 1000;
+const CLOCK_SKEW_MILLISECONDS = 1000;
 
 /** Time from which on keys must be remembered. */
 export function memoryWindowStart(
   configuration: Configuration,
   now: number,
 ): number {
-  const memory = configuration.limits.claimMemorySeconds * 1000;
-  return now - memory - CLOCK_ERROR_MILLISECONDS;
+  const windowMilliseconds = configuration.limits.claimMemorySeconds * 1000;
+  return now - windowMilliseconds - CLOCK_SKEW_MILLISECONDS;
 }
--- a/packages/request-plane/src/claim/recall-everywhere.ts
+++ b/packages/request-plane/src/claim/recall-from-entries.ts
@@ -12,7 +12,7 @@
 const RECALL_TIMEOUT_MILLISECONDS = 400;
 
 /** What asking the entries depends on. */
-interface RecallParts {
+interface RecallDependencies {
   readonly state: SharedState;
   readonly members: MemberTable;
   readonly memory: ClaimMemory;
@@ -22,18 +22,18 @@
 }
 
 /** What the entries know of a key. */
-export interface Recall {
+export interface RecallResult {
   /** Request that claimed the key; empty for none. */
   readonly holder: string;
   /** Instances that may know the key and cannot be asked. */
   readonly missing: readonly string[];
 }
 
-function neededInstances({
+function instancesToAsk({
   state,
   clock,
   instance,
-}: RecallParts): readonly EntryInstance[] {
+}: RecallDependencies): readonly EntryInstance[] {
   const { configuration } = state.fold;
   const { entries } = configuration;
   const windowStart = memoryWindowStart(configuration, clock.now());
@@ -44,12 +44,12 @@
   );
 }
 
-function askAll(
-  parts: RecallParts,
+function askAllEntries(
+  dependencies: RecallDependencies,
   key: string,
   requestId: string,
 ): Effect.Effect<readonly RecallResponse[]> {
-  const { members, clients, instance } = parts;
+  const { members, clients, instance } = dependencies;
   const peers = members
     .ofRole('entry')
     .filter(({ member }) => member.instance !== instance);
@@ -66,46 +66,46 @@
   );
 }
 
-function covers(
+function coversWindow(
   answer: RecallResponse,
   entry: EntryInstance,
   windowStart: number,
 ): boolean {
-  const wholeMemory =
+  const remembersWindow =
     Number(answer.memoryStartMilliseconds) <=
     Math.max(windowStart, entry.joinedAt);
-  return answer.instance === entry.instance && wholeMemory;
+  return answer.instance === entry.instance && remembersWindow;
 }
 
 /**
  * Asks every entry that may have claimed a key within the memory of keys; each
  * that answers promises not to claim it for another request.
  */
-export function recallEverywhere(
-  parts: RecallParts,
+export function recallFromEntries(
+  dependencies: RecallDependencies,
   key: string,
   requestId: string,
-): Effect.Effect<Recall> {
-  return askAll(parts, key, requestId).pipe(
+): Effect.Effect<RecallResult> {
+  return askAllEntries(dependencies, key, requestId).pipe(
     Effect.map(answers => {
-      const { state, clock, memory } = parts;
+      const { state, clock, memory } = dependencies;
       const { configuration } = state.fold;
       const windowStart = memoryWindowStart(configuration, clock.now());
       const inherited = new Set([
         ...memory.inheritedInstances,
         ...answers.flatMap(answer => answer.inheritedInstances),
       ]);
-      const missing = neededInstances(parts).filter(
+      const missing = instancesToAsk(dependencies).filter(
         entry =>
           !inherited.has(entry.instance) &&
-          !answers.some(answer => covers(answer, entry, windowStart)),
+          !answers.some(answer => coversWindow(answer, entry, windowStart)),
       );
-      const holder = answers.find(
+      const holderAnswer = answers.find(
         answer =>
           answer.holderRequestId !== '' && answer.holderRequestId !== requestId,
       );
       return {
-        holder: holder?.holderRequestId ?? '',
+        holder: holderAnswer?.holderRequestId ?? '',
         missing: missing.map(({ instance }) => instance),
       };
     }),
--- a/packages/request-plane/src/claim/recover-answer.ts
+++ b/packages/request-plane/src/claim/recover-answer.ts
@@ -12,20 +12,20 @@
 
 const RECOVER_TIMEOUT_MILLISECONDS = 400;
 
-const POLL_MILLISECONDS = 50;
+const POLL_INTERVAL_MILLISECONDS = 50;
 
 /** Agents asked at one time. */
-const CONCURRENT_CALLS = 32;
+const MAXIMUM_CONCURRENT_CALLS = 32;
 
 /** What recovering an answer depends on. */
-interface RecoverParts {
+interface RecoverDependencies {
   readonly members: MemberTable;
   readonly clients: PeerClients;
   readonly clock: Clock;
 }
 
 function askAgents(
-  { members, clients }: RecoverParts,
+  { members, clients }: RecoverDependencies,
   service: string,
   requestId: string,
 ): Effect.Effect<readonly RecoverResponse[]> {
@@ -40,7 +40,7 @@
       .recover(requestId)
       .pipe(Effect.timeout(RECOVER_TIMEOUT_MILLISECONDS), Effect.option),
   );
-  return Effect.all(calls, { concurrency: CONCURRENT_CALLS }).pipe(
+  return Effect.all(calls, { concurrency: MAXIMUM_CONCURRENT_CALLS }).pipe(
     Effect.map(answers =>
       answers.flatMap(answer => (answer._tag === 'Some' ? [answer.value] : [])),
     ),
@@ -64,13 +64,13 @@
  * its service; waits while it runs. Never runs anything.
  */
 export function recoverAnswer(
-  parts: RecoverParts,
+  dependencies: RecoverDependencies,
   holder: string,
   request: CallerRequest,
 ): Effect.Effect<RunOutcome> {
   return Effect.gen(function* () {
     for (;;) {
-      const answers = yield* askAgents(parts, request.service, holder);
+      const answers = yield* askAgents(dependencies, request.service, holder);
       const completed = completedOf(answers);
       if (completed !== undefined) {
         return completed;
@@ -78,12 +78,12 @@
       const inProgress = answers.some(
         ({ outcome }) => outcome.case === 'inProgress',
       );
-      const now = parts.clock.now();
-      if (!inProgress || now + POLL_MILLISECONDS >= request.deadline) {
+      const now = dependencies.clock.now();
+      if (!inProgress || now + POLL_INTERVAL_MILLISECONDS >= request.deadline) {
         const reason = `an earlier request under the key, ${holder}, has no answer to give`;
         return unknown(STEP, 'agents', reason);
       }
-      yield* Effect.sleep(POLL_MILLISECONDS);
+      yield* Effect.sleep(POLL_INTERVAL_MILLISECONDS);
     }
   });
 }
--- a/packages/request-plane/src/entry/caller-server.ts
+++ b/packages/request-plane/src/entry/caller-server.ts
@@ -13,7 +13,7 @@
 import { notRun } from '../outcome/outcomes.js';
 import type { RunOutcome } from '../outcome/run-outcome.js';
 import type { CallerRequest } from './caller-request.js';
-import { describeEnding } from './describe-ending.js';
+import { describeOutcome } from './describe-outcome.js';
 import { readBody } from './read-body.js';
 import { MAXIMUM_BODY_BYTES, readRequestHead } from './read-caller-request.js';
 import type { RequestDispatcher } from './request-dispatcher.js';
@@ -29,10 +29,10 @@
 /** Time in which a caller must send its whole request. */
 const RECEIVE_TIMEOUT_MILLISECONDS = 30_000;
 
-const KEEP_ALIVE_MILLISECONDS = 30_000;
+const KEEP_ALIVE_TIMEOUT_MILLISECONDS = 30_000;
 
 /** Parts that the callers' side works on. */
-interface CallerServerParts {
+interface CallerServerDependencies {
   readonly dispatcher: Pick<RequestDispatcher, 'dispatch'>;
   readonly services: () => ReadonlyMap<string, Service>;
   readonly clock: Clock;
@@ -51,17 +51,17 @@
   private leaving = false;
 
   /** New requests are refused. */
-  private refusing = false;
+  private refusesRequests = false;
 
   private readonly idleListeners: (() => void)[] = [];
 
-  public constructor(private readonly parts: CallerServerParts) {
+  public constructor(private readonly dependencies: CallerServerDependencies) {
     this.server = createServer(
       {
         maxHeaderSize: MAXIMUM_HEAD_BYTES,
         requestTimeout: RECEIVE_TIMEOUT_MILLISECONDS,
         headersTimeout: RECEIVE_TIMEOUT_MILLISECONDS,
-        keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+        keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MILLISECONDS,
       },
       (incoming, outgoing) => {
         this.serve(incoming, outgoing).catch(() => outgoing.destroy());
@@ -92,7 +92,7 @@
    * @param noticeMilliseconds - Time in which the balancer and the callers turn
    * to other entries.
    */
-  public async giveNotice(noticeMilliseconds: number): Promise<void> {
+  public async startLeaving(noticeMilliseconds: number): Promise<void> {
     this.leaving = true;
     await new Promise(resolve => setTimeout(resolve, noticeMilliseconds));
   }
@@ -100,7 +100,7 @@
   /** Refuses new requests, and resolves once those in flight are answered. */
   public async drain(): Promise<void> {
     this.leaving = true;
-    this.refusing = true;
+    this.refusesRequests = true;
     if (this.inFlight > 0) {
       await new Promise<void>(resolve => {
         this.idleListeners.push(resolve);
@@ -121,7 +121,7 @@
     this.inFlight += 1;
     // A request is in flight until its answer has left or its caller has.
     outgoing.once('close', () => {
-      this.leave();
+      this.requestEnded();
     });
     await this.receive(incoming, outgoing);
   }
@@ -130,7 +130,7 @@
     incoming: IncomingMessage,
     outgoing: ServerResponse,
   ): Promise<void> {
-    const { identifiers, clock, services, observer } = this.parts;
+    const { identifiers, clock, services, observer } = this.dependencies;
     const head = readRequestHead({
       requestId: identifiers.next('request'),
       method: incoming.method ?? 'GET',
@@ -158,7 +158,7 @@
     request: CallerRequest,
     outgoing: ServerResponse,
   ): Promise<void> {
-    const { clock, observer, events } = this.parts;
+    const { clock, observer, events } = this.dependencies;
     const { requestId } = request;
     const controller = new AbortController();
     outgoing.once('close', () => {
@@ -172,15 +172,15 @@
     const { signal } = controller;
     const work = this.outcomeOf(request);
     const outcome = await Effect.runPromise(work, { signal });
-    const took = clock.now() - request.arrivedAt;
-    observer.ended(request, outcome, took);
-    const ending = describeEnding(outcome, took);
+    const duration = clock.now() - request.arrivedAt;
+    observer.ended(request, outcome, duration);
+    const ending = describeOutcome(outcome, duration);
     events.record('request-ended', ending, { request: requestId });
     this.write(outgoing, requestId, outcome);
   }
 
   private outcomeOf(request: CallerRequest): Effect.Effect<RunOutcome> {
-    if (this.refusing) {
+    if (this.refusesRequests) {
       const reason = 'the entry is stopping';
       return Effect.succeed(notRun('entry.accept', 'local', reason));
     }
@@ -188,7 +188,7 @@
       const reason = 'the entry holds too many requests';
       return Effect.succeed(notRun('entry.accept', 'local', reason));
     }
-    return this.parts.dispatcher.dispatch(request);
+    return this.dependencies.dispatcher.dispatch(request);
   }
 
   private write(
@@ -202,7 +202,7 @@
     writeOutcome(outgoing, requestId, outcome);
   }
 
-  private leave(): void {
+  private requestEnded(): void {
     this.inFlight -= 1;
     if (this.inFlight === 0) {
       for (const listener of this.idleListeners.splice(0)) {
@@ -216,11 +216,11 @@
       socket.destroy();
       return;
     }
-    const isLarge = error.code === 'HPE_HEADER_OVERFLOW';
-    const status = isLarge
+    const isHeadTooLarge = error.code === 'HPE_HEADER_OVERFLOW';
+    const status = isHeadTooLarge
       ? '431 Request Header Fields Too Large'
       : '400 Bad Request';
-    this.parts.observer.refused(isLarge ? 431 : 400);
+    this.dependencies.observer.refused(isHeadTooLarge ? 431 : 400);
     socket.end(
       `HTTP/1.1 ${status}\r\nBasilcourse-Outcome: not-run\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
     );
--- a/packages/request-plane/src/entry/describe-ending.ts
+++ b/packages/request-plane/src/entry/describe-outcome.ts
@@ -1,7 +1,7 @@
 import type { RunOutcome } from '../outcome/run-outcome.js';
 
 /** Text of the event that ends a request; a failure names its step and peer. */
-export function describeEnding(
+export function describeOutcome(
   outcome: RunOutcome,
   milliseconds: number,
 ): string {
--- a/packages/request-plane/src/entry/hand-over.ts
+++ b/packages/request-plane/src/entry/hand-over.ts
@@ -24,7 +24,7 @@
 const ANSWER_GRACE_MILLISECONDS = 100;
 
 /** Parts that handing requests over works on. */
-export interface HandOverParts {
+export interface HandOverDependencies {
   readonly clients: PeerClients;
   readonly loads: LoadTable;
   readonly events: EventRecorder;
@@ -41,10 +41,14 @@
   readonly upstream: UpstreamCandidate;
 }
 
-function messageOf(entryId: string, one: HandOverTry, now: number): RunRequest {
-  const { request, upstream } = one;
+function runRequestOf(
+  entryId: string,
+  handOverTry: HandOverTry,
+  now: number,
+): RunRequest {
+  const { request, upstream } = handOverTry;
   return create(RunRequestSchema, {
-    requestId: one.tryId,
+    requestId: handOverTry.tryId,
     callerRequestId: request.requestId,
     service: request.service,
     agentInstance: upstream.agentInstance,
@@ -57,11 +61,11 @@
     body: request.body,
     team: request.team,
     entryId,
-    claimKey: one.claimKey,
+    claimKey: handOverTry.claimKey,
   });
 }
 
-function neverSent(reason: string): boolean {
+function isConnectFailure(reason: string): boolean {
   return /ECONNREFUSED|EHOSTUNREACH|ENETUNREACH/.test(reason);
 }
 
@@ -72,14 +76,14 @@
  * not begun and never will, or its outcome is told, or it stays unknown.
  */
 export function handOver(
-  parts: HandOverParts,
-  one: HandOverTry,
+  dependencies: HandOverDependencies,
+  handOverTry: HandOverTry,
   now: number,
 ): Effect.Effect<RunOutcome> {
-  const { upstream, tryId, request } = one;
-  const client = parts.clients.agentAt(upstream.agentAddress);
+  const { upstream, tryId, request } = handOverTry;
+  const client = dependencies.clients.agentAt(upstream.agentAddress);
   const remaining = request.deadline - now + ANSWER_GRACE_MILLISECONDS;
-  const fence = (lost: string): Effect.Effect<RunOutcome> =>
+  const fence = (failure: string): Effect.Effect<RunOutcome> =>
     client.fence(tryId, upstream.agentInstance).pipe(
       Effect.timeoutFail({
         duration: FENCE_TIMEOUT_MILLISECONDS,
@@ -87,44 +91,53 @@
       }),
       Effect.catchAll(() =>
         Effect.sync(() => {
-          parts.clients.reset(upstream.agentAddress);
-          return unknown(STEP, upstream.agentId, lost);
+          dependencies.clients.reset(upstream.agentAddress);
+          return unknown(STEP, upstream.agentId, failure);
         }),
       ),
       Effect.tap(outcome =>
         Effect.sync(() => {
           const text = `Fenced at ${upstream.agentId}: ${outcome.kind}.`;
-          parts.events.record('request-fenced', text, { request: tryId });
+          dependencies.events.record('request-fenced', text, {
+            request: tryId,
+          });
         }),
       ),
     );
-  const send = client.run(messageOf(parts.entryId, one, now)).pipe(
-    Effect.timeoutFail({
-      duration: Math.max(0, remaining),
-      onTimeout: () => new Error('no answer before the deadline'),
-    }),
-    Effect.tap(({ load }) =>
-      Effect.sync(() => {
-        // The report was made after this request had left its slot.
-        if (load !== undefined) {
-          parts.loads.note(upstream.attempt, load, parts.clock.now(), 1);
-        }
+  const send = client
+    .run(runRequestOf(dependencies.entryId, handOverTry, now))
+    .pipe(
+      Effect.timeoutFail({
+        duration: Math.max(0, remaining),
+        onTimeout: () => new Error('no answer before the deadline'),
       }),
-    ),
-    Effect.map(({ outcome }) => outcome),
-    Effect.catchAll(({ message }) =>
-      neverSent(message)
-        ? Effect.succeed(notRun(CONNECT_STEP, upstream.agentId, message))
-        : fence(message),
-    ),
-  );
+      Effect.tap(({ load }) =>
+        Effect.sync(() => {
+          // The report was made after this request had left its slot.
+          if (load !== undefined) {
+            dependencies.loads.recordReport(
+              upstream.attempt,
+              load,
+              dependencies.clock.now(),
+              1,
+            );
+          }
+        }),
+      ),
+      Effect.map(({ outcome }) => outcome),
+      Effect.catchAll(({ message }) =>
+        isConnectFailure(message)
+          ? Effect.succeed(notRun(CONNECT_STEP, upstream.agentId, message))
+          : fence(message),
+      ),
+    );
   return Effect.sync(() => {
-    parts.loads.started(upstream.attempt);
+    dependencies.loads.requestStarted(upstream.attempt);
   }).pipe(
     Effect.zipRight(send),
     Effect.ensuring(
       Effect.sync(() => {
-        parts.loads.ended(upstream.attempt);
+        dependencies.loads.requestEnded(upstream.attempt);
       }),
     ),
   );
--- a/packages/request-plane/src/entry/read-caller-request.ts
+++ b/packages/request-plane/src/entry/read-caller-request.ts
@@ -7,14 +7,14 @@
 /** Largest body of a request, in bytes. */
 export const MAXIMUM_BODY_BYTES = 1024 * 1024;
 
-const LONGEST_TIMEOUT_MILLISECONDS = 600_000;
+const MAXIMUM_TIMEOUT_MILLISECONDS = 600_000;
 
-const LONGEST_KEY_CHARACTERS = 200;
+const MAXIMUM_KEY_CHARACTERS = 200;
 
-const LONGEST_TEAM_CHARACTERS = 63;
+const MAXIMUM_TEAM_CHARACTERS = 63;
 
 /** Header fields that the entry reads itself. */
-const OWN_FIELDS: ReadonlySet<string> = new Set([
+const ENTRY_ONLY_FIELDS: ReadonlySet<string> = new Set([
   'basilcourse-unrepeatable',
   'basilcourse-timeout-milliseconds',
   'basilcourse-request-id',
@@ -35,7 +35,7 @@
   | { readonly kind: 'head'; readonly request: Omit<CallerRequest, 'body'> }
   | { readonly kind: 'bad'; readonly bad: BadRequest };
 
-function bad(status: number, reason: string): HeadResult {
+function badRequest(status: number, reason: string): HeadResult {
   return { kind: 'bad', bad: { status, reason } };
 }
 
@@ -57,16 +57,16 @@
     value === 'true' || value === 'false' ? '' : 'must be true or false',
   'basilcourse-timeout-milliseconds': value => {
     const timeout = /^\d{1,6}$/.test(value) ? Number(value) : 0;
-    return timeout >= 1 && timeout <= LONGEST_TIMEOUT_MILLISECONDS
+    return timeout >= 1 && timeout <= MAXIMUM_TIMEOUT_MILLISECONDS
       ? ''
-      : `must be a whole number from 1 to ${LONGEST_TIMEOUT_MILLISECONDS}`;
+      : `must be a whole number from 1 to ${MAXIMUM_TIMEOUT_MILLISECONDS}`;
   },
   'idempotency-key': value =>
-    /^[\x21-\x7e]+$/.test(value) && value.length <= LONGEST_KEY_CHARACTERS
+    /^[\x21-\x7e]+$/.test(value) && value.length <= MAXIMUM_KEY_CHARACTERS
       ? ''
-      : `must be 1 to ${LONGEST_KEY_CHARACTERS} visible characters`,
+      : `must be 1 to ${MAXIMUM_KEY_CHARACTERS} visible characters`,
   'basilcourse-team': value =>
-    /^[a-z0-9-]+$/.test(value) && value.length <= LONGEST_TEAM_CHARACTERS
+    /^[a-z0-9-]+$/.test(value) && value.length <= MAXIMUM_TEAM_CHARACTERS
       ? ''
       : 'must be the name of a team',
 };
@@ -85,15 +85,17 @@
 
 function checkFraming(rawHeaders: readonly string[]): string {
   const lengths = valuesOf(rawHeaders, 'content-length');
-  const codings = valuesOf(rawHeaders, 'transfer-encoding');
-  if (lengths.length > 1 || codings.length > 1) {
+  const encodings = valuesOf(rawHeaders, 'transfer-encoding');
+  if (lengths.length > 1 || encodings.length > 1) {
     return 'the length of the body is given more than once';
   }
-  if (lengths.length > 0 && codings.length > 0) {
+  if (lengths.length > 0 && encodings.length > 0) {
     return 'content-length and transfer-encoding exclude each other';
   }
-  const coding = codings[0]?.toLowerCase() ?? 'chunked';
-  return coding === 'chunked' ? '' : `transfer-encoding ${coding} is not taken`;
+  const encoding = encodings[0]?.toLowerCase() ?? 'chunked';
+  return encoding === 'chunked'
+    ? ''
+    : `transfer-encoding ${encoding} is not taken`;
 }
 
 /**
@@ -103,28 +105,38 @@
  */
 export function readRequestHead(head: RequestHead): HeadResult {
   const { rawHeaders } = head;
-  const framing = checkFraming(rawHeaders);
-  if (framing !== '') {
-    return bad(400, framing);
+  const framingError = checkFraming(rawHeaders);
+  if (framingError !== '') {
+    return badRequest(400, framingError);
   }
-  const wrongField = checkFields(rawHeaders);
-  if (wrongField !== '') {
-    return bad(400, wrongField);
+  const fieldError = checkFields(rawHeaders);
+  if (fieldError !== '') {
+    return badRequest(400, fieldError);
   }
-  const parts = /^\/([a-z0-9][a-z0-9-]*)(\/[^\s]*|\?[^\s]*)?$/.exec(head.url);
-  const name = parts?.[1];
+  const match = /^\/([a-z0-9][a-z0-9-]*)(\/[^\s]*|\?[^\s]*)?$/.exec(head.url);
+  const name = match?.[1];
   const service = name === undefined ? undefined : head.services.get(name);
   if (service === undefined) {
-    return bad(404, 'the first segment of the path names no service in force');
+    return badRequest(
+      404,
+      'the first segment of the path names no service in force',
+    );
   }
   const length = Number(valuesOf(rawHeaders, 'content-length')[0] ?? 0);
   if (length > MAXIMUM_BODY_BYTES) {
-    return bad(413, `the body is larger than ${MAXIMUM_BODY_BYTES} bytes`);
+    return badRequest(
+      413,
+      `the body is larger than ${MAXIMUM_BODY_BYTES} bytes`,
+    );
   }
-  const one = (field: string): string => valuesOf(rawHeaders, field)[0] ?? '';
-  const wanted = one('basilcourse-timeout-milliseconds');
-  const timeout = wanted === '' ? service.timeoutMilliseconds : Number(wanted);
-  const rest = parts?.[2] ?? '/';
+  const firstValueOf = (field: string): string =>
+    valuesOf(rawHeaders, field)[0] ?? '';
+  const requestedTimeout = firstValueOf('basilcourse-timeout-milliseconds');
+  const timeout =
+    requestedTimeout === ''
+      ? service.timeoutMilliseconds
+      : Number(requestedTimeout);
+  const rest = match?.[2] ?? '/';
   return {
     kind: 'head',
     request: {
@@ -133,11 +145,11 @@
       method: head.method,
       path: rest.startsWith('/') ? rest : `/${rest}`,
       headers: forwardedFields(rawHeaders).filter(
-        ({ name: field }) => !OWN_FIELDS.has(field),
+        ({ name: field }) => !ENTRY_ONLY_FIELDS.has(field),
       ),
-      team: one('basilcourse-team') || service.team,
-      unrepeatable: one('basilcourse-unrepeatable') === 'true',
-      idempotencyKey: one('idempotency-key'),
+      team: firstValueOf('basilcourse-team') || service.team,
+      unrepeatable: firstValueOf('basilcourse-unrepeatable') === 'true',
+      idempotencyKey: firstValueOf('idempotency-key'),
       arrivedAt: head.arrivedAt,
       deadline: head.arrivedAt + timeout,
     },
--- a/packages/request-plane/src/entry/request-dispatcher.ts
+++ b/packages/request-plane/src/entry/request-dispatcher.ts
@@ -9,24 +9,24 @@
 import type { RetryBudget } from '../retry/retry-budget.js';
 import type { ByteBudget } from '../routing/byte-budget.js';
 import type { OutlierDetector } from '../routing/outlier-detector.js';
-import type { RefusingPeers } from '../routing/refusing-peers.js';
+import type { UnreachableAgents } from '../routing/unreachable-agents.js';
 import type { UpstreamCandidate } from '../routing/upstream-candidate.js';
 import type { UpstreamRouter } from '../routing/upstream-router.js';
 import type { CallerRequest } from './caller-request.js';
-import type { HandOverParts } from './hand-over.js';
+import type { HandOverDependencies } from './hand-over.js';
 import { CONNECT_STEP, handOver } from './hand-over.js';
-import { MAXIMUM_TRIES, tryName } from './maximum-tries.js';
+import { MAXIMUM_TRIES, tryIdOf } from './request-tries.js';
 
 const BACKOFF_BOUNDS = { firstMilliseconds: 2, longestMilliseconds: 50 };
 
 const FIRST_SERVER_ERROR = 500;
 
 /** Parts that dispatching works on. */
-interface DispatcherParts extends HandOverParts {
+interface DispatcherDependencies extends HandOverDependencies {
   readonly router: UpstreamRouter;
   readonly outliers: OutlierDetector;
-  readonly refusing: RefusingPeers;
-  readonly budget: RetryBudget;
+  readonly unreachableAgents: UnreachableAgents;
+  readonly retryBudget: RetryBudget;
   readonly claimer: KeyClaimer;
   readonly crossRegionBytes: ByteBudget;
   readonly random: RandomSource;
@@ -36,13 +36,13 @@
   return outcome.kind === 'completed' && outcome.status >= FIRST_SERVER_ERROR;
 }
 
-function isRefusedConnection(outcome: RunOutcome): boolean {
+function isConnectFailure(outcome: RunOutcome): boolean {
   return outcome.kind === 'not-run' && outcome.step === CONNECT_STEP;
 }
 
 /** Carries callers' requests to upstreams, with retries where they are safe. */
 export class RequestDispatcher {
-  public constructor(private readonly parts: DispatcherParts) {}
+  public constructor(private readonly dependencies: DispatcherDependencies) {}
 
   /** Carries one request; the outcome is final for the caller. */
   public dispatch(request: CallerRequest): Effect.Effect<RunOutcome> {
@@ -51,7 +51,7 @@
     if (key === '') {
       return this.tryUpstreams(request, '');
     }
-    return this.parts.claimer
+    return this.dependencies.claimer
       .claim(key, request)
       .pipe(
         Effect.flatMap(claim =>
@@ -72,7 +72,7 @@
     outcome: RunOutcome,
   ): Effect.Effect<void> {
     return outcome.kind === 'not-run'
-      ? this.parts.claimer.release(key, request)
+      ? this.dependencies.claimer.release(key, request)
       : Effect.void;
   }
 
@@ -80,9 +80,9 @@
     request: CallerRequest,
     claimKey: string,
   ): Effect.Effect<RunOutcome> {
-    const { router, clock } = this.parts;
+    const { router, clock } = this.dependencies;
     const tried = new Set<string>();
-    const next = (
+    const tryNext = (
       tries: number,
       avoidedZone: string,
       last: RunOutcome | undefined,
@@ -104,13 +104,13 @@
         return Effect.succeed(last ?? notRun('entry.route', 'local', reason));
       }
       tried.add(upstream.attempt);
-      return this.tryOne(request, claimKey, upstream, tries).pipe(
+      return this.tryUpstream(request, claimKey, upstream, tries).pipe(
         Effect.flatMap(outcome =>
           this.mayRetry(request, outcome, tries)
             ? this.backOff(request, tries, outcome).pipe(
                 Effect.zipRight(
                   Effect.suspend(() =>
-                    next(tries + 1, upstream.availabilityZone, outcome),
+                    tryNext(tries + 1, upstream.availabilityZone, outcome),
                   ),
                 ),
               )
@@ -118,60 +118,61 @@
         ),
       );
     };
-    return Effect.suspend(() => next(0, '', undefined));
+    return Effect.suspend(() => tryNext(0, '', undefined));
   }
 
-  private tryOne(
+  private tryUpstream(
     request: CallerRequest,
     claimKey: string,
     upstream: UpstreamCandidate,
     tries: number,
   ): Effect.Effect<RunOutcome> {
-    const { clock, events } = this.parts;
-    const tryId = tryName(request.requestId, tries);
+    const { clock, events } = this.dependencies;
+    const tryId = tryIdOf(request.requestId, tries);
     return Effect.suspend(() => {
       const text = `Handed to ${upstream.attempt} at ${upstream.agentId}.`;
       events.record('request-handed-over', text, {
         request: request.requestId,
       });
-      const one = { tryId, request, claimKey, upstream };
-      return handOver(this.parts, one, clock.now());
+      const handOverTry = { tryId, request, claimKey, upstream };
+      return handOver(this.dependencies, handOverTry, clock.now());
     }).pipe(
       Effect.tap(outcome =>
         Effect.sync(() => {
-          this.learn(request, upstream, outcome);
+          this.recordOutcome(request, upstream, outcome);
         }),
       ),
     );
   }
 
-  private learn(
+  private recordOutcome(
     request: CallerRequest,
     upstream: UpstreamCandidate,
     outcome: RunOutcome,
   ): void {
-    const { outliers, refusing, budget, router } = this.parts;
-    const { crossRegionBytes, clock } = this.parts;
+    const { outliers, unreachableAgents, retryBudget, router } =
+      this.dependencies;
+    const { crossRegionBytes, clock } = this.dependencies;
     const now = clock.now();
-    if (router.isRemote(upstream)) {
+    if (router.isInOtherRegion(upstream)) {
       const answerBytes =
         outcome.kind === 'completed' ? outcome.body.length : 0;
       crossRegionBytes.spend(request.body.length + answerBytes, now);
     }
-    if (isRefusedConnection(outcome)) {
-      refusing.refused(upstream.agentInstance, now);
+    if (isConnectFailure(outcome)) {
+      unreachableAgents.recordRefusal(upstream.agentInstance, now);
       return;
     }
-    refusing.answered(upstream.agentInstance);
+    unreachableAgents.recordAnswer(upstream.agentInstance);
     if (outcome.kind === 'completed' && !isServerError(outcome)) {
-      outliers.succeeded(upstream.attempt);
-      budget.succeeded();
+      outliers.recordSuccess(upstream.attempt);
+      retryBudget.recordSuccess();
       return;
     }
     const isOverload =
       outcome.kind === 'not-run' && outcome.step === 'agent.queue';
     if (!isOverload) {
-      outliers.failed(upstream.attempt, now);
+      outliers.recordFailure(upstream.attempt, now);
     }
   }
 
@@ -188,7 +189,7 @@
       return false;
     }
     // A try that was never sent loads nobody, so it costs nothing.
-    return isRefusedConnection(outcome) || this.parts.budget.take();
+    return isConnectFailure(outcome) || this.dependencies.retryBudget.take();
   }
 
   private backOff(
@@ -196,7 +197,7 @@
     tries: number,
     outcome: RunOutcome,
   ): Effect.Effect<void> {
-    const { random, events } = this.parts;
+    const { random, events } = this.dependencies;
     const reason =
       outcome.kind === 'completed' ? 'a server error' : outcome.reason;
     events.record('request-retried', `Try ${tries + 2} after ${reason}.`, {
--- a/packages/request-plane/src/entry/maximum-tries.ts
+++ b/packages/request-plane/src/entry/request-tries.ts
@@ -2,6 +2,6 @@
 export const MAXIMUM_TRIES = 5;
 
 /** Identifier of one try of a caller's request. */
-export function tryName(requestId: string, number: number): string {
+export function tryIdOf(requestId: string, number: number): string {
   return `${requestId}.${number}`;
 }
--- a/packages/request-plane/src/membership/home-entries.ts
+++ b/packages/request-plane/src/membership/entries-for-agent.ts
@@ -1,12 +1,12 @@
 import { rendezvousRank } from '@basilcourse/foundation/util/rendezvous-rank';
 
 /** Entries that each agent reports to. */
-export const HOMES_PER_AGENT = 3;
+export const ENTRIES_PER_AGENT = 3;
 
 /** Addresses of the entries that an agent reports to. */
-export function homeEntries(
+export function entriesForAgent(
   agentId: string,
   entryAddresses: readonly string[],
 ): readonly string[] {
-  return rendezvousRank(agentId, entryAddresses).slice(0, HOMES_PER_AGENT);
+  return rendezvousRank(agentId, entryAddresses).slice(0, ENTRIES_PER_AGENT);
 }
--- a/packages/request-plane/src/membership/exchange-with.ts
+++ b/packages/request-plane/src/membership/exchange-heartbeats.ts
@@ -13,7 +13,7 @@
 import type { PeerTransports } from '../transport/peer-transports.js';
 import { memberOf, memberRecordOf } from './member-messages.js';
 import type { MemberTable } from './member-table.js';
-import { HEARTBEAT_MILLISECONDS } from './member-table.js';
+import { HEARTBEAT_INTERVAL_MILLISECONDS } from './member-table.js';
 import type { OwnMember } from './own-member.js';
 
 const EXCHANGE_TIMEOUT_MILLISECONDS = 1000;
@@ -21,7 +21,7 @@
 /** Share of the interval by which heartbeats are spread. */
 const JITTER_SHARE = 0.1;
 
-interface LoadFields {
+interface AttemptLoad {
   readonly attemptId: string;
   readonly load: {
     readonly slots: number;
@@ -32,51 +32,54 @@
 }
 
 /** Parts that one process's heartbeats work on. */
-export interface HeartbeatParts {
+export interface HeartbeatDependencies {
   readonly transports: PeerTransports;
   readonly members: MemberTable;
   readonly own: OwnMember;
   readonly clock: Clock;
   readonly random: RandomSource;
   /** Loads of the upstreams beside this process. */
-  readonly loads: () => readonly LoadFields[];
+  readonly loads: () => readonly AttemptLoad[];
 }
 
-interface Progress {
+interface ExchangeProgress {
   readonly sentSequence: number;
   readonly seenSequence: number;
   readonly seenInstance: string;
 }
 
-const NO_PROGRESS: Progress = {
+const NO_PROGRESS: ExchangeProgress = {
   sentSequence: 0,
   seenSequence: 0,
   seenInstance: '',
 };
 
-function takeIn(parts: HeartbeatParts, answer: ExchangeResponse): void {
-  const now = parts.clock.now();
-  const changes = answer.changes.map(memberOf);
-  const { id } = parts.own.get();
-  for (const told of changes.filter(change => change.id === id)) {
-    parts.own.refute(told);
+function applyResponse(
+  dependencies: HeartbeatDependencies,
+  response: ExchangeResponse,
+): void {
+  const now = dependencies.clock.now();
+  const changes = response.changes.map(memberOf);
+  const { id } = dependencies.own.get();
+  for (const reported of changes.filter(change => change.id === id)) {
+    dependencies.own.refute(reported);
   }
-  parts.members.merge(changes, now);
-  if (answer.self !== undefined) {
-    parts.members.hear(memberOf(answer.self), now);
+  dependencies.members.merge(changes, now);
+  if (response.self !== undefined) {
+    dependencies.members.applyHeartbeat(memberOf(response.self), now);
   }
-  if (answer.you !== undefined) {
-    parts.own.refute(memberOf(answer.you));
+  if (response.you !== undefined) {
+    dependencies.own.refute(memberOf(response.you));
   }
 }
 
 /** Sends one heartbeat to a peer and takes in what it knows. */
-export function exchangeOnce(
-  parts: HeartbeatParts,
+export function exchangeHeartbeat(
+  dependencies: HeartbeatDependencies,
   address: string,
-  progress: Progress = NO_PROGRESS,
-): Effect.Effect<Progress> {
-  const { transports, members, own } = parts;
+  progress: ExchangeProgress = NO_PROGRESS,
+): Effect.Effect<ExchangeProgress> {
+  const { transports, members, own } = dependencies;
   const client = createClient(MembershipService, transports.to(address));
   return Effect.suspend(() => {
     const sentSequence = members.sequence;
@@ -87,18 +90,18 @@
       changes: changes.map(memberRecordOf),
       seenSequence: BigInt(progress.seenSequence),
       seenInstance: progress.seenInstance,
-      loads: [...parts.loads()],
+      loads: [...dependencies.loads()],
     });
     return callPeer('membership.exchange', address, signal =>
       client.exchange(request, { signal }),
     ).pipe(
       Effect.timeout(EXCHANGE_TIMEOUT_MILLISECONDS),
-      Effect.map(answer => {
-        takeIn(parts, answer);
+      Effect.map(response => {
+        applyResponse(dependencies, response);
         return {
           sentSequence,
-          seenSequence: Number(answer.sequence),
-          seenInstance: answer.self?.instance ?? '',
+          seenSequence: Number(response.sequence),
+          seenInstance: response.self?.instance ?? '',
         };
       }),
       Effect.catchAll(() =>
@@ -112,16 +115,16 @@
 }
 
 /** Exchanges heartbeats with one peer for as long as the process runs. */
-export function exchangeForever(
-  parts: HeartbeatParts,
+export function exchangeHeartbeatsForever(
+  dependencies: HeartbeatDependencies,
   address: string,
 ): Effect.Effect<never> {
   return Effect.gen(function* () {
     let progress = NO_PROGRESS;
     for (;;) {
-      progress = yield* exchangeOnce(parts, address, progress);
-      const jitter = 1 + (parts.random.next() - 0.5) * 2 * JITTER_SHARE;
-      yield* Effect.sleep(HEARTBEAT_MILLISECONDS * jitter);
+      progress = yield* exchangeHeartbeat(dependencies, address, progress);
+      const jitter = 1 + (dependencies.random.next() - 0.5) * 2 * JITTER_SHARE;
+      yield* Effect.sleep(HEARTBEAT_INTERVAL_MILLISECONDS * jitter);
     }
   });
 }
--- a/packages/request-plane/src/membership/exchange-routes.ts
+++ b/packages/request-plane/src/membership/exchange-routes.ts
@@ -15,19 +15,19 @@
 const MICROSECONDS_PER_MILLISECOND = 1000;
 
 /** Changes in one answer at the most. */
-const MAXIMUM_CHANGES = 5000;
+const MAXIMUM_CHANGES_PER_RESPONSE = 5000;
 
 /** Parts behind the heartbeat call. */
-interface ExchangeParts {
+interface ExchangeDependencies {
   readonly members: MemberTable;
   readonly loads: LoadTable;
   readonly self: () => Member;
   /** Outbids a doubt about this process. */
-  readonly refute: (told: Member) => void;
+  readonly refute: (reported: Member) => void;
   readonly clock: Clock;
 }
 
-function noteLoads(
+function recordLoads(
   loads: LoadTable,
   request: ExchangeRequest,
   now: number,
@@ -38,7 +38,7 @@
       const serviceMilliseconds =
         meanServiceMicroseconds / MICROSECONDS_PER_MILLISECOND;
       const report = { slots, running, queued, serviceMilliseconds };
-      loads.note(attemptId, report, now);
+      loads.recordReport(attemptId, report, now);
     }
   }
 }
@@ -50,18 +50,20 @@
   seenSequence: number,
 ): readonly Member[] {
   const changes = members.changesSince(seenSequence);
-  const wanted =
+  const relevant =
     sender.role === 'entry'
       ? changes
       : changes.filter(({ role }) => role === 'entry');
-  return wanted.filter(({ id }) => id !== sender.id).slice(0, MAXIMUM_CHANGES);
+  return relevant
+    .filter(({ id }) => id !== sender.id)
+    .slice(0, MAXIMUM_CHANGES_PER_RESPONSE);
 }
 
 /** Registers the heartbeat call. */
 export function exchangeRoutes(
-  parts: ExchangeParts,
+  dependencies: ExchangeDependencies,
 ): (router: ConnectRouter) => void {
-  const { members, loads, clock } = parts;
+  const { members, loads, clock } = dependencies;
   return router => {
     router.service(MembershipService, {
       exchange: request => {
@@ -70,18 +72,20 @@
         }
         const sender = memberOf(request.self);
         const now = clock.now();
-        const known = members.hear(sender, now);
+        const current = members.applyHeartbeat(sender, now);
         const changes = request.changes.map(memberOf);
-        const self = parts.self();
-        changes.filter(({ id }) => id === self.id).forEach(parts.refute);
+        const self = dependencies.self();
+        changes.filter(({ id }) => id === self.id).forEach(dependencies.refute);
         members.merge(changes, now);
-        noteLoads(loads, request, now);
-        const isSameRun = request.seenInstance === self.instance;
-        const seen = isSameRun ? Number(request.seenSequence) : 0;
+        recordLoads(loads, request, now);
+        const isSameInstance = request.seenInstance === self.instance;
+        const seenSequence = isSameInstance ? Number(request.seenSequence) : 0;
         return create(ExchangeResponseSchema, {
-          self: memberRecordOf(parts.self()),
-          you: memberRecordOf(known),
-          changes: changesFor(members, sender, seen).map(memberRecordOf),
+          self: memberRecordOf(dependencies.self()),
+          you: memberRecordOf(current),
+          changes: changesFor(members, sender, seenSequence).map(
+            memberRecordOf,
+          ),
           sequence: BigInt(members.sequence),
         });
       },
--- a/packages/request-plane/src/membership/member-entry.ts
+++ b/packages/request-plane/src/membership/member-entry.ts
@@ -4,7 +4,7 @@
 export interface MemberEntry {
   readonly member: Member;
   /** Most recent heartbeat received by this process; 0 for none. */
-  readonly heardAt: number;
+  readonly lastHeartbeatAt: number;
   /** Number of the change within this process; rises with each. */
   readonly sequence: number;
 }
--- a/packages/request-plane/src/membership/member-table.ts
+++ b/packages/request-plane/src/membership/member-table.ts
@@ -5,19 +5,19 @@
 import { supersedes } from './supersedes.js';
 
 /** Heartbeats that a process sends. */
-export const HEARTBEAT_MILLISECONDS = 1000;
+export const HEARTBEAT_INTERVAL_MILLISECONDS = 1000;
 
 /** Silence after which an entry suspects a member that reports to it. */
-export const SUSPECT_AFTER_MILLISECONDS = 2500;
+export const SUSPICION_TIMEOUT_MILLISECONDS = 2500;
 
 /** Silence after which one witness suffices. */
-const SOLE_WITNESS_AFTER_MILLISECONDS = 8000;
+const SINGLE_OBSERVER_TIMEOUT_MILLISECONDS = 8000;
 
 /** Witnesses that together drop a member at once. */
-const WITNESSES_TO_DROP = 2;
+const OBSERVERS_TO_DECLARE_DEAD = 2;
 
 /** Time for which a dead member is remembered against late statements. */
-const FORGET_AFTER_MILLISECONDS = 600_000;
+const DEAD_MEMBER_RETENTION_MILLISECONDS = 600_000;
 
 /** Members that a process keeps. */
 const MAXIMUM_MEMBERS = 20_000;
@@ -27,7 +27,7 @@
   private readonly entries = new Map<string, MemberEntry>();
 
   /** Members that others doubt and that this process hears itself. */
-  private readonly doubted = new Set<string>();
+  private readonly suspectedByPeers = new Set<string>();
 
   private lastSequence = 0;
 
@@ -60,36 +60,39 @@
   }
 
   /** Takes in a heartbeat that the member itself sent. */
-  public hear(member: Member, now: number): Member {
-    const known = this.entries.get(member.id);
-    if (known === undefined || supersedes(member, known.member)) {
+  public applyHeartbeat(member: Member, now: number): Member {
+    const current = this.entries.get(member.id);
+    if (current === undefined || supersedes(member, current.member)) {
       this.store(member, now, now);
       return member;
     }
-    const cleared = this.isSuspicion(known.member, member)
-      ? { ...known.member, state: member.state, suspectedBy: [] }
-      : known.member;
-    if (cleared === known.member) {
-      this.entries.set(member.id, { ...known, heardAt: now });
+    const updated = this.clearsSuspicion(current.member, member)
+      ? { ...current.member, state: member.state, suspectedBy: [] }
+      : current.member;
+    if (updated === current.member) {
+      this.entries.set(member.id, { ...current, lastHeartbeatAt: now });
     } else {
-      this.store(cleared, now, now);
+      this.store(updated, now, now);
     }
     // Told of the doubt, the member outbids it with a new incarnation.
-    return this.doubted.delete(member.id)
-      ? { ...cleared, state: 'suspect' }
-      : cleared;
+    return this.suspectedByPeers.delete(member.id)
+      ? { ...updated, state: 'suspect' }
+      : updated;
   }
 
   /** Takes in what another process says of members. */
   public merge(members: readonly Member[], now: number): void {
     for (const member of members.filter(({ id }) => id !== this.ownId)) {
-      const known = this.entries.get(member.id);
-      if (known !== undefined && this.isRefutedByHearing(known, member, now)) {
-        this.doubted.add(member.id);
-      } else if (known === undefined || supersedes(member, known.member)) {
-        this.store(member, known?.heardAt ?? 0, now);
-      } else if (this.isSameRun(known.member, member)) {
-        this.addWitnesses(known, member, now);
+      const current = this.entries.get(member.id);
+      if (
+        current !== undefined &&
+        this.isContradictedByHeartbeat(current, member, now)
+      ) {
+        this.suspectedByPeers.add(member.id);
+      } else if (current === undefined || supersedes(member, current.member)) {
+        this.store(member, current?.lastHeartbeatAt ?? 0, now);
+      } else if (this.isSameIncarnation(current.member, member)) {
+        this.addObservers(current, member, now);
       }
     }
   }
@@ -97,19 +100,23 @@
   /** Suspects members that reported to this process and have gone silent. */
   public sweep(now: number): void {
     for (const entry of this.all) {
-      const { member, heardAt } = entry;
-      const silence = now - heardAt;
-      if (this.isForgotten(member, now)) {
+      const { member, lastHeartbeatAt } = entry;
+      const sinceHeartbeat = now - lastHeartbeatAt;
+      if (this.hasRetentionExpired(member, now)) {
         this.entries.delete(member.id);
         this.changedAt.delete(member.id);
-        this.doubted.delete(member.id);
+        this.suspectedByPeers.delete(member.id);
         continue;
       }
-      const reported = heardAt > 0 && member.state !== 'dead';
-      if (!reported || silence < SUSPECT_AFTER_MILLISECONDS) {
+      const sendsHeartbeatsHere =
+        lastHeartbeatAt > 0 && member.state !== 'dead';
+      if (
+        !sendsHeartbeatsHere ||
+        sinceHeartbeat < SUSPICION_TIMEOUT_MILLISECONDS
+      ) {
         continue;
       }
-      this.suspect(entry, silence, now);
+      this.suspect(entry, sinceHeartbeat, now);
     }
   }
 
@@ -120,80 +127,95 @@
       .map(entry => entry.member);
   }
 
-  private suspect(entry: MemberEntry, silence: number, now: number): void {
+  private suspect(
+    entry: MemberEntry,
+    sinceHeartbeat: number,
+    now: number,
+  ): void {
     const { member } = entry;
-    const witnesses = new Set([...member.suspectedBy, this.ownInstance]);
+    const observers = new Set([...member.suspectedBy, this.ownInstance]);
     const isDead =
-      witnesses.size >= WITNESSES_TO_DROP ||
-      silence >= SOLE_WITNESS_AFTER_MILLISECONDS;
+      observers.size >= OBSERVERS_TO_DECLARE_DEAD ||
+      sinceHeartbeat >= SINGLE_OBSERVER_TIMEOUT_MILLISECONDS;
     const state = isDead ? 'dead' : 'suspect';
     const changed =
-      state !== member.state || witnesses.size > member.suspectedBy.length;
+      state !== member.state || observers.size > member.suspectedBy.length;
     if (changed) {
-      const suspectedBy = [...witnesses];
-      this.store({ ...member, state, suspectedBy }, entry.heardAt, now);
+      const suspectedBy = [...observers];
+      this.store({ ...member, state, suspectedBy }, entry.lastHeartbeatAt, now);
     }
   }
 
-  private addWitnesses(entry: MemberEntry, told: Member, now: number): void {
+  private addObservers(
+    entry: MemberEntry,
+    reported: Member,
+    now: number,
+  ): void {
     const { member } = entry;
-    const witnesses = new Set([...member.suspectedBy, ...told.suspectedBy]);
+    const observers = new Set([...member.suspectedBy, ...reported.suspectedBy]);
     if (
       member.state === 'dead' ||
-      witnesses.size === member.suspectedBy.length
+      observers.size === member.suspectedBy.length
     ) {
       return;
     }
     const isDead =
-      member.state === 'suspect' && witnesses.size >= WITNESSES_TO_DROP;
+      member.state === 'suspect' && observers.size >= OBSERVERS_TO_DECLARE_DEAD;
     const state = isDead ? 'dead' : member.state;
-    const suspectedBy = [...witnesses];
-    this.store({ ...member, state, suspectedBy }, entry.heardAt, now);
+    const suspectedBy = [...observers];
+    this.store({ ...member, state, suspectedBy }, entry.lastHeartbeatAt, now);
   }
 
-  private isSuspicion(known: Member, heard: Member): boolean {
-    return known.state === 'suspect' && this.isSameRun(known, heard);
+  private clearsSuspicion(current: Member, next: Member): boolean {
+    return current.state === 'suspect' && this.isSameIncarnation(current, next);
   }
 
   /** What was heard from the member itself lately outweighs others' doubts. */
-  private isRefutedByHearing(
-    { member, heardAt }: MemberEntry,
-    told: Member,
+  private isContradictedByHeartbeat(
+    { member, lastHeartbeatAt }: MemberEntry,
+    next: Member,
     now: number,
   ): boolean {
-    const isDoubt = told.state === 'suspect' || told.state === 'dead';
-    const isHeard = now - heardAt < SUSPECT_AFTER_MILLISECONDS;
+    const isDown = next.state === 'suspect' || next.state === 'dead';
+    const isFresh = now - lastHeartbeatAt < SUSPICION_TIMEOUT_MILLISECONDS;
     const isAlive = member.state === 'alive';
-    return isDoubt && isHeard && isAlive && this.isSameRun(member, told);
+    return isDown && isFresh && isAlive && this.isSameIncarnation(member, next);
   }
 
-  private isSameRun(left: Member, right: Member): boolean {
+  private isSameIncarnation(left: Member, right: Member): boolean {
     return (
       left.instance === right.instance && left.incarnation === right.incarnation
     );
   }
 
-  private isForgotten(member: Member, now: number): boolean {
+  private hasRetentionExpired(member: Member, now: number): boolean {
     const changedAt = this.changedAt.get(member.id) ?? now;
     return (
-      member.state === 'dead' && now - changedAt > FORGET_AFTER_MILLISECONDS
+      member.state === 'dead' &&
+      now - changedAt > DEAD_MEMBER_RETENTION_MILLISECONDS
     );
   }
 
-  private store(member: Member, heardAt: number, now: number): void {
-    const known = this.entries.get(member.id);
-    if (known === undefined && this.entries.size >= MAXIMUM_MEMBERS) {
+  private store(member: Member, lastHeartbeatAt: number, now: number): void {
+    const current = this.entries.get(member.id);
+    if (current === undefined && this.entries.size >= MAXIMUM_MEMBERS) {
       return;
     }
     this.lastSequence += 1;
     const sequence = this.lastSequence;
-    this.entries.set(member.id, { member, heardAt, sequence });
+    this.entries.set(member.id, { member, lastHeartbeatAt, sequence });
     this.changedAt.set(member.id, now);
-    this.tell(member, known?.member);
+    this.recordStateChange(member, current?.member);
   }
 
-  private tell(member: Member, before: Member | undefined): void {
-    if (member.state === before?.state && member.instance === before.instance) {
+  private recordStateChange(
+    member: Member,
+    previous: Member | undefined,
+  ): void {
+    if (
+      member.state === previous?.state &&
+      member.instance === previous.instance
+    ) {
       return;
     }
     const kinds = {
--- a/packages/request-plane/src/membership/own-member.ts
+++ b/packages/request-plane/src/membership/own-member.ts
@@ -7,23 +7,24 @@
   public readonly get = (): Member => this.current;
 
   /** Changes what the process says of itself, under a new incarnation. */
-  public change(change: Partial<Member>): void {
+  public update(changes: Partial<Member>): void {
     const incarnation = this.current.incarnation + 1;
-    this.current = { ...this.current, ...change, incarnation };
+    this.current = { ...this.current, ...changes, incarnation };
   }
 
   /**
    * Outbids a peer that holds this process for suspect or dead, or knows a
    * later incarnation of it; true when it did.
    */
-  public refute(told: Member): boolean {
-    const isOther = told.instance !== this.current.instance;
-    const isDoubted = told.state === 'suspect' || told.state === 'dead';
-    const isBehind = told.incarnation > this.current.incarnation;
-    if (!isDoubted && !isBehind && !isOther) {
+  public refute(reported: Member): boolean {
+    const isOtherInstance = reported.instance !== this.current.instance;
+    const isSuspected =
+      reported.state === 'suspect' || reported.state === 'dead';
+    const hasLaterIncarnation = reported.incarnation > this.current.incarnation;
+    if (!isSuspected && !hasLaterIncarnation && !isOtherInstance) {
       return false;
     }
-    const highest = Math.max(told.incarnation, this.current.incarnation);
+    const highest = Math.max(reported.incarnation, this.current.incarnation);
     this.current = { ...this.current, incarnation: highest + 1 };
     return true;
   }
--- a/packages/request-plane/src/membership/keep-peer-tasks.ts
+++ b/packages/request-plane/src/membership/run-task-per-peer.ts
@@ -1,20 +1,20 @@
 import * as Effect from 'effect/Effect';
 import * as Fiber from 'effect/Fiber';
 
-const CHECK_MILLISECONDS = 500;
+const CHECK_INTERVAL_MILLISECONDS = 500;
 
 /**
  * Keeps one task running for each peer of a changing set: starts those that
  * are new, interrupts those that are gone.
  */
-export function keepPeerTasks(
-  wanted: () => readonly string[],
+export function runTaskPerPeer(
+  listPeers: () => readonly string[],
   task: (peer: string) => Effect.Effect<never>,
 ): Effect.Effect<never> {
   return Effect.gen(function* () {
     const running = new Map<string, Fiber.RuntimeFiber<never>>();
     for (;;) {
-      const peers = new Set(wanted());
+      const peers = new Set(listPeers());
       for (const [peer, fiber] of running) {
         if (!peers.has(peer)) {
           running.delete(peer);
@@ -26,7 +26,7 @@
           running.set(peer, yield* Effect.fork(task(peer)));
         }
       }
-      yield* Effect.sleep(CHECK_MILLISECONDS);
+      yield* Effect.sleep(CHECK_INTERVAL_MILLISECONDS);
     }
   });
 }
--- a/packages/request-plane/src/membership/supersedes.ts
+++ b/packages/request-plane/src/membership/supersedes.ts
@@ -1,7 +1,7 @@
 import type { Member, MemberState } from './member.js';
 
 /** Of two statements with one incarnation the later state wins. */
-const ORDER: Readonly<Record<MemberState, number>> = {
+const STATE_PRECEDENCE: Readonly<Record<MemberState, number>> = {
   alive: 0,
   suspect: 1,
   leaving: 2,
@@ -12,13 +12,13 @@
  * Tells whether a statement about a member replaces the one known, as in Das,
  * Gupta and Motivala, "SWIM", DSN 2002.
  */
-export function supersedes(candidate: Member, known: Member): boolean {
-  if (candidate.instance !== known.instance) {
-    return candidate.incarnation > known.incarnation;
+export function supersedes(candidate: Member, current: Member): boolean {
+  if (candidate.instance !== current.instance) {
+    return candidate.incarnation > current.incarnation;
   }
   return (
-    candidate.incarnation > known.incarnation ||
-    (candidate.incarnation === known.incarnation &&
-      ORDER[candidate.state] > ORDER[known.state])
+    candidate.incarnation > current.incarnation ||
+    (candidate.incarnation === current.incarnation &&
+      STATE_PRECEDENCE[candidate.state] > STATE_PRECEDENCE[current.state])
   );
 }
--- a/packages/request-plane/src/retry/retry-budget.ts
+++ b/packages/request-plane/src/retry/retry-budget.ts
@@ -2,13 +2,13 @@
 const RETRIES_PER_SUCCESS = 0.2;
 
 /** Retries that are allowed without any success. */
-const RESERVE = 10;
+const INITIAL_RETRIES = 10;
 
-const LARGEST_BALANCE = 100;
+const MAXIMUM_RETRIES = 100;
 
 /** Bounds retries to a share of recent successes, against retry storms. */
 export class RetryBudget {
-  private balance = RESERVE;
+  private availableRetries = INITIAL_RETRIES;
 
   private spentRetries = 0;
 
@@ -16,17 +16,17 @@
     return this.spentRetries;
   }
 
-  public succeeded(): void {
-    const earned = this.balance + RETRIES_PER_SUCCESS;
-    this.balance = Math.min(LARGEST_BALANCE, earned);
+  public recordSuccess(): void {
+    const earned = this.availableRetries + RETRIES_PER_SUCCESS;
+    this.availableRetries = Math.min(MAXIMUM_RETRIES, earned);
   }
 
   /** Takes one retry out of the budget; false when there is none left. */
   public take(): boolean {
-    if (this.balance < 1) {
+    if (this.availableRetries < 1) {
       return false;
     }
-    this.balance -= 1;
+    this.availableRetries -= 1;
     this.spentRetries += 1;
     return true;
   }
--- a/packages/request-plane/src/routing/byte-budget.ts
+++ b/packages/request-plane/src/routing/byte-budget.ts
@@ -1,10 +1,10 @@
-const SECOND_MILLISECONDS = 1000;
+const MILLISECONDS_PER_SECOND = 1000;
 
 /** A token bucket of bytes that refills over time. */
 export class ByteBudget {
-  private tokens: number;
+  private availableBytes: number;
 
-  private refilledAt: number;
+  private lastRefillAt: number;
 
   private spentBytes = 0;
 
@@ -12,8 +12,8 @@
     private readonly bytesPerSecond: () => number,
     now: number,
   ) {
-    this.tokens = bytesPerSecond();
-    this.refilledAt = now;
+    this.availableBytes = bytesPerSecond();
+    this.lastRefillAt = now;
   }
 
   /** Bytes spent since the start. */
@@ -22,22 +22,23 @@
   }
 
   /** Tells whether anything may be sent now. */
-  public isOpen(now: number): boolean {
+  public hasBytesLeft(now: number): boolean {
     this.refill(now);
-    return this.tokens > 0;
+    return this.availableBytes > 0;
   }
 
   /** Spends bytes; the budget may go below zero and then stays shut. */
   public spend(bytes: number, now: number): void {
     this.refill(now);
-    this.tokens -= bytes;
+    this.availableBytes -= bytes;
     this.spentBytes += bytes;
   }
 
   private refill(now: number): void {
     const rate = this.bytesPerSecond();
-    const seconds = Math.max(0, now - this.refilledAt) / SECOND_MILLISECONDS;
-    this.tokens = Math.min(rate, this.tokens + seconds * rate);
-    this.refilledAt = now;
+    const seconds =
+      Math.max(0, now - this.lastRefillAt) / MILLISECONDS_PER_SECOND;
+    this.availableBytes = Math.min(rate, this.availableBytes + seconds * rate);
+    this.lastRefillAt = now;
   }
 }
--- a/packages/request-plane/src/routing/load-table.ts
+++ b/packages/request-plane/src/routing/load-table.ts
@@ -1,6 +1,6 @@
 import type { UpstreamLoad } from './upstream-load.js';
 
-const NO_LOAD: UpstreamLoad = {
+const UNREPORTED_LOAD: UpstreamLoad = {
   slots: 1,
   running: 0,
   queued: 0,
@@ -13,7 +13,7 @@
   private readonly reports = new Map<string, UpstreamLoad>();
 
   /** When the service time of an upstream last changed. */
-  private readonly measuredAt = new Map<string, number>();
+  private readonly serviceTimeChangedAt = new Map<string, number>();
 
   private readonly inFlight = new Map<string, number>();
 
@@ -22,16 +22,16 @@
   }
 
   public reportOf(attempt: string): UpstreamLoad {
-    return this.reports.get(attempt) ?? NO_LOAD;
+    return this.reports.get(attempt) ?? UNREPORTED_LOAD;
   }
 
   /** Time since the service time of an upstream last changed. */
-  public ageOf(attempt: string, now: number): number {
-    return now - (this.measuredAt.get(attempt) ?? now);
+  public serviceTimeAge(attempt: string, now: number): number {
+    return now - (this.serviceTimeChangedAt.get(attempt) ?? now);
   }
 
   /** Requests of other entries at an upstream, as last reported. */
-  public othersAt(attempt: string): number {
+  public othersInFlightAt(attempt: string): number {
     const { running, queued, ownInFlight } = this.reportOf(attempt);
     return Math.max(0, running + queued - ownInFlight);
   }
@@ -39,30 +39,33 @@
   /**
    * Takes in a report.
    *
-   * @param finishing - Own requests that the report no longer counts.
+   * @param endedSinceReport - Own requests that the report no longer counts.
    */
-  public note(
+  public recordReport(
     attempt: string,
     report: Omit<UpstreamLoad, 'ownInFlight'>,
     now: number,
-    finishing = 0,
+    endedSinceReport = 0,
   ): void {
     const { serviceMilliseconds } = this.reportOf(attempt);
     if (report.serviceMilliseconds !== serviceMilliseconds) {
-      this.measuredAt.set(attempt, now);
+      this.serviceTimeChangedAt.set(attempt, now);
     }
-    const ownInFlight = Math.max(0, this.inFlightAt(attempt) - finishing);
+    const ownInFlight = Math.max(
+      0,
+      this.inFlightAt(attempt) - endedSinceReport,
+    );
     this.reports.set(attempt, { ...report, ownInFlight });
   }
 
-  public started(attempt: string): void {
+  public requestStarted(attempt: string): void {
     this.inFlight.set(attempt, this.inFlightAt(attempt) + 1);
   }
 
-  public ended(attempt: string): void {
-    const left = this.inFlightAt(attempt) - 1;
-    if (left > 0) {
-      this.inFlight.set(attempt, left);
+  public requestEnded(attempt: string): void {
+    const remaining = this.inFlightAt(attempt) - 1;
+    if (remaining > 0) {
+      this.inFlight.set(attempt, remaining);
     } else {
       this.inFlight.delete(attempt);
     }
@@ -70,6 +73,6 @@
 
   public forget(attempt: string): void {
     this.reports.delete(attempt);
-    this.measuredAt.delete(attempt);
+    this.serviceTimeChangedAt.delete(attempt);
   }
 }
--- a/packages/request-plane/src/routing/outlier-detector.ts
+++ b/packages/request-plane/src/routing/outlier-detector.ts
@@ -1,69 +1,69 @@
 import type { RandomSource } from '@basilcourse/foundation/random/random-source';
 
 /** Failures in a row after which an upstream is ejected. */
-const FAILURES_TO_EJECT = 5;
+const CONSECUTIVE_FAILURES_TO_EJECT = 5;
 
-const FIRST_EJECTION_MILLISECONDS = 2000;
+const INITIAL_EJECTION_MILLISECONDS = 2000;
 
-const LONGEST_EJECTION_MILLISECONDS = 30_000;
+const MAXIMUM_EJECTION_MILLISECONDS = 30_000;
 
 /** Largest share of a service's upstreams ejected at once. */
 const MAXIMUM_EJECTED_SHARE = 0.34;
 
-interface UpstreamRecord {
-  readonly failuresInRow: number;
+interface FailureRecord {
+  readonly consecutiveFailures: number;
   readonly ejections: number;
   readonly ejectedUntil: number;
 }
 
-const NEW_RECORD: UpstreamRecord = {
-  failuresInRow: 0,
+const NO_FAILURES: FailureRecord = {
+  consecutiveFailures: 0,
   ejections: 0,
   ejectedUntil: 0,
 };
 
 /** Keeps requests away from upstreams that fail one after the other. */
 export class OutlierDetector {
-  private readonly records = new Map<string, UpstreamRecord>();
+  private readonly records = new Map<string, FailureRecord>();
 
   public constructor(private readonly random: RandomSource) {}
 
-  public succeeded(attempt: string): void {
+  public recordSuccess(attempt: string): void {
     const record = this.records.get(attempt);
-    if (record !== undefined && record.failuresInRow > 0) {
-      this.records.set(attempt, { ...record, failuresInRow: 0 });
+    if (record !== undefined && record.consecutiveFailures > 0) {
+      this.records.set(attempt, { ...record, consecutiveFailures: 0 });
     }
   }
 
-  public failed(attempt: string, now: number): void {
-    const record = this.records.get(attempt) ?? NEW_RECORD;
-    const failuresInRow = record.failuresInRow + 1;
-    if (failuresInRow < FAILURES_TO_EJECT) {
-      this.records.set(attempt, { ...record, failuresInRow });
+  public recordFailure(attempt: string, now: number): void {
+    const record = this.records.get(attempt) ?? NO_FAILURES;
+    const consecutiveFailures = record.consecutiveFailures + 1;
+    if (consecutiveFailures < CONSECUTIVE_FAILURES_TO_EJECT) {
+      this.records.set(attempt, { ...record, consecutiveFailures });
       return;
     }
-    const doubled = FIRST_EJECTION_MILLISECONDS * 2 ** record.ejections;
-    const longest = Math.min(doubled, LONGEST_EJECTION_MILLISECONDS);
-    const duration = longest * (1 + this.random.next() / 2);
+    const doubled = INITIAL_EJECTION_MILLISECONDS * 2 ** record.ejections;
+    const bounded = Math.min(doubled, MAXIMUM_EJECTION_MILLISECONDS);
+    const duration = bounded * (1 + this.random.next() / 2);
     this.records.set(attempt, {
-      failuresInRow: 0,
+      consecutiveFailures: 0,
       ejections: Math.min(record.ejections + 1, 10),
       ejectedUntil: now + duration,
     });
   }
 
   /** The candidates that are not ejected; never less than two thirds. */
-  public usable<Entry extends { readonly attempt: string }>(
-    candidates: readonly Entry[],
+  public withoutEjected<Candidate extends { readonly attempt: string }>(
+    candidates: readonly Candidate[],
     now: number,
-  ): readonly Entry[] {
-    const usable = candidates.filter(
+  ): readonly Candidate[] {
+    const remaining = candidates.filter(
       ({ attempt }) => (this.records.get(attempt)?.ejectedUntil ?? 0) <= now,
     );
-    const ejected = candidates.length - usable.length;
+    const ejected = candidates.length - remaining.length;
     return ejected > candidates.length * MAXIMUM_EJECTED_SHARE
       ? candidates
-      : usable;
+      : remaining;
   }
 
   public forget(attempt: string): void {
--- a/packages/request-plane/src/routing/routing-policies.ts
+++ b/packages/request-plane/src/routing/routing-policies.ts
@@ -7,25 +7,30 @@
 /** Candidates compared for one request, against all choosing the same. */
 const SAMPLE_SIZE = 4;
 
-const LEAST_SERVICE_MILLISECONDS = 0.1;
+const MINIMUM_SERVICE_MILLISECONDS = 0.1;
 
-function outstanding(candidate: UpstreamCandidate): number {
+function outstandingRequests(candidate: UpstreamCandidate): number {
   return candidate.inFlight + candidate.othersInFlight;
 }
 
 /** Expected time to completion of one more request, in milliseconds. */
-export function expectedMilliseconds(candidate: UpstreamCandidate): number {
-  const service = Math.max(
+export function expectedCompletionMilliseconds(
+  candidate: UpstreamCandidate,
+): number {
+  const serviceMilliseconds = Math.max(
     candidate.serviceMilliseconds,
-    LEAST_SERVICE_MILLISECONDS,
+    MINIMUM_SERVICE_MILLISECONDS,
   );
-  const ahead = outstanding(candidate) - candidate.slots + 1;
-  const wait = ahead > 0 ? (ahead * service) / candidate.slots : 0;
-  const load = outstanding(candidate) / candidate.slots;
-  return service * (1 + load) + wait;
+  const requestsAhead = outstandingRequests(candidate) - candidate.slots + 1;
+  const waitMilliseconds =
+    requestsAhead > 0
+      ? (requestsAhead * serviceMilliseconds) / candidate.slots
+      : 0;
+  const load = outstandingRequests(candidate) / candidate.slots;
+  return serviceMilliseconds * (1 + load) + waitMilliseconds;
 }
 
-function leastBy(
+function candidateWithLowestCost(
   candidates: readonly UpstreamCandidate[],
   cost: (candidate: UpstreamCandidate) => number,
 ): UpstreamCandidate | undefined {
@@ -42,18 +47,18 @@
 }
 
 /** Some candidates in drawn order, so that entries spread over equal ones. */
-function sample(
+function sampleCandidates(
   candidates: readonly UpstreamCandidate[],
   random: RandomSource,
 ): readonly UpstreamCandidate[] {
-  const left = [...candidates];
+  const remaining = [...candidates];
   const chosen: UpstreamCandidate[] = [];
   while (chosen.length < SAMPLE_SIZE) {
-    const candidate = pickOne(left, random);
+    const candidate = pickOne(remaining, random);
     if (candidate === undefined) {
       break;
     }
-    left.splice(left.indexOf(candidate), 1);
+    remaining.splice(remaining.indexOf(candidate), 1);
     chosen.push(candidate);
   }
   return chosen;
@@ -70,9 +75,15 @@
   'round-robin': (candidates, _random, turn) =>
     candidates[turn % Math.max(1, candidates.length)],
   'least-connections': candidates =>
-    leastBy(candidates, ({ inFlight, slots }) => inFlight / slots),
+    candidateWithLowestCost(
+      candidates,
+      ({ inFlight, slots }) => inFlight / slots,
+    ),
   'expected-time': (candidates, random) =>
-    leastBy(sample(candidates, random), expectedMilliseconds),
+    candidateWithLowestCost(
+      sampleCandidates(candidates, random),
+      expectedCompletionMilliseconds,
+    ),
 } as const satisfies Readonly<Record<string, RoutingPolicy>>;
 
 /** Names of the policies. */
--- a/packages/request-plane/src/routing/refusing-peers.ts
+++ b/packages/request-plane/src/routing/unreachable-agents.ts
@@ -1,5 +1,5 @@
 /** Time for which an instance that refused a connection is left out. */
-const LEFT_OUT_MILLISECONDS = 1000;
+const EXCLUSION_MILLISECONDS = 1000;
 
 /** Instances remembered at once. */
 const MAXIMUM_INSTANCES = 10_000;
@@ -10,25 +10,25 @@
  * They are left out at once and without a bound on their share: a refused
  * connection carries no load that the others would have to bear.
  */
-export class RefusingPeers {
+export class UnreachableAgents {
   private readonly until = new Map<string, number>();
 
-  public refused(instance: string, now: number): void {
+  public recordRefusal(instance: string, now: number): void {
     if (this.until.size >= MAXIMUM_INSTANCES) {
       this.until.clear();
     }
-    this.until.set(instance, now + LEFT_OUT_MILLISECONDS);
+    this.until.set(instance, now + EXCLUSION_MILLISECONDS);
   }
 
-  public answered(instance: string): void {
+  public recordAnswer(instance: string): void {
     this.until.delete(instance);
   }
 
   /** The candidates whose agents did not refuse lately; all if each did. */
-  public without<Entry extends { readonly agentInstance: string }>(
-    candidates: readonly Entry[],
+  public reachable<Candidate extends { readonly agentInstance: string }>(
+    candidates: readonly Candidate[],
     now: number,
-  ): readonly Entry[] {
+  ): readonly Candidate[] {
     const open = candidates.filter(
       ({ agentInstance }) => (this.until.get(agentInstance) ?? 0) <= now,
     );
--- a/packages/request-plane/src/routing/upstream-router.ts
+++ b/packages/request-plane/src/routing/upstream-router.ts
@@ -6,20 +6,23 @@
 import type { ByteBudget } from './byte-budget.js';
 import type { LoadTable } from './load-table.js';
 import type { OutlierDetector } from './outlier-detector.js';
-import type { RefusingPeers } from './refusing-peers.js';
 import type { RoutingPolicyName } from './routing-policies.js';
-import { expectedMilliseconds, routingPolicies } from './routing-policies.js';
+import {
+  expectedCompletionMilliseconds,
+  routingPolicies,
+} from './routing-policies.js';
+import type { UnreachableAgents } from './unreachable-agents.js';
 import type { UpstreamCandidate } from './upstream-candidate.js';
 
 /** Time added to a round trip to another region. */
-const CROSS_REGION_MILLISECONDS = 60;
+const CROSS_REGION_ROUND_TRIP_MILLISECONDS = 60;
 
 /** Parts that routing works on. */
-interface RouterParts {
+interface RouterDependencies {
   readonly members: MemberTable;
   readonly loads: LoadTable;
   readonly outliers: OutlierDetector;
-  readonly refusing: RefusingPeers;
+  readonly unreachableAgents: UnreachableAgents;
   readonly crossRegionBytes: ByteBudget;
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -35,27 +38,29 @@
 }
 
 /** Time after which a service time that did not change counts little. */
-const MEMORY_MILLISECONDS = 5000;
+const ESTIMATE_DECAY_MILLISECONDS = 5000;
 
 /**
  * An upstream that has not answered yet counts as a typical one. One that has
  * not answered for a while comes closer to that, so that one that was slow is
  * tried again, and is not taken to be faster than the others either.
  */
-function withTypicalTimes(
+function withEstimatedServiceTimes(
   candidates: readonly UpstreamCandidate[],
   ageOf: (attempt: string) => number,
 ): readonly UpstreamCandidate[] {
-  const known = candidates
+  const measured = candidates
     .map(({ serviceMilliseconds }) => serviceMilliseconds)
     .filter(milliseconds => milliseconds > 0);
-  const sorted = [...known].sort((left, right) => left - right);
-  const typical = sorted[Math.floor((sorted.length - 1) / 2)] ?? 0;
+  const sorted = [...measured].sort((left, right) => left - right);
+  const median = sorted[Math.floor((sorted.length - 1) / 2)] ?? 0;
   return candidates.map(candidate => {
-    const { attempt, serviceMilliseconds: last } = candidate;
+    const { attempt, serviceMilliseconds: lastMeasured } = candidate;
     const weight =
-      last > 0 ? Math.exp(-ageOf(attempt) / MEMORY_MILLISECONDS) : 0;
-    const serviceMilliseconds = typical + weight * (last - typical);
+      lastMeasured > 0
+        ? Math.exp(-ageOf(attempt) / ESTIMATE_DECAY_MILLISECONDS)
+        : 0;
+    const serviceMilliseconds = median + weight * (lastMeasured - median);
     return { ...candidate, serviceMilliseconds };
   });
 }
@@ -64,7 +69,7 @@
 export class UpstreamRouter {
   private turn = 0;
 
-  public constructor(private readonly parts: RouterParts) {}
+  public constructor(private readonly dependencies: RouterDependencies) {}
 
   /**
    * Chooses an upstream of a service: healthy before suspect, none whose agent
@@ -79,43 +84,46 @@
     avoidedZone: string,
     deadline: number,
   ): UpstreamCandidate | undefined {
-    const { clock, outliers, refusing, random, policy } = this.parts;
+    const { clock, outliers, unreachableAgents, random, policy } =
+      this.dependencies;
     const now = clock.now();
-    const all = withoutTried(this.candidates(service), tried);
-    const healthy = all.filter(({ suspect }) => !suspect);
-    const present = healthy.length > 0 ? healthy : all;
-    const open = refusing.without(present, now);
-    const usable = outliers.usable(open, now);
-    const near = this.nearest(usable, deadline, now);
-    const elsewhere = near.filter(
+    const untried = withoutTried(this.candidates(service), tried);
+    const healthy = untried.filter(({ suspect }) => !suspect);
+    const preferred = healthy.length > 0 ? healthy : untried;
+    const reachable = unreachableAgents.reachable(preferred, now);
+    const notEjected = outliers.withoutEjected(reachable, now);
+    const nearby = this.preferOwnRegion(notEjected, deadline, now);
+    const inOtherZones = nearby.filter(
       ({ availabilityZone }) => availabilityZone !== avoidedZone,
     );
     this.turn += 1;
-    const pool = elsewhere.length > 0 ? elsewhere : near;
+    const pool = inOtherZones.length > 0 ? inOtherZones : nearby;
     return routingPolicies[policy](pool, random, this.turn);
   }
 
   /** Upstreams of a service that are not known to be leaving or dead. */
   public candidates(service: string): readonly UpstreamCandidate[] {
-    const candidates = this.parts.members
+    const candidates = this.dependencies.members
       .ofRole('agent')
       .filter(({ member }) => member.state !== 'leaving')
       .flatMap(({ member }) => this.candidatesAt(member, service));
-    const { loads, clock } = this.parts;
+    const { loads, clock } = this.dependencies;
     const now = clock.now();
-    return withTypicalTimes(candidates, attempt => loads.ageOf(attempt, now));
+    return withEstimatedServiceTimes(candidates, attempt =>
+      loads.serviceTimeAge(attempt, now),
+    );
   }
 
   /** Tells whether an upstream stands in another region. */
-  public isRemote(candidate: UpstreamCandidate): boolean {
-    return candidate.region !== this.parts.region;
+  public isInOtherRegion(candidate: UpstreamCandidate): boolean {
+    return candidate.region !== this.dependencies.region;
   }
 
   private candidatesAt(
     member: Member,
     service: string,
   ): readonly UpstreamCandidate[] {
-    const { loads } = this.parts;
+    const { loads } = this.dependencies;
     return member.upstreams
       .filter(upstream => upstream.service === service)
       .map(({ attempt, slots }) => ({
@@ -127,33 +135,42 @@
         availabilityZone: member.availabilityZone,
         slots,
         inFlight: loads.inFlightAt(attempt),
-        othersInFlight: loads.othersAt(attempt),
+        othersInFlight: loads.othersInFlightAt(attempt),
         serviceMilliseconds: loads.reportOf(attempt).serviceMilliseconds,
         suspect: member.state === 'suspect',
       }));
   }
 
-  private nearest(
+  private preferOwnRegion(
     candidates: readonly UpstreamCandidate[],
     deadline: number,
     now: number,
   ): readonly UpstreamCandidate[] {
-    const near = candidates.filter(candidate => !this.isRemote(candidate));
-    const far = candidates.filter(candidate => this.isRemote(candidate));
-    if (far.length === 0 || !this.parts.crossRegionBytes.isOpen(now)) {
-      return near;
+    const local = candidates.filter(
+      candidate => !this.isInOtherRegion(candidate),
+    );
+    const remote = candidates.filter(candidate =>
+      this.isInOtherRegion(candidate),
+    );
+    if (
+      remote.length === 0 ||
+      !this.dependencies.crossRegionBytes.hasBytesLeft(now)
+    ) {
+      return local;
     }
     const remaining = deadline - now;
-    const nearMeetsDeadline = near.some(
-      candidate => expectedMilliseconds(candidate) < remaining,
+    const localMeetsDeadline = local.some(
+      candidate => expectedCompletionMilliseconds(candidate) < remaining,
     );
-    if (nearMeetsDeadline) {
-      return near;
+    if (localMeetsDeadline) {
+      return local;
     }
-    const farMeetsDeadline = far.filter(
+    const remoteMeetingDeadline = remote.filter(
       candidate =>
-        expectedMilliseconds(candidate) + CROSS_REGION_MILLISECONDS < remaining,
+        expectedCompletionMilliseconds(candidate) +
+          CROSS_REGION_ROUND_TRIP_MILLISECONDS <
+        remaining,
     );
-    return farMeetsDeadline.length > 0 ? farMeetsDeadline : near;
+    return remoteMeetingDeadline.length > 0 ? remoteMeetingDeadline : local;
   }
 }
--- a/packages/request-plane/src/transport/agent-routes.ts
+++ b/packages/request-plane/src/transport/agent-routes.ts
@@ -9,14 +9,14 @@
 import type { RequestRunner } from '../agent/request-runner.js';
 import type { RunLedger } from '../agent/run-ledger.js';
 import type { UpstreamRegistry } from '../agent/upstream-registry.js';
-import { MAXIMUM_TRIES, tryName } from '../entry/maximum-tries.js';
+import { MAXIMUM_TRIES, tryIdOf } from '../entry/request-tries.js';
 import { unknown } from '../outcome/outcomes.js';
 import { outcomeMessageOf } from './outcome-messages.js';
 
 const MICROSECONDS_PER_MILLISECOND = 1000;
 
 /** Parts behind the calls that an agent answers. */
-interface AgentRouteParts {
+interface AgentRouteDependencies {
   readonly runner: RequestRunner;
   readonly ledger: RunLedger;
   readonly register: ClaimRegister;
@@ -26,7 +26,7 @@
   readonly instance: string;
 }
 
-interface LoadFields {
+interface LoadReportFields {
   readonly slots: number;
   readonly running: number;
   readonly queued: number;
@@ -34,10 +34,10 @@
 }
 
 /** Load of an upstream in the form that messages carry. */
-export function loadOf(
+export function loadReportOf(
   registry: UpstreamRegistry,
   attempt: string,
-): LoadFields | undefined {
+): LoadReportFields | undefined {
   const upstream = registry.find(attempt);
   if (upstream === undefined) {
     return undefined;
@@ -49,11 +49,11 @@
 }
 
 function recover(
-  { ledger }: AgentRouteParts,
+  { ledger }: AgentRouteDependencies,
   requestId: string,
 ): RecoverOutcome {
-  for (let number = MAXIMUM_TRIES - 1; number >= 0; number -= 1) {
-    const entry = ledger.find(tryName(requestId, number));
+  for (let tryNumber = MAXIMUM_TRIES - 1; tryNumber >= 0; tryNumber -= 1) {
+    const entry = ledger.find(tryIdOf(requestId, tryNumber));
     if (entry?.state === 'waiting' || entry?.state === 'began') {
       return { case: 'inProgress', value: true };
     }
@@ -85,7 +85,7 @@
 }
 
 function run(
-  { runner }: AgentRouteParts,
+  { runner }: AgentRouteDependencies,
   request: RunRequest,
   signal: AbortSignal,
 ): Promise<ReturnType<typeof outcomeMessageOf>> {
@@ -95,19 +95,19 @@
 
 /** Registers the calls that an agent answers. */
 export function agentRoutes(
-  parts: AgentRouteParts,
+  dependencies: AgentRouteDependencies,
 ): (router: ConnectRouter) => void {
-  const { ledger, register, registry, clock, instance } = parts;
+  const { ledger, register, registry, clock, instance } = dependencies;
   return router => {
     router.service(AgentService, {
       run: async (request, context) => {
-        const outcome = await run(parts, request, context.signal);
-        const load = loadOf(registry, request.attemptId);
+        const outcome = await run(dependencies, request, context.signal);
+        const load = loadReportOf(registry, request.attemptId);
         return load === undefined ? { outcome } : { outcome, load };
       },
       fence: request => {
-        const isOther = request.agentInstance !== instance;
-        const outcome = isOther
+        const isOtherInstance = request.agentInstance !== instance;
+        const outcome = isOtherInstance
           ? unknown('agent.fence', instance, 'the agent was restarted')
           : ledger.fence(request.requestId, clock.now());
         return { outcome: outcomeMessageOf(outcome) };
@@ -126,7 +126,9 @@
         register.release(request.claimKey, request.requestId);
         return {};
       },
-      recover: request => ({ outcome: recover(parts, request.requestId) }),
+      recover: request => ({
+        outcome: recover(dependencies, request.requestId),
+      }),
     });
   };
 }
--- a/packages/request-plane/src/transport/entry-routes.ts
+++ b/packages/request-plane/src/transport/entry-routes.ts
@@ -5,7 +5,7 @@
 import type { ClaimMemory } from '../claim/claim-memory.js';
 
 /** Parts behind the calls that an entry answers. */
-interface EntryRouteParts {
+interface EntryRouteDependencies {
   readonly memory: ClaimMemory;
   readonly clock: Clock;
   readonly instance: string;
@@ -13,13 +13,13 @@
 
 /** Registers the calls that an entry answers. */
 export function entryRoutes(
-  parts: EntryRouteParts,
+  dependencies: EntryRouteDependencies,
 ): (router: ConnectRouter) => void {
-  const { memory, clock, instance } = parts;
+  const { memory, clock, instance } = dependencies;
   return router => {
     router.service(EntryService, {
       recall: ({ claimKey, requestId }) => {
-        const holder = memory.note(claimKey, requestId, clock.now());
+        const holder = memory.claim(claimKey, requestId, clock.now());
         return {
           instance,
           holderRequestId: holder === requestId ? '' : holder,
--- a/packages/request-plane/src/transport/peer-session.ts
+++ b/packages/request-plane/src/transport/peer-session.ts
@@ -10,7 +10,7 @@
 
 import type { SocketOpener } from './socket-opener.js';
 
-const IDLE_MILLISECONDS = 60_000;
+const IDLE_TIMEOUT_MILLISECONDS = 60_000;
 
 /**
  * The HTTP/2 session to one peer, opened when it is needed.
@@ -73,16 +73,16 @@
       this.session = undefined;
       session.on('error', (error: Error) => {
         reject(error);
-        this.forget(session);
+        this.discard(session);
       });
       session.once('close', () => {
         reject(new Error('the session was closed'));
-        this.forget(session);
+        this.discard(session);
       });
       session.once('goaway', () => {
-        this.forget(session);
+        this.discard(session);
       });
-      session.setTimeout(IDLE_MILLISECONDS, () => {
+      session.setTimeout(IDLE_TIMEOUT_MILLISECONDS, () => {
         session.close();
       });
       session.once('connect', () => {
@@ -94,7 +94,7 @@
     });
   }
 
-  private forget(session: ClientHttp2Session): void {
+  private discard(session: ClientHttp2Session): void {
     if (this.session === session || this.session === undefined) {
       this.session = undefined;
       this.opening = undefined;
--- a/packages/request-plane/tests/agent/service-time.test.ts
+++ b/packages/request-plane/tests/agent/service-time.test.ts
@@ -21,8 +21,8 @@
 t.test('without samples an upstream is not refused for ever', t => {
   const time = new ServiceTime();
   time.add(4000, 0);
-  t.equal(time.hopefulMilliseconds(0), 4000);
-  t.ok(time.hopefulMilliseconds(30_000) < 50);
+  t.equal(time.decayedMilliseconds(0), 4000);
+  t.ok(time.decayedMilliseconds(30_000) < 50);
   t.equal(time.milliseconds, 4000);
   t.end();
 });
--- a/packages/request-plane/tests/agent/slot-gate.test.ts
+++ b/packages/request-plane/tests/agent/slot-gate.test.ts
@@ -4,7 +4,11 @@
 import { SlotGate } from '../../src/agent/slot-gate.js';
 
 type Step =
-  | { readonly kind: 'enter'; readonly team: number; readonly patience: number }
+  | {
+      readonly kind: 'enter';
+      readonly team: number;
+      readonly millisecondsToDeadline: number;
+    }
   | { readonly kind: 'leave' }
   | { readonly kind: 'cancel'; readonly target: number }
   | { readonly kind: 'wait'; readonly milliseconds: number };
@@ -13,7 +17,7 @@
   fc.record({
     kind: fc.constant('enter' as const),
     team: fc.integer({ min: 0, max: 2 }),
-    patience: fc.integer({ min: 0, max: 200 }),
+    millisecondsToDeadline: fc.integer({ min: 0, max: 200 }),
   }),
   fc.record({ kind: fc.constant('leave' as const) }),
   fc.record({
@@ -42,8 +46,8 @@
           entered += 1;
           const given: string[] = [];
           answers.set(requestId, given);
-          const deadline = now + step.patience;
-          gate.enter(
+          const deadline = now + step.millisecondsToDeadline;
+          gate.requestSlot(
             {
               requestId,
               team: `team-${step.team}`,
@@ -59,7 +63,7 @@
           );
         } else if (step.kind === 'leave' && running > 0) {
           running -= 1;
-          gate.leave(now);
+          gate.releaseSlot(now);
         } else if (step.kind === 'cancel') {
           gate.cancel(`request-${step.target}`);
         } else if (step.kind === 'wait') {
@@ -71,7 +75,9 @@
       }
       gate.close('closed');
       const waiting = gate.queued;
-      const twice = [...answers.values()].some(given => given.length > 1);
+      const twice = [...answers.values()].some(
+        requestAnswers => requestAnswers.length > 1,
+      );
       return waiting === 0 && !twice;
     },
   );
@@ -87,7 +93,7 @@
     gate.serviceTime.add(100, 0);
     const answers: string[] = [];
     const enter = (requestId: string, deadline: number): void => {
-      gate.enter(
+      gate.requestSlot(
         {
           requestId,
           team: 'team',
@@ -102,7 +108,7 @@
     enter('first', 150);
     enter('second', 150);
     enter('third', 250);
-    gate.leave(160);
+    gate.releaseSlot(160);
     t.same(answers, [
       'first granted',
       'second cannot finish before the deadline',
@@ -117,7 +123,7 @@
   const gate = new SlotGate(1);
   const order: string[] = [];
   const enter = (requestId: string, team: string): void => {
-    gate.enter(
+    gate.requestSlot(
       {
         requestId,
         team,
@@ -134,7 +140,7 @@
   }
   enter('single', 'quiet');
   for (let index = 0; index < 10; index += 1) {
-    gate.leave(0);
+    gate.releaseSlot(0);
   }
   t.ok(order.indexOf('quiet') <= 2, order.join(' '));
   t.end();
--- a/packages/request-plane/tests/claim/claim-exploration.test.ts
+++ b/packages/request-plane/tests/claim/claim-exploration.test.ts
@@ -1,9 +1,9 @@
 import fc from 'fast-check';
 import t from 'tap';
 
-import { ClaimWorld } from './model/claim-world.js';
+import { ClaimSimulation } from './model/claim-simulation.js';
+import type { MessageFate } from './model/message-scheduler.js';
 import type { ModelEntry } from './model/model-entry.js';
-import type { MessageFate } from './model/world-chance.js';
 
 const SEED = 20_261_204;
 
@@ -59,60 +59,66 @@
 );
 
 function withEntry(
-  world: ClaimWorld,
+  simulation: ClaimSimulation,
   index: number,
-  act: (entry: ModelEntry) => void,
+  action: (entry: ModelEntry) => void,
 ): void {
-  const entry = world.entries[index % Math.max(1, world.entries.length)];
+  const entry =
+    simulation.entries[index % Math.max(1, simulation.entries.length)];
   if (entry !== undefined) {
-    act(entry);
+    action(entry);
   }
 }
 
 async function perform(
-  world: ClaimWorld,
+  simulation: ClaimSimulation,
   operation: Operation,
-  number: number,
+  operationIndex: number,
 ): Promise<void> {
   switch (operation.kind) {
     case 'send': {
-      const { entries } = world;
+      const { entries } = simulation;
       const entry = entries[operation.entry % Math.max(1, entries.length)];
       if (entry !== undefined) {
         const key = `key-${operation.key}`;
-        await world.send(entry, key, `request-${number}`, operation.isRun);
+        await simulation.send(
+          entry,
+          key,
+          `request-${operationIndex}`,
+          operation.isRun,
+        );
       }
       return;
     }
     case 'add-entry':
-      world.addEntry(operation.unread);
+      simulation.addEntry(operation.unread);
       return;
     case 'kill-entry':
-      withEntry(world, operation.entry, entry => {
-        world.kill(entry);
+      withEntry(simulation, operation.entry, entry => {
+        simulation.kill(entry);
       });
       return;
     case 'catch-up':
-      withEntry(world, operation.entry, entry => {
-        world.catchUp(entry);
+      withEntry(simulation, operation.entry, entry => {
+        simulation.catchUp(entry);
       });
       return;
     case 'gossip':
-      withEntry(world, operation.entry, entry => {
-        world.gossip(entry);
+      withEntry(simulation, operation.entry, entry => {
+        simulation.gossip(entry);
       });
       return;
     case 'restart-agent':
-      world.restartAgent(operation.minion);
+      simulation.restartAgent(operation.minion);
       return;
     case 'lose-minion':
-      world.log.loseMinion(operation.minion);
+      simulation.log.loseMinion(operation.minion);
       return;
     case 'recover-minion':
-      world.log.recoverMinion(operation.minion);
+      simulation.log.recoverMinion(operation.minion);
       return;
     case 'replace-minion':
-      world.log.replaceMinion(operation.minion);
+      simulation.log.replaceMinion(operation.minion);
   }
 }
 
@@ -127,22 +133,24 @@
         fates,
         async (scheduler, steps, fateList) => {
           let used = 0;
-          const world = new ClaimWorld({
-            pause: () => scheduler.schedule(Promise.resolve()),
+          const simulation = new ClaimSimulation({
+            yieldControl: () => scheduler.schedule(Promise.resolve()),
             nextFate: (): MessageFate => {
               used += 1;
               return fateList[used % fateList.length] ?? 'delivered';
             },
           });
-          world.addEntry(0);
-          world.addEntry(0);
+          simulation.addEntry(0);
+          simulation.addEntry(0);
           const work = steps.map(async (step, number) => {
             await scheduler.schedule(Promise.resolve(), step.kind);
-            await perform(world, step, number);
+            await perform(simulation, step, number);
           });
           await scheduler.waitFor(Promise.all(work));
-          const doubled = [...world.runs].filter(([, list]) => list.length > 1);
-          runs += world.runs.size;
+          const doubled = [...simulation.runs].filter(
+            ([, list]) => list.length > 1,
+          );
+          runs += simulation.runs.size;
           return doubled.length === 0;
         },
       ),
--- a/packages/request-plane/tests/claim/model/claim-world.ts
+++ b/packages/request-plane/tests/claim/model/claim-simulation.ts
@@ -16,19 +16,19 @@
 import type { EntryClient } from '../../../src/entry/entry-client.js';
 import { MemberTable } from '../../../src/membership/member-table.js';
 import { memoryStartOf } from '../../../src/transport/agent-routes.js';
+import type { MessageScheduler } from './message-scheduler.js';
 import type { ModelEntry } from './model-entry.js';
 import { MODEL_WORKERS, ModelLog } from './model-log.js';
 import { modelMember } from './model-member.js';
 import { TickingClock } from './ticking-clock.js';
-import type { WorldChance } from './world-chance.js';
 
 /** Enough for some further tries, as each reading takes a millisecond. */
-const PATIENCE_MILLISECONDS = 20;
+const CLAIM_TIMEOUT_MILLISECONDS = 20;
 
 const START_MILLISECONDS = 10_000_000;
 
 /** Real claimers, memories, registers and folds over faked messages. */
-export class ClaimWorld {
+export class ClaimSimulation {
   public readonly clock = new TickingClock(START_MILLISECONDS);
 
   public readonly entries: ModelEntry[] = [];
@@ -36,7 +36,7 @@
   /** Requests that ran, by key. */
   public readonly runs = new Map<string, string[]>();
 
-  private readonly dead = new Set<string>();
+  private readonly killedInstances = new Set<string>();
 
   private readonly registers = new Map<string, ClaimRegister>();
 
@@ -45,7 +45,7 @@
 
   private started = 0;
 
-  public constructor(private readonly chance: WorldChance) {
+  public constructor(private readonly scheduler: MessageScheduler) {
     MODEL_WORKERS.forEach((_, index) => {
       this.restartAgent(index);
     });
@@ -53,7 +53,7 @@
   }
 
   /** Starts an entry that has read a part of the log. */
-  public addEntry(unread: number): void {
+  public addEntry(unreadRecords: number): void {
     this.started += 1;
     const instance = `entry-${this.started}`;
     this.log.append('entry-joined', { instance, address: instance });
@@ -80,33 +80,33 @@
     const entry = { instance, memory, state, members, claimer };
     this.entries.push(entry);
     this.gossip(entry);
-    this.read(entry, Math.max(1, this.log.end - unread));
+    this.readLog(entry, Math.max(1, this.log.end - unreadRecords));
   }
 
   /** Lets an entry read the log up to an offset. */
-  public read({ state }: ModelEntry, until: number): void {
+  public readLog({ state }: ModelEntry, until: number): void {
     const records = this.log.slice(state.fold.next, until);
     state.applyAll(records, this.log.end);
   }
 
   public catchUp(entry: ModelEntry): void {
-    this.read(entry, this.log.end);
+    this.readLog(entry, this.log.end);
   }
 
   /** Tells an entry of all processes that are alive. */
   public gossip({ members }: ModelEntry): void {
     const now = this.clock.now();
     for (const worker of MODEL_WORKERS) {
-      members.hear(modelMember(worker, 'agent'), now);
+      members.applyHeartbeat(modelMember(worker, 'agent'), now);
     }
     for (const { instance } of this.entries) {
-      members.hear(modelMember(instance, 'entry'), now);
+      members.applyHeartbeat(modelMember(instance, 'entry'), now);
     }
   }
 
   /** Kills an entry with its memory. */
   public kill(entry: ModelEntry): void {
-    this.dead.add(entry.instance);
+    this.killedInstances.add(entry.instance);
     this.entries.splice(this.entries.indexOf(entry), 1);
   }
 
@@ -114,7 +114,7 @@
   public restartAgent(index: number): void {
     const worker = MODEL_WORKERS[index % MODEL_WORKERS.length] ?? '';
     const register = new ClaimRegister(this.clock.now());
-    register.noteLogEnd(this.log.end, register.memoryStart);
+    register.recordLogEnd(this.log.end, register.memoryStart);
     this.registers.set(worker, register);
   }
 
@@ -127,8 +127,8 @@
   ): Promise<void> {
     const request = this.requestOf(key, requestId);
     const result = await Effect.runPromise(entry.claimer.claim(key, request));
-    await this.chance.pause();
-    if (result.kind !== 'first' || this.dead.has(entry.instance)) {
+    await this.scheduler.yieldControl();
+    if (result.kind !== 'first' || this.killedInstances.has(entry.instance)) {
       return;
     }
     if (!isRun) {
@@ -151,7 +151,7 @@
       unrepeatable: true,
       idempotencyKey: key,
       arrivedAt: now,
-      deadline: now + PATIENCE_MILLISECONDS,
+      deadline: now + CLAIM_TIMEOUT_MILLISECONDS,
     };
   }
 
@@ -190,11 +190,11 @@
     return {
       recall: (key, requestId) =>
         this.call(instance, () => {
-          const peer = this.entries.find(known => known.instance === instance);
+          const peer = this.entries.find(entry => entry.instance === instance);
           if (peer === undefined) {
             throw new Error('dead');
           }
-          const holder = peer.memory.note(key, requestId, this.clock.now());
+          const holder = peer.memory.claim(key, requestId, this.clock.now());
           return create(RecallResponseSchema, {
             instance,
             holderRequestId: holder === requestId ? '' : holder,
@@ -210,19 +210,19 @@
     peer: string,
     answer: () => Answer,
   ): Effect.Effect<Answer, PeerUnreachableError> {
-    const fate = this.chance.nextFate();
+    const fate = this.scheduler.nextFate();
     return Effect.tryPromise({
       try: async () => {
-        await this.chance.pause();
+        await this.scheduler.yieldControl();
         if (fate === 'lost') {
           throw new Error('the message was lost');
         }
-        const given = answer();
-        await this.chance.pause();
+        const result = answer();
+        await this.scheduler.yieldControl();
         if (fate === 'answer-lost') {
           throw new Error('the answer was lost');
         }
-        return given;
+        return result;
       },
       catch: error => new PeerUnreachableError('call', peer, error),
     });
--- a/packages/request-plane/tests/claim/model/world-chance.ts
+++ b/packages/request-plane/tests/claim/model/message-scheduler.ts
@@ -2,8 +2,8 @@
 export type MessageFate = 'delivered' | 'lost' | 'answer-lost';
 
 /** How the world's chance is decided. */
-export interface WorldChance {
+export interface MessageScheduler {
   /** Lets other work go first. */
-  readonly pause: () => Promise<unknown>;
+  readonly yieldControl: () => Promise<unknown>;
   readonly nextFate: () => MessageFate;
 }
--- a/packages/request-plane/tests/claim/model/model-log.ts
+++ b/packages/request-plane/tests/claim/model/model-log.ts
@@ -9,7 +9,7 @@
 export const MODEL_WORKERS = ['worker-0', 'worker-1', 'worker-2'];
 
 /** Longer than the difference that is allowed between two clocks. */
-const SETTLING_MILLISECONDS = 2000;
+const PLACEMENT_DELAY_MILLISECONDS = 2000;
 
 const NOTE = `[note]
 name = first
@@ -50,7 +50,7 @@
 
   /** Places the minions long after their agents started. */
   public placeMinions(): void {
-    this.clock.advance(SETTLING_MILLISECONDS);
+    this.clock.advance(PLACEMENT_DELAY_MILLISECONDS);
     MODEL_WORKERS.forEach((_, minion) => {
       this.placeMinion(minion);
     });
--- a/packages/request-plane/tests/entry/caller-server.test.ts
+++ b/packages/request-plane/tests/entry/caller-server.test.ts
@@ -83,7 +83,7 @@
   const before = open(address, agent);
   before.end('once');
   t.match(await answerOf(before), { text: 'once', connection: 'keep-alive' });
-  await server.giveNotice(0);
+  await server.startLeaving(0);
   t.equal(server.isLeaving, true);
   const during = open(address, agent);
   during.end('more');
--- a/packages/request-plane/tests/membership/member-table.test.ts
+++ b/packages/request-plane/tests/membership/member-table.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 
-import { homeEntries } from '../../src/membership/home-entries.js';
+import { entriesForAgent } from '../../src/membership/entries-for-agent.js';
 import type { Member } from '../../src/membership/member.js';
 import { MemberTable } from '../../src/membership/member-table.js';
 import { OwnMember } from '../../src/membership/own-member.js';
@@ -36,8 +36,8 @@
 t.test('one witness suspects, two drop', t => {
   const one = table('one');
   const two = table('two');
-  one.hear(agent, 1);
-  two.hear(agent, 1);
+  one.applyHeartbeat(agent, 1);
+  two.applyHeartbeat(agent, 1);
   one.sweep(2501);
   t.equal(stateIn(one), 'suspect');
   t.ok(one.ofRole('agent').length === 1);
@@ -50,9 +50,9 @@
 
 t.test('a heartbeat clears a suspicion', t => {
   const one = table('one');
-  one.hear(agent, 1);
+  one.applyHeartbeat(agent, 1);
   one.sweep(2501);
-  one.hear(agent, 2600);
+  one.applyHeartbeat(agent, 2600);
   t.equal(stateIn(one), 'alive');
   t.end();
 });
@@ -69,14 +69,14 @@
   'a member that was dropped while paused must come back under a new incarnation',
   t => {
     const one = table('one');
-    one.hear(agent, 1);
+    one.applyHeartbeat(agent, 1);
     one.sweep(9001);
     t.equal(stateIn(one), 'dead');
-    const told = one.hear(agent, 9100);
+    const told = one.applyHeartbeat(agent, 9100);
     t.equal(told.state, 'dead');
     const own = new OwnMember(agent);
     t.ok(own.refute(told));
-    one.hear(own.get(), 9200);
+    one.applyHeartbeat(own.get(), 9200);
     t.equal(stateIn(one), 'alive');
     t.end();
   },
@@ -84,7 +84,7 @@
 
 t.test('a leaving member stays leaving, whatever late news says', t => {
   const one = table('one');
-  one.hear({ ...agent, incarnation: 2, state: 'leaving' }, 0);
+  one.applyHeartbeat({ ...agent, incarnation: 2, state: 'leaving' }, 0);
   one.merge([agent], 10);
   one.merge([{ ...agent, state: 'suspect' }], 10);
   t.equal(stateIn(one), 'leaving');
@@ -93,19 +93,23 @@
 
 t.test('an agent reports to few entries, and to the same ones', t => {
   const entries = Array.from({ length: 14 }, (_, index) => `10.0.0.${index}:1`);
-  const homes = homeEntries('agent-1', entries);
+  const homes = entriesForAgent('agent-1', entries);
   t.equal(homes.length, 3);
-  t.same(homeEntries('agent-1', [...entries].reverse()), homes);
+  t.same(entriesForAgent('agent-1', [...entries].reverse()), homes);
   t.end();
 });
 
 t.test('what was heard from a member outweighs the doubts of others', t => {
   const members = table('one');
-  members.hear(agent, 1000);
+  members.applyHeartbeat(agent, 1000);
   members.merge([{ ...agent, state: 'dead', suspectedBy: ['two'] }], 1500);
   t.equal(stateIn(members), 'alive');
-  t.equal(members.hear(agent, 2000).state, 'suspect', 'it is told to outbid');
-  t.equal(members.hear(agent, 3000).state, 'alive', 'once');
+  t.equal(
+    members.applyHeartbeat(agent, 2000).state,
+    'suspect',
+    'it is told to outbid',
+  );
+  t.equal(members.applyHeartbeat(agent, 3000).state, 'alive', 'once');
   members.merge([{ ...agent, state: 'dead', suspectedBy: ['two'] }], 9000);
   t.equal(stateIn(members), 'dead', 'after silence others are believed');
   t.end();
--- a/packages/request-plane/tests/membership/mute-peer.test.ts
+++ b/packages/request-plane/tests/membership/unresponsive-peer.test.ts
@@ -7,13 +7,13 @@
 import * as Effect from 'effect/Effect';
 import t from 'tap';
 
-import type { HeartbeatParts } from '../../src/membership/exchange-with.js';
-import { exchangeOnce } from '../../src/membership/exchange-with.js';
+import type { HeartbeatDependencies } from '../../src/membership/exchange-heartbeats.js';
+import { exchangeHeartbeat } from '../../src/membership/exchange-heartbeats.js';
 import { MemberTable } from '../../src/membership/member-table.js';
 import { OwnMember } from '../../src/membership/own-member.js';
 import { PeerTransports } from '../../src/transport/peer-transports.js';
 
-function partsOf(): HeartbeatParts {
+function createDependencies(): HeartbeatDependencies {
   const own = new OwnMember({
     id: 'agent-1',
     instance: 'agent-1-run',
@@ -57,10 +57,12 @@
       server.listen(0, '127.0.0.1', resolve);
     });
     const { port } = server.address() as AddressInfo;
-    const parts = partsOf();
+    const dependencies = createDependencies();
     const address = `127.0.0.1:${port}`;
     for (let round = 0; round < 2; round += 1) {
-      const progress = await Effect.runPromise(exchangeOnce(parts, address));
+      const progress = await Effect.runPromise(
+        exchangeHeartbeat(dependencies, address),
+      );
       t.equal(progress.seenInstance, '');
     }
     t.equal(sockets.length, 2, 'each try after silence opens a connection');
@@ -89,10 +91,12 @@
       server.listen(0, '127.0.0.1', resolve);
     });
     const { port } = server.address() as AddressInfo;
-    const parts = partsOf();
+    const parts = createDependencies();
     for (let round = 0; round < 20; round += 1) {
       const address = `127.0.0.1:${port}`;
-      const progress = await Effect.runPromise(exchangeOnce(parts, address));
+      const progress = await Effect.runPromise(
+        exchangeHeartbeat(parts, address),
+      );
       t.equal(progress.seenInstance, '');
     }
     server.close();
--- a/packages/request-plane/tests/routing/routing.test.ts
+++ b/packages/request-plane/tests/routing/routing.test.ts
@@ -5,7 +5,7 @@
 import { ByteBudget } from '../../src/routing/byte-budget.js';
 import { OutlierDetector } from '../../src/routing/outlier-detector.js';
 import {
-  expectedMilliseconds,
+  expectedCompletionMilliseconds,
   routingPolicies,
 } from '../../src/routing/routing-policies.js';
 import type { UpstreamCandidate } from '../../src/routing/upstream-candidate.js';
@@ -31,10 +31,12 @@
 }
 
 t.test('expected time rises with load, slowness and queue', t => {
-  const idle = expectedMilliseconds(candidate('a'));
-  const busy = expectedMilliseconds(candidate('a', { inFlight: 4 }));
-  const queued = expectedMilliseconds(candidate('a', { othersInFlight: 16 }));
-  const slow = expectedMilliseconds(
+  const idle = expectedCompletionMilliseconds(candidate('a'));
+  const busy = expectedCompletionMilliseconds(candidate('a', { inFlight: 4 }));
+  const queued = expectedCompletionMilliseconds(
+    candidate('a', { othersInFlight: 16 }),
+  );
+  const slow = expectedCompletionMilliseconds(
     candidate('a', { serviceMilliseconds: 50 }),
   );
   t.ok(idle < busy);
@@ -63,12 +65,12 @@
   const detector = new OutlierDetector(seededRandom(1));
   const all = ['a', 'b', 'c', 'd'].map(attempt => ({ attempt }));
   for (let failure = 0; failure < 4; failure += 1) {
-    detector.failed('a', 0);
+    detector.recordFailure('a', 0);
   }
-  t.equal(detector.usable(all, 0).length, 4);
-  detector.failed('a', 0);
-  t.equal(detector.usable(all, 0).length, 3);
-  t.equal(detector.usable(all, 3001).length, 4);
+  t.equal(detector.withoutEjected(all, 0).length, 4);
+  detector.recordFailure('a', 0);
+  t.equal(detector.withoutEjected(all, 0).length, 3);
+  t.equal(detector.withoutEjected(all, 3001).length, 4);
   t.end();
 });
 
@@ -77,18 +79,18 @@
   const all = ['a', 'b', 'c', 'd'].map(attempt => ({ attempt }));
   for (const attempt of ['a', 'b']) {
     for (let failure = 0; failure < 5; failure += 1) {
-      detector.failed(attempt, 0);
+      detector.recordFailure(attempt, 0);
     }
   }
-  t.equal(detector.usable(all, 0).length, 4);
+  t.equal(detector.withoutEjected(all, 0).length, 4);
   t.end();
 });
 
 t.test('bytes to other regions are bounded over time', t => {
   const budget = new ByteBudget(() => 1000, 0);
   budget.spend(2500, 0);
-  t.notOk(budget.isOpen(1000));
-  t.ok(budget.isOpen(2000));
+  t.notOk(budget.hasBytesLeft(1000));
+  t.ok(budget.hasBytesLeft(2000));
   t.equal(budget.spent, 2500);
   t.end();
 });
@@ -100,7 +102,7 @@
     taken += 1;
   }
   for (let success = 0; success < 100; success += 1) {
-    budget.succeeded();
+    budget.recordSuccess();
   }
   let afterwards = 0;
   while (budget.take()) {
--- a/packages/request-plane/tests/routing/upstream-router.test.ts
+++ b/packages/request-plane/tests/routing/upstream-router.test.ts
@@ -7,7 +7,7 @@
 import { ByteBudget } from '../../src/routing/byte-budget.js';
 import { LoadTable } from '../../src/routing/load-table.js';
 import { OutlierDetector } from '../../src/routing/outlier-detector.js';
-import { RefusingPeers } from '../../src/routing/refusing-peers.js';
+import { UnreachableAgents } from '../../src/routing/unreachable-agents.js';
 import { UpstreamRouter } from '../../src/routing/upstream-router.js';
 
 function agent(name: string, region: string): Member {
@@ -37,21 +37,21 @@
 function routerOf(
   members: readonly Member[],
   loads: LoadTable,
-  refusing = new RefusingPeers(),
+  refusing = new UnreachableAgents(),
   clock = new ManualClock(1000),
 ): UpstreamRouter {
   const table = new MemberTable('entry', 'entry-run', {
     record: () => undefined,
   });
   for (const member of members) {
-    table.hear(member, 1);
+    table.applyHeartbeat(member, 1);
   }
   const random = seededRandom(1);
   return new UpstreamRouter({
     members: table,
     loads,
     outliers: new OutlierDetector(random),
-    refusing,
+    unreachableAgents: refusing,
     crossRegionBytes: new ByteBudget(() => 1000, 1000),
     clock,
     random,
@@ -62,7 +62,7 @@
 
 t.test('an upstream that has not answered yet counts as a typical one', t => {
   const loads = new LoadTable();
-  loads.note('a#1', busy, 1000);
+  loads.recordReport('a#1', busy, 1000);
   const router = routerOf([agent('a', 'here'), agent('b', 'here')], loads);
   const times = router.candidates('labels').map(one => one.serviceMilliseconds);
   t.same(times, [100, 100]);
@@ -73,7 +73,7 @@
   'another region is used only when no upstream near meets the deadline',
   t => {
     const loads = new LoadTable();
-    loads.note('a#1', { ...busy, queued: 64 }, 1000);
+    loads.recordReport('a#1', { ...busy, queued: 64 }, 1000);
     const router = routerOf([agent('a', 'here'), agent('far', 'there')], loads);
     const near = router.choose('labels', new Set(), '', 1000 + 10_000);
     const far = router.choose('labels', new Set(), '', 1000 + 600);
@@ -84,7 +84,7 @@
 );
 
 t.test('agents that refuse connections are left out, however many', t => {
-  const refusing = new RefusingPeers();
+  const refusing = new UnreachableAgents();
   const members = ['a', 'b', 'c', 'd'].map(name => agent(name, 'here'));
   const router = routerOf(members, new LoadTable(), refusing);
   const chosen = (): readonly (string | undefined)[] =>
@@ -94,13 +94,13 @@
     );
   t.same([...new Set(chosen())].sort(), ['a', 'b', 'c', 'd']);
   for (const name of ['a', 'b', 'c']) {
-    refusing.refused(`${name}-run`, 1000);
+    refusing.recordRefusal(`${name}-run`, 1000);
   }
   t.same([...new Set(chosen())], ['d']);
-  refusing.answered('b-run');
+  refusing.recordAnswer('b-run');
   t.same([...new Set(chosen())].sort(), ['b', 'd']);
   for (const name of ['b', 'd']) {
-    refusing.refused(`${name}-run`, 1000);
+    refusing.recordRefusal(`${name}-run`, 1000);
   }
   t.equal(new Set(chosen()).size, 4, 'all are tried rather than none');
   t.end();
@@ -110,26 +110,30 @@
   const loads = new LoadTable();
   const clock = new ManualClock(1000);
   const idle = { slots: 8, running: 0, queued: 0 };
-  loads.note('a#1', { ...idle, serviceMilliseconds: 400 }, clock.now());
+  loads.recordReport('a#1', { ...idle, serviceMilliseconds: 400 }, clock.now());
   const members = ['a', 'b', 'c'].map(name => agent(name, 'here'));
-  const router = routerOf(members, loads, new RefusingPeers(), clock);
+  const router = routerOf(members, loads, new UnreachableAgents(), clock);
   const chosen = (): ReadonlySet<string | undefined> => {
     for (const name of ['b', 'c']) {
       const serviceMilliseconds = 10 + 0.1 * Math.sin(clock.now());
-      loads.note(`${name}#1`, { ...idle, serviceMilliseconds }, clock.now());
+      loads.recordReport(
+        `${name}#1`,
+        { ...idle, serviceMilliseconds },
+        clock.now(),
+      );
     }
     // Three in flight elsewhere, as at a moderate load.
     for (let count = 0; count < 3; count += 1) {
-      loads.started('b#1');
-      loads.started('c#1');
+      loads.requestStarted('b#1');
+      loads.requestStarted('c#1');
     }
     const names = Array.from(
       { length: 40 },
       () => router.choose('labels', new Set(), '', 1e9)?.agentId,
     );
     for (let count = 0; count < 3; count += 1) {
-      loads.ended('b#1');
-      loads.ended('c#1');
+      loads.requestEnded('b#1');
+      loads.requestEnded('c#1');
     }
     return new Set(names);
   };
