refactor(request-plane): plain comments in routing, retry and membership

Comments spoke of silence, witnesses, doubts that are outbid and statements that are believed; they now use the terms of failure detection: heartbeat, observer, suspect, incarnation, report. Test titles follow; no assertion changes.

--- a/packages/request-plane/src/membership/announced-upstream.ts
+++ b/packages/request-plane/src/membership/announced-upstream.ts
@@ -1,4 +1,4 @@
-/** An upstream as its agent announces it to the entries. */
+/** An upstream as its agent reports it to the entries. */
 export interface AnnouncedUpstream {
   readonly service: string;
   readonly attempt: string;
--- a/packages/request-plane/src/membership/entries-for-agent.ts
+++ b/packages/request-plane/src/membership/entries-for-agent.ts
@@ -1,6 +1,6 @@
 import { rendezvousRank } from '@basilcourse/foundation/util/rendezvous-rank';
 
-/** Entries that each agent reports to. */
+/** Entries that each agent sends its heartbeats to. */
 export const ENTRIES_PER_AGENT = 3;
 
 /** Addresses of the entries that an agent reports to. */
--- a/packages/request-plane/src/membership/exchange-heartbeats.ts
+++ b/packages/request-plane/src/membership/exchange-heartbeats.ts
@@ -18,7 +18,7 @@
 
 const EXCHANGE_TIMEOUT_MILLISECONDS = 1000;
 
-/** Share of the interval by which heartbeats are spread. */
+/** Largest deviation of a heartbeat interval, as a share of the interval. */
 const JITTER_SHARE = 0.1;
 
 interface AttemptLoad {
@@ -31,17 +31,18 @@
   };
 }
 
-/** Parts that one process's heartbeats work on. */
+/** What the heartbeats of one process depend on. */
 export interface HeartbeatDependencies {
   readonly transports: PeerTransports;
   readonly members: MemberTable;
   readonly own: OwnMember;
   readonly clock: Clock;
   readonly random: RandomSource;
-  /** Loads of the upstreams beside this process. */
+  /** Loads of the upstreams on this process's VM. */
   readonly loads: () => readonly AttemptLoad[];
 }
 
+/** What one process has sent to a peer and received from it so far. */
 interface ExchangeProgress {
   readonly sentSequence: number;
   readonly seenSequence: number;
@@ -73,7 +74,12 @@
   }
 }
 
-/** Sends one heartbeat to a peer and takes in what it knows. */
+/**
+ * Sends one heartbeat to a peer and applies the member changes in its response.
+ *
+ * After a failure the connection is reset and the returned progress is empty,
+ * so the next heartbeat exchanges all members again.
+ */
 export function exchangeHeartbeat(
   dependencies: HeartbeatDependencies,
   address: string,
@@ -114,7 +120,7 @@
   });
 }
 
-/** Exchanges heartbeats with one peer for as long as the process runs. */
+/** Exchanges heartbeats with one peer until interrupted. */
 export function exchangeHeartbeatsForever(
   dependencies: HeartbeatDependencies,
   address: string,
--- a/packages/request-plane/src/membership/exchange-routes.ts
+++ b/packages/request-plane/src/membership/exchange-routes.ts
@@ -14,15 +14,18 @@
 
 const MICROSECONDS_PER_MILLISECOND = 1000;
 
-/** Changes in one answer at the most. */
+/** Maximum number of member changes in one response. */
 const MAXIMUM_CHANGES_PER_RESPONSE = 5000;
 
-/** Parts behind the heartbeat call. */
+/** What the handler of heartbeats depends on. */
 interface ExchangeDependencies {
   readonly members: MemberTable;
   readonly loads: LoadTable;
   readonly self: () => Member;
-  /** Outbids a doubt about this process. */
+  /**
+   * Contradicts a peer that reports this process as suspect or dead, by raising
+   * this process's incarnation.
+   */
   readonly refute: (reported: Member) => void;
   readonly clock: Clock;
 }
@@ -43,7 +46,7 @@
   }
 }
 
-/** Changes that a sender needs: agents hear of entries only. */
+/** Member changes for a sender; agents receive those of entries only. */
 function changesFor(
   members: MemberTable,
   sender: Member,
@@ -59,7 +62,7 @@
     .slice(0, MAXIMUM_CHANGES_PER_RESPONSE);
 }
 
-/** Registers the heartbeat call. */
+/** Registers the handler of heartbeats from other processes. */
 export function exchangeRoutes(
   dependencies: ExchangeDependencies,
 ): (router: ConnectRouter) => void {
--- a/packages/request-plane/src/membership/member-entry.ts
+++ b/packages/request-plane/src/membership/member-entry.ts
@@ -1,10 +1,10 @@
 import type { Member } from './member.js';
 
-/** A member with what only this process knows of it. */
+/** A member with the data that this process records about it locally. */
 export interface MemberEntry {
   readonly member: Member;
-  /** Most recent heartbeat received by this process; 0 for none. */
+  /** Time of the last heartbeat received from the member itself; 0 for none. */
   readonly lastHeartbeatAt: number;
-  /** Number of the change within this process; rises with each. */
+  /** Number of the member's last change; counted over all members here. */
   readonly sequence: number;
 }
--- a/packages/request-plane/src/membership/member-messages.ts
+++ b/packages/request-plane/src/membership/member-messages.ts
@@ -22,7 +22,7 @@
   [StateCode.DEAD]: 'dead',
 };
 
-/** Turns a member into the message that tells of it. */
+/** Converts a member to its message. */
 export function memberRecordOf(member: Member): MemberRecord {
   return create(MemberRecordSchema, {
     memberId: member.id,
@@ -49,7 +49,7 @@
   });
 }
 
-/** Reads a member from its message. */
+/** Converts a message to the member that it describes. */
 export function memberOf(record: MemberRecord): Member {
   return {
     id: record.memberId,
--- a/packages/request-plane/src/membership/member-table.ts
+++ b/packages/request-plane/src/membership/member-table.ts
@@ -4,29 +4,36 @@
 import type { MemberEntry } from './member-entry.js';
 import { supersedes } from './supersedes.js';
 
-/** Heartbeats that a process sends. */
+/** Mean time between two heartbeats of a process to the same peer. */
 export const HEARTBEAT_INTERVAL_MILLISECONDS = 1000;
 
-/** Silence after which an entry suspects a member that reports to it. */
+/** Time without a heartbeat after which a member becomes suspect. */
 export const SUSPICION_TIMEOUT_MILLISECONDS = 2500;
 
-/** Silence after which one witness suffices. */
+/** Time without a heartbeat after which one observer declares a member dead. */
 const SINGLE_OBSERVER_TIMEOUT_MILLISECONDS = 8000;
 
-/** Witnesses that together drop a member at once. */
+/** Processes that must miss a member's heartbeats to declare it dead. */
 const OBSERVERS_TO_DECLARE_DEAD = 2;
 
-/** Time for which a dead member is remembered against late statements. */
+/** Time for which a dead member is kept, so that late reports don't revive it. */
 const DEAD_MEMBER_RETENTION_MILLISECONDS = 600_000;
 
-/** Members that a process keeps. */
+/** Maximum number of members in the table; further ones are ignored. */
 const MAXIMUM_MEMBERS = 20_000;
 
-/** The processes that one process knows. */
+/**
+ * The processes that one process has recorded, with failure detection: a member
+ * that stops its heartbeats is suspect, and dead once two processes miss them,
+ * or one for a longer time.
+ */
 export class MemberTable {
   private readonly entries = new Map<string, MemberEntry>();
 
-  /** Members that others doubt and that this process hears itself. */
+  /**
+   * Members that peers report as suspect or dead while this process receives
+   * their heartbeats.
+   */
   private readonly suspectedByPeers = new Set<string>();
 
   private lastSequence = 0;
@@ -52,14 +59,18 @@
     return this.entries.get(id);
   }
 
-  /** Members of a role that are not known to be dead. */
+  /** Members of a role that are not dead. */
   public ofRole(role: Member['role']): readonly MemberEntry[] {
     return this.all.filter(
       ({ member }) => member.role === role && member.state !== 'dead',
     );
   }
 
-  /** Takes in a heartbeat that the member itself sent. */
+  /**
+   * Records a heartbeat that the member itself sent.
+   *
+   * @returns the member as this process sees it, to be sent back to it.
+   */
   public applyHeartbeat(member: Member, now: number): Member {
     const current = this.entries.get(member.id);
     if (current === undefined || supersedes(member, current.member)) {
@@ -74,13 +85,14 @@
     } else {
       this.store(updated, now, now);
     }
-    // Told of the doubt, the member outbids it with a new incarnation.
+    // A member that is told of a suspicion raises its incarnation, which
+    // overrides what the peers report.
     return this.suspectedByPeers.delete(member.id)
       ? { ...updated, state: 'suspect' }
       : updated;
   }
 
-  /** Takes in what another process says of members. */
+  /** Merges the member states that another process reports. */
   public merge(members: readonly Member[], now: number): void {
     for (const member of members.filter(({ id }) => id !== this.ownId)) {
       const current = this.entries.get(member.id);
@@ -97,7 +109,10 @@
     }
   }
 
-  /** Suspects members that reported to this process and have gone silent. */
+  /**
+   * Suspects members whose heartbeats to this process have stopped, and removes
+   * members that have been dead for the retention period.
+   */
   public sweep(now: number): void {
     for (const entry of this.all) {
       const { member, lastHeartbeatAt } = entry;
@@ -170,7 +185,10 @@
     return current.state === 'suspect' && this.isSameIncarnation(current, next);
   }
 
-  /** What was heard from the member itself lately outweighs others' doubts. */
+  /**
+   * Returns whether a report that a member is down is contradicted by a recent
+   * heartbeat of the same incarnation to this process.
+   */
   private isContradictedByHeartbeat(
     { member, lastHeartbeatAt }: MemberEntry,
     next: Member,
--- a/packages/request-plane/src/membership/member.ts
+++ b/packages/request-plane/src/membership/member.ts
@@ -1,19 +1,19 @@
 import type { AnnouncedUpstream } from './announced-upstream.js';
 
-/** Whether a process takes part. */
+/** State of a process in the membership protocol. */
 export type MemberState = 'alive' | 'suspect' | 'leaving' | 'dead';
 
-/** One basilcourse process as another knows it. */
+/** One basilcourse process as another process sees it. */
 export interface Member {
   readonly id: string;
-  /** A new one for each start of the process. */
+  /** Identifier of this run of the process; new at each start. */
   readonly instance: string;
-  /** Raised by the process itself with each change. */
+  /** Version of the process's own state; the process raises it at a change. */
   readonly incarnation: number;
   readonly role: 'entry' | 'agent';
-  /** IP number and port for other processes. */
+  /** IP address and port for other processes. */
   readonly address: string;
-  /** Where the process serves its metrics and events. */
+  /** Address at which the process serves its metrics and events. */
   readonly operatorsAddress: string;
   readonly region: string;
   readonly availabilityZone: string;
@@ -27,6 +27,6 @@
   readonly memoryGigabytes: number;
   readonly accelerators: number;
   readonly upstreams: readonly AnnouncedUpstream[];
-  /** Instances of entries that miss its heartbeats. */
+  /** Instances of the processes that miss its heartbeats. */
   readonly suspectedBy: readonly string[];
 }
--- a/packages/request-plane/src/membership/own-member.ts
+++ b/packages/request-plane/src/membership/own-member.ts
@@ -1,20 +1,23 @@
 import type { Member } from './member.js';
 
-/** The member that a process says it is. */
+/** The state that a process reports of itself. */
 export class OwnMember {
   public constructor(private current: Member) {}
 
   public readonly get = (): Member => this.current;
 
-  /** Changes what the process says of itself, under a new incarnation. */
+  /** Changes the reported state and raises the incarnation. */
   public update(changes: Partial<Member>): void {
     const incarnation = this.current.incarnation + 1;
     this.current = { ...this.current, ...changes, incarnation };
   }
 
   /**
-   * Outbids a peer that holds this process for suspect or dead, or knows a
-   * later incarnation of it; true when it did.
+   * Raises the incarnation above the one that a peer reported, if the peer
+   * reports this process as suspect or dead, or under another instance, or with
+   * a later incarnation.
+   *
+   * @returns whether the incarnation was raised.
    */
   public refute(reported: Member): boolean {
     const isOtherInstance = reported.instance !== this.current.instance;
--- a/packages/request-plane/src/membership/run-task-per-peer.ts
+++ b/packages/request-plane/src/membership/run-task-per-peer.ts
@@ -4,8 +4,8 @@
 const CHECK_INTERVAL_MILLISECONDS = 500;
 
 /**
- * Keeps one task running for each peer of a changing set: starts those that
- * are new, interrupts those that are gone.
+ * Runs one task for each peer of a changing set: starts a task when a peer is
+ * added and interrupts it when the peer is removed.
  */
 export function runTaskPerPeer(
   listPeers: () => readonly string[],
--- a/packages/request-plane/src/membership/supersedes.ts
+++ b/packages/request-plane/src/membership/supersedes.ts
@@ -1,6 +1,6 @@
 import type { Member, MemberState } from './member.js';
 
-/** Of two statements with one incarnation the later state wins. */
+/** Of two reports with the same incarnation, the higher state wins. */
 const STATE_PRECEDENCE: Readonly<Record<MemberState, number>> = {
   alive: 0,
   suspect: 1,
@@ -9,7 +9,7 @@
 };
 
 /**
- * Tells whether a statement about a member replaces the one known, as in Das,
+ * Returns whether a report about a member replaces the recorded one, as in Das,
  * Gupta and Motivala, "SWIM", DSN 2002.
  */
 export function supersedes(candidate: Member, current: Member): boolean {
--- a/packages/request-plane/src/retry/retry-budget.ts
+++ b/packages/request-plane/src/retry/retry-budget.ts
@@ -1,12 +1,12 @@
-/** Share of successes that may be spent on retries. */
+/** Retries that each successful request adds to the budget. */
 const RETRIES_PER_SUCCESS = 0.2;
 
-/** Retries that are allowed without any success. */
+/** Retries allowed before the first successful request. */
 const INITIAL_RETRIES = 10;
 
 const MAXIMUM_RETRIES = 100;
 
-/** Bounds retries to a share of recent successes, against retry storms. */
+/** Limits retries to a share of recent successes, to prevent retry storms. */
 export class RetryBudget {
   private availableRetries = INITIAL_RETRIES;
 
@@ -21,7 +21,7 @@
     this.availableRetries = Math.min(MAXIMUM_RETRIES, earned);
   }
 
-  /** Takes one retry out of the budget; false when there is none left. */
+  /** Takes one retry from the budget; false when the budget is exhausted. */
   public take(): boolean {
     if (this.availableRetries < 1) {
       return false;
--- a/packages/request-plane/src/routing/byte-budget.ts
+++ b/packages/request-plane/src/routing/byte-budget.ts
@@ -1,6 +1,6 @@
 const MILLISECONDS_PER_SECOND = 1000;
 
-/** A token bucket of bytes that refills over time. */
+/** A token bucket that limits bytes per second; it holds one second's worth. */
 export class ByteBudget {
   private availableBytes: number;
 
@@ -21,13 +21,16 @@
     return this.spentBytes;
   }
 
-  /** Tells whether anything may be sent now. */
+  /** Returns whether the bucket has any bytes left, so that a send may start. */
   public hasBytesLeft(now: number): boolean {
     this.refill(now);
     return this.availableBytes > 0;
   }
 
-  /** Spends bytes; the budget may go below zero and then stays shut. */
+  /**
+   * Removes bytes from the bucket. The balance may become negative; no send may
+   * start until refilling has made it positive again.
+   */
   public spend(bytes: number, now: number): void {
     this.refill(now);
     this.availableBytes -= bytes;
--- a/packages/request-plane/src/routing/load-table.ts
+++ b/packages/request-plane/src/routing/load-table.ts
@@ -8,11 +8,14 @@
   ownInFlight: 0,
 };
 
-/** Load of the upstreams, from reports and from this entry's own requests. */
+/**
+ * Load of the upstreams, by attempt: what their agents last reported, and the
+ * requests that this entry has in flight there.
+ */
 export class LoadTable {
   private readonly reports = new Map<string, UpstreamLoad>();
 
-  /** When the service time of an upstream last changed. */
+  /** Time at which the reported service time of an upstream last changed. */
   private readonly serviceTimeChangedAt = new Map<string, number>();
 
   private readonly inFlight = new Map<string, number>();
@@ -25,21 +28,25 @@
     return this.reports.get(attempt) ?? UNREPORTED_LOAD;
   }
 
-  /** Time since the service time of an upstream last changed. */
+  /** Milliseconds since the reported service time of an upstream changed. */
   public serviceTimeAge(attempt: string, now: number): number {
     return now - (this.serviceTimeChangedAt.get(attempt) ?? now);
   }
 
-  /** Requests of other entries at an upstream, as last reported. */
+  /**
+   * Requests of other entries at an upstream: those last reported, less the
+   * ones that this entry had in flight at the time of the report.
+   */
   public othersInFlightAt(attempt: string): number {
     const { running, queued, ownInFlight } = this.reportOf(attempt);
     return Math.max(0, running + queued - ownInFlight);
   }
 
   /**
-   * Takes in a report.
+   * Stores a load report.
    *
-   * @param endedSinceReport - Own requests that the report no longer counts.
+   * @param endedSinceReport - Requests of this entry that count as in flight
+   * here but that the report no longer includes.
    */
   public recordReport(
     attempt: string,
--- a/packages/request-plane/src/routing/outlier-detector.ts
+++ b/packages/request-plane/src/routing/outlier-detector.ts
@@ -1,13 +1,13 @@
 import type { RandomSource } from '@basilcourse/foundation/random/random-source';
 
-/** Failures in a row after which an upstream is ejected. */
+/** Consecutive failures after which an upstream is ejected. */
 const CONSECUTIVE_FAILURES_TO_EJECT = 5;
 
 const INITIAL_EJECTION_MILLISECONDS = 2000;
 
 const MAXIMUM_EJECTION_MILLISECONDS = 30_000;
 
-/** Largest share of a service's upstreams ejected at once. */
+/** Largest share of a service's upstreams that may be ejected at once. */
 const MAXIMUM_EJECTED_SHARE = 0.34;
 
 interface FailureRecord {
@@ -22,7 +22,12 @@
   ejectedUntil: 0,
 };
 
-/** Keeps requests away from upstreams that fail one after the other. */
+/**
+ * Ejects upstreams after consecutive failures, so that requests avoid them.
+ *
+ * Each further ejection of an upstream lasts twice as long, up to a maximum,
+ * with up to half of that added at random.
+ */
 export class OutlierDetector {
   private readonly records = new Map<string, FailureRecord>();
 
@@ -52,7 +57,10 @@
     });
   }
 
-  /** The candidates that are not ejected; never less than two thirds. */
+  /**
+   * Returns the candidates that are not ejected, or all of them when more than
+   * the allowed share is ejected, so that the rest are not overloaded.
+   */
   public withoutEjected<Candidate extends { readonly attempt: string }>(
     candidates: readonly Candidate[],
     now: number,
--- a/packages/request-plane/src/routing/routing-policies.ts
+++ b/packages/request-plane/src/routing/routing-policies.ts
@@ -4,7 +4,10 @@
 import type { RoutingPolicy } from './routing-policy.js';
 import type { UpstreamCandidate } from './upstream-candidate.js';
 
-/** Candidates compared for one request, against all choosing the same. */
+/**
+ * Number of candidates compared for one request. Comparing all of them would
+ * make every entry choose the same upstream.
+ */
 const SAMPLE_SIZE = 4;
 
 const MINIMUM_SERVICE_MILLISECONDS = 0.1;
@@ -13,7 +16,7 @@
   return candidate.inFlight + candidate.othersInFlight;
 }
 
-/** Expected time to completion of one more request, in milliseconds. */
+/** Expected milliseconds until one more request would be completed. */
 export function expectedCompletionMilliseconds(
   candidate: UpstreamCandidate,
 ): number {
@@ -46,7 +49,7 @@
   return best;
 }
 
-/** Some candidates in drawn order, so that entries spread over equal ones. */
+/** Random candidates in random order, so that entries break ties differently. */
 function sampleCandidates(
   candidates: readonly UpstreamCandidate[],
   random: RandomSource,
@@ -65,10 +68,11 @@
 }
 
 /**
- * Policies by name; `expected-time` is in use, the others are baselines.
+ * Routing policies by name. `expected-time` is the default; the others are
+ * baselines for measurements.
  *
  * Round robin and least connections are those of the Linux Virtual Server.
- * Sampling few candidates: Mitzenmacher, "The Power of Two Choices in
+ * Sampling a few candidates: Mitzenmacher, "The Power of Two Choices in
  * Randomized Load Balancing", IEEE TPDS 2001.
  */
 export const routingPolicies = {
@@ -86,5 +90,5 @@
     ),
 } as const satisfies Readonly<Record<string, RoutingPolicy>>;
 
-/** Names of the policies. */
+/** Name of a routing policy. */
 export type RoutingPolicyName = keyof typeof routingPolicies;
--- a/packages/request-plane/src/routing/unreachable-agents.ts
+++ b/packages/request-plane/src/routing/unreachable-agents.ts
@@ -1,7 +1,7 @@
-/** Time for which an instance that refused a connection is left out. */
+/** Time for which an instance that refused a connection is excluded. */
 const EXCLUSION_MILLISECONDS = 1000;
 
-/** Instances remembered at once. */
+/** Maximum number of recorded instances; at this size all are discarded. */
 const MAXIMUM_INSTANCES = 10_000;
 
 /**
--- a/packages/request-plane/src/routing/upstream-router.ts
+++ b/packages/request-plane/src/routing/upstream-router.ts
@@ -14,10 +14,10 @@
 import type { UnreachableAgents } from './unreachable-agents.js';
 import type { UpstreamCandidate } from './upstream-candidate.js';
 
-/** Time added to a round trip to another region. */
+/** Time that a round trip to another region adds to a request. */
 const CROSS_REGION_ROUND_TRIP_MILLISECONDS = 60;
 
-/** Parts that routing works on. */
+/** What the router depends on. */
 interface RouterDependencies {
   readonly members: MemberTable;
   readonly loads: LoadTable;
@@ -37,13 +37,18 @@
   return candidates.filter(({ attempt }) => !tried.has(attempt));
 }
 
-/** Time after which a service time that did not change counts little. */
+/**
+ * Time constant of the decay of an unchanged service time: its weight falls by
+ * a factor of e in this time.
+ */
 const ESTIMATE_DECAY_MILLISECONDS = 5000;
 
 /**
- * An upstream that has not answered yet counts as a typical one. One that has
- * not answered for a while comes closer to that, so that one that was slow is
- * tried again, and is not taken to be faster than the others either.
+ * Replaces measured service times by estimates for routing.
+ *
+ * An upstream without a measurement gets the median of the others. An older
+ * measurement is moved towards the median, so that an upstream that was slow is
+ * tried again, yet is not expected to be faster than the others.
  */
 function withEstimatedServiceTimes(
   candidates: readonly UpstreamCandidate[],
@@ -65,18 +70,21 @@
   });
 }
 
-/** Chooses upstreams for requests. */
+/** Chooses the upstream that a request is sent to. */
 export class UpstreamRouter {
   private turn = 0;
 
   public constructor(private readonly dependencies: RouterDependencies) {}
 
   /**
-   * Chooses an upstream of a service: healthy before suspect, none whose agent
-   * refuses connections while there are others, the own region before others,
-   * another availability zone than that of a failed try.
+   * Chooses an upstream of a service; undefined if there is none.
+   *
+   * Agents whose heartbeats arrive are preferred to suspect ones, reachable
+   * agents to unreachable ones, this region to others, and other availability
+   * zones to the one where the previous try failed.
    *
-   * @param tried - Attempts that this request was handed to before.
+   * @param tried - Attempts that this request has already been sent to.
+   * @param avoidedZone - Availability zone of the previous try; empty for none.
    */
   public choose(
     service: string,
@@ -101,7 +109,7 @@
     return routingPolicies[policy](pool, random, this.turn);
   }
 
-  /** Upstreams of a service that are not known to be leaving or dead. */
+  /** Upstreams of a service on agents that are neither leaving nor dead. */
   public candidates(service: string): readonly UpstreamCandidate[] {
     const candidates = this.dependencies.members
       .ofRole('agent')
@@ -114,7 +122,7 @@
     );
   }
 
-  /** Tells whether an upstream stands in another region. */
+  /** Returns whether an upstream is in another region than this entry. */
   public isInOtherRegion(candidate: UpstreamCandidate): boolean {
     return candidate.region !== this.dependencies.region;
   }
@@ -141,6 +149,11 @@
       }));
   }
 
+  /**
+   * Returns the candidates of this region, or those of other regions that are
+   * expected to meet the deadline when no local one is. Other regions are used
+   * only while the budget for bytes between regions is not exhausted.
+   */
   private preferOwnRegion(
     candidates: readonly UpstreamCandidate[],
     deadline: number,
--- a/packages/request-plane/tests/membership/member-table.test.ts
+++ b/packages/request-plane/tests/membership/member-table.test.ts
@@ -33,7 +33,7 @@
   return members.find('agent-1')?.member.state ?? 'unknown';
 }
 
-t.test('one witness suspects, two drop', t => {
+t.test('one observer suspects a member, two declare it dead', t => {
   const one = table('one');
   const two = table('two');
   one.applyHeartbeat(agent, 1);
@@ -57,7 +57,7 @@
   t.end();
 });
 
-t.test('an entry that a member never reported to does not drop it', t => {
+t.test('an entry that received no heartbeat does not declare death', t => {
   const far = table('far');
   far.merge([agent], 0);
   far.sweep(1_000_000);
@@ -66,23 +66,23 @@
 });
 
 t.test(
-  'a member that was dropped while paused must come back under a new incarnation',
+  'a member that was declared dead while paused returns with a new incarnation',
   t => {
     const one = table('one');
     one.applyHeartbeat(agent, 1);
     one.sweep(9001);
     t.equal(stateIn(one), 'dead');
-    const told = one.applyHeartbeat(agent, 9100);
-    t.equal(told.state, 'dead');
+    const answer = one.applyHeartbeat(agent, 9100);
+    t.equal(answer.state, 'dead');
     const own = new OwnMember(agent);
-    t.ok(own.refute(told));
+    t.ok(own.refute(answer));
     one.applyHeartbeat(own.get(), 9200);
     t.equal(stateIn(one), 'alive');
     t.end();
   },
 );
 
-t.test('a leaving member stays leaving, whatever late news says', t => {
+t.test('a leaving member stays leaving, whatever late reports say', t => {
   const one = table('one');
   one.applyHeartbeat({ ...agent, incarnation: 2, state: 'leaving' }, 0);
   one.merge([agent], 10);
@@ -91,7 +91,7 @@
   t.end();
 });
 
-t.test('an agent reports to few entries, and to the same ones', t => {
+t.test('an agent always selects the same three entries', t => {
   const entries = Array.from({ length: 14 }, (_, index) => `10.0.0.${index}:1`);
   const homes = entriesForAgent('agent-1', entries);
   t.equal(homes.length, 3);
@@ -99,7 +99,7 @@
   t.end();
 });
 
-t.test('what was heard from a member outweighs the doubts of others', t => {
+t.test("a member's own heartbeat overrides the suspicion of others", t => {
   const members = table('one');
   members.applyHeartbeat(agent, 1000);
   members.merge([{ ...agent, state: 'dead', suspectedBy: ['two'] }], 1500);
@@ -107,10 +107,10 @@
   t.equal(
     members.applyHeartbeat(agent, 2000).state,
     'suspect',
-    'it is told to outbid',
+    'the member is notified of the suspicion',
   );
   t.equal(members.applyHeartbeat(agent, 3000).state, 'alive', 'once');
   members.merge([{ ...agent, state: 'dead', suspectedBy: ['two'] }], 9000);
-  t.equal(stateIn(members), 'dead', 'after silence others are believed');
+  t.equal(stateIn(members), 'dead', 'others are believed once heartbeats stop');
   t.end();
 });
--- a/packages/request-plane/tests/membership/unresponsive-peer.test.ts
+++ b/packages/request-plane/tests/membership/unresponsive-peer.test.ts
@@ -46,7 +46,7 @@
 }
 
 t.test(
-  'a peer that accepts and never answers does not end the process',
+  'a peer that accepts connections and never answers does not end the process',
   async t => {
     const sockets: Socket[] = [];
     const server = createServer(socket => {
@@ -65,7 +65,7 @@
       );
       t.equal(progress.seenInstance, '');
     }
-    t.equal(sockets.length, 2, 'each try after silence opens a connection');
+    t.equal(sockets.length, 2, 'each try after a time-out opens a connection');
     for (const socket of sockets) {
       socket.destroy();
     }
@@ -74,7 +74,7 @@
 );
 
 t.test(
-  'a peer that closes while it says goodbye does not end the process',
+  'a peer that closes during its GOAWAY frame does not end the process',
   async t => {
     const server = createHttp2Server();
     server.on('session', session => {
--- a/packages/request-plane/tests/routing/routing.test.ts
+++ b/packages/request-plane/tests/routing/routing.test.ts
@@ -30,7 +30,7 @@
   };
 }
 
-t.test('expected time rises with load, slowness and queue', t => {
+t.test('expected time rises with load, queue length and service time', t => {
   const idle = expectedCompletionMilliseconds(candidate('a'));
   const busy = expectedCompletionMilliseconds(candidate('a', { inFlight: 4 }));
   const queued = expectedCompletionMilliseconds(
@@ -45,7 +45,7 @@
   t.end();
 });
 
-t.test('the policy in use avoids a slow upstream, round robin does not', t => {
+t.test('expected-time avoids a slow upstream, round robin does not', t => {
   const random = seededRandom(1);
   const all = [
     candidate('slow', { serviceMilliseconds: 50 }),
@@ -53,15 +53,18 @@
     candidate('c'),
   ];
   const chosen = Array.from({ length: 30 }, (_, turn) => ({
-    ours: routingPolicies['expected-time'](all, random)?.attempt,
-    baseline: routingPolicies['round-robin'](all, random, turn)?.attempt,
+    expectedTime: routingPolicies['expected-time'](all, random)?.attempt,
+    roundRobin: routingPolicies['round-robin'](all, random, turn)?.attempt,
   }));
-  t.equal(chosen.filter(({ ours }) => ours === 'slow').length, 0);
-  t.equal(chosen.filter(({ baseline }) => baseline === 'slow').length, 10);
+  t.equal(
+    chosen.filter(({ expectedTime }) => expectedTime === 'slow').length,
+    0,
+  );
+  t.equal(chosen.filter(({ roundRobin }) => roundRobin === 'slow').length, 10);
   t.end();
 });
 
-t.test('five failures in a row eject an upstream, for a time', t => {
+t.test('five consecutive failures eject an upstream for a limited time', t => {
   const detector = new OutlierDetector(seededRandom(1));
   const all = ['a', 'b', 'c', 'd'].map(attempt => ({ attempt }));
   for (let failure = 0; failure < 4; failure += 1) {
@@ -74,7 +77,7 @@
   t.end();
 });
 
-t.test('never so many are ejected that the rest would drown', t => {
+t.test('no upstream is left out when too many would be ejected', t => {
   const detector = new OutlierDetector(seededRandom(1));
   const all = ['a', 'b', 'c', 'd'].map(attempt => ({ attempt }));
   for (const attempt of ['a', 'b']) {
@@ -86,7 +89,7 @@
   t.end();
 });
 
-t.test('bytes to other regions are bounded over time', t => {
+t.test('a byte budget limits bytes per second', t => {
   const budget = new ByteBudget(() => 1000, 0);
   budget.spend(2500, 0);
   t.notOk(budget.hasBytesLeft(1000));
@@ -95,7 +98,7 @@
   t.end();
 });
 
-t.test('retries are a share of successes', t => {
+t.test('retries are limited to a share of successes', t => {
   const budget = new RetryBudget();
   let taken = 0;
   while (budget.take()) {
--- a/packages/request-plane/tests/routing/upstream-router.test.ts
+++ b/packages/request-plane/tests/routing/upstream-router.test.ts
@@ -60,17 +60,19 @@
   });
 }
 
-t.test('an upstream that has not answered yet counts as a typical one', t => {
+t.test('an upstream without a measurement gets the median service time', t => {
   const loads = new LoadTable();
   loads.recordReport('a#1', busy, 1000);
   const router = routerOf([agent('a', 'here'), agent('b', 'here')], loads);
-  const times = router.candidates('labels').map(one => one.serviceMilliseconds);
+  const times = router
+    .candidates('labels')
+    .map(candidate => candidate.serviceMilliseconds);
   t.same(times, [100, 100]);
   t.end();
 });
 
 t.test(
-  'another region is used only when no upstream near meets the deadline',
+  'another region is used only when no local upstream meets the deadline',
   t => {
     const loads = new LoadTable();
     loads.recordReport('a#1', { ...busy, queued: 64 }, 1000);
@@ -83,7 +85,7 @@
   },
 );
 
-t.test('agents that refuse connections are left out, however many', t => {
+t.test('agents that refuse connections are excluded, however many', t => {
   const refusing = new UnreachableAgents();
   const members = ['a', 'b', 'c', 'd'].map(name => agent(name, 'here'));
   const router = routerOf(members, new LoadTable(), refusing);
@@ -102,11 +104,11 @@
   for (const name of ['b', 'd']) {
     refusing.recordRefusal(`${name}-run`, 1000);
   }
-  t.equal(new Set(chosen()).size, 4, 'all are tried rather than none');
+  t.equal(new Set(chosen()).size, 4, 'all are tried when all are excluded');
   t.end();
 });
 
-t.test('an upstream that was slow is tried again after a while', t => {
+t.test('an upstream that was slow is tried again after 30 s', t => {
   const loads = new LoadTable();
   const clock = new ManualClock(1000);
   const idle = { slots: 8, running: 0, queued: 0 };
@@ -122,7 +124,7 @@
         clock.now(),
       );
     }
-    // Three in flight elsewhere, as at a moderate load.
+    // Gives the other upstreams three requests in flight, a moderate load.
     for (let count = 0; count < 3; count += 1) {
       loads.requestStarted('b#1');
       loads.requestStarted('c#1');
@@ -137,7 +139,7 @@
     }
     return new Set(names);
   };
-  t.notOk(chosen().has('a'), 'it is left alone at first');
+  t.notOk(chosen().has('a'), 'it is avoided at first');
   clock.advance(30_000);
   t.ok(chosen().has('a'), 'it is tried again');
   t.end();
