refactor(request-plane): plain comments in agent, claim, http and outcome

A key has an owner (the agent that decides which request holds it) instead of a keeper, claims are recorded and released, and slots are requested and returned. Locals of the claim tests follow; no assertion changes.

"What becomes of one message" and "beside the agent" stay as plain enough. The reasons that reach callers ("the agent that keeps the key is out of reach") and the peer 'keeper' stay.

--- a/packages/request-plane/src/agent/call-upstream.ts
+++ b/packages/request-plane/src/agent/call-upstream.ts
@@ -15,7 +15,7 @@
 
 const STEP = 'agent.run';
 
-/** One call to an upstream. */
+/** A request to be sent to one upstream. */
 export interface UpstreamCall {
   readonly address: string;
   readonly run: RunRequest;
@@ -88,7 +88,7 @@
 /**
  * Sends a request to an upstream and waits for its whole answer.
  *
- * Interruption cuts the connection, which frees the upstream's slot.
+ * Interruption closes the connection, which frees the upstream's slot.
  */
 export function callUpstream(call: UpstreamCall): Effect.Effect<RunOutcome> {
   return Effect.async<RunOutcome>(resume => {
--- a/packages/request-plane/src/agent/claim-register.ts
+++ b/packages/request-plane/src/agent/claim-register.ts
@@ -1,6 +1,6 @@
 import { BoundedMap } from '@basilcourse/foundation/util/bounded-map';
 
-/** Keys that one agent remembers. */
+/** Maximum number of keys that one agent remembers. */
 const MAXIMUM_KEYS = 100_000;
 
 interface Claim {
@@ -8,7 +8,12 @@
   readonly claimedAt: number;
 }
 
-/** The idempotency keys that one agent keeps. */
+/**
+ * The idempotency keys claimed at one agent, with the requests that hold them.
+ *
+ * When the register is full, the oldest claim is dropped and the memory counts
+ * as starting anew at that time.
+ */
 export class ClaimRegister {
   private readonly claims = new BoundedMap<Claim>(MAXIMUM_KEYS);
 
@@ -20,23 +25,24 @@
     this.start = now;
   }
 
-  /** Time since which no claim has been forgotten. */
+  /** Time since which no claim has been dropped for lack of space. */
   public get memoryStart(): number {
     return this.start;
   }
 
   /**
-   * Offset that the log had reached at some moment after the start; undefined
-   * while it is not known.
+   * An end of the log that was read after the start of the memory; undefined
+   * until one has been read.
    *
-   * Whoever claimed a key here before the start had joined below this offset.
+   * Every entry that claimed a key here before the start of the memory has its
+   * joining recorded below this offset.
    */
   public get memoryStartOffset(): number | undefined {
     return this.startOffset;
   }
 
   /**
-   * Takes in the end of the log, as read after a start of the memory.
+   * Records the end of the log, as read after the start of the memory.
    *
    * @param memoryStart - Start of the memory when the read began.
    */
@@ -46,7 +52,11 @@
     }
   }
 
-  /** Claims a key for a request; returns the request that holds it. */
+  /**
+   * Claims a key for a request unless another request holds it.
+   *
+   * @returns the identifier of the request that holds the key.
+   */
   public claim(key: string, requestId: string, now: number): string {
     const existing = this.claims.get(key);
     if (existing !== undefined) {
@@ -61,7 +71,7 @@
     return requestId;
   }
 
-  /** Gives a claim back when the request holds it. */
+  /** Releases a key if the request holds it. */
   public release(key: string, requestId: string): void {
     if (this.claims.get(key)?.requestId === requestId) {
       this.claims.delete(key);
--- a/packages/request-plane/src/agent/fair-queue.ts
+++ b/packages/request-plane/src/agent/fair-queue.ts
@@ -1,7 +1,7 @@
 import type { WaitingRequest } from './waiting-request.js';
 
 /**
- * Requests of several teams in the order of start-time fair queueing.
+ * Queue of the requests of several teams, ordered by start-time fair queueing.
  *
  * Goyal, Vin and Cheng, "Start-time Fair Queueing", SIGCOMM 1996.
  */
@@ -16,7 +16,7 @@
     return this.entries.length;
   }
 
-  /** Tag of the next request of a team. */
+  /** Returns the start tag of the next request of a team. */
   public tagFor(team: string, weight: number): number {
     const tag = Math.max(this.virtualTime, this.finishTags.get(team) ?? 0);
     this.finishTags.set(team, tag + 1 / weight);
@@ -40,7 +40,7 @@
     return next;
   }
 
-  /** Takes a request out wherever it stands; false when it is not there. */
+  /** Removes a request from any position; false if it is not in the queue. */
   public remove(requestId: string): boolean {
     const before = this.entries.length;
     this.entries = this.entries.filter(entry => entry.requestId !== requestId);
--- a/packages/request-plane/src/agent/ledger-entry.ts
+++ b/packages/request-plane/src/agent/ledger-entry.ts
@@ -1,9 +1,9 @@
 import type { RunOutcome } from '../outcome/run-outcome.js';
 
-/** What an agent knows of one request. */
+/** What an agent has recorded about one request. */
 export interface LedgerEntry {
   readonly state: 'waiting' | 'began' | 'ended' | 'fenced';
-  /** Outcome once ended. */
+  /** Outcome of a request that has ended; undefined before. */
   readonly outcome: RunOutcome | undefined;
   /** Time of the most recent change. */
   readonly changedAt: number;
--- a/packages/request-plane/src/agent/request-runner.ts
+++ b/packages/request-plane/src/agent/request-runner.ts
@@ -16,7 +16,7 @@
 
 const SOCKET_IDLE_TIMEOUT_MILLISECONDS = 4000;
 
-/** Parts that running requests works on. */
+/** What the runner depends on. */
 interface RunnerDependencies {
   readonly registry: UpstreamRegistry;
   readonly ledger: RunLedger;
@@ -25,17 +25,22 @@
   /** Instance of this agent. */
   readonly instance: string;
   readonly teamWeight: (team: string) => number;
-  /** Takes in the time that a request took, by attempt. */
+  /** Records the duration of a request, by attempt. */
   readonly observeDuration: (attempt: string, milliseconds: number) => void;
 }
 
-/** Runs the requests handed to one agent at the upstreams beside it. */
+/** Runs the requests sent to one agent at the upstreams on its VM. */
 export class RequestRunner {
   private readonly connectionPools = new Map<string, Agent>();
 
   public constructor(private readonly dependencies: RunnerDependencies) {}
 
-  /** Runs a request once a slot is free; never a second time. */
+  /**
+   * Runs a request once a slot is free.
+   *
+   * A request identifier is run at most once: a repeated message gets the
+   * recorded outcome instead.
+   */
   public run(request: RunRequest): Effect.Effect<RunOutcome> {
     return Effect.suspend(() => {
       const { registry, ledger, clock, instance } = this.dependencies;
@@ -53,7 +58,7 @@
     });
   }
 
-  /** Closes idle connections. */
+  /** Closes all connections to the upstreams. */
   public close(): void {
     for (const pool of this.connectionPools.values()) {
       pool.destroy();
@@ -174,7 +179,8 @@
         remainingMilliseconds,
       });
     });
-    // A keyed request runs on after its caller left: its answer is kept.
+    // A request with a claimed key continues when its caller disconnects, as
+    // its answer is kept for repeats.
     const interruptibleCall = request.claimKey === '' ? restore(call) : call;
     return interruptibleCall.pipe(
       Effect.tap(outcome =>
--- a/packages/request-plane/src/agent/run-ledger.ts
+++ b/packages/request-plane/src/agent/run-ledger.ts
@@ -4,10 +4,10 @@
 import type { RunOutcome } from '../outcome/run-outcome.js';
 import type { LedgerEntry } from './ledger-entry.js';
 
-/** Requests that one agent remembers. */
+/** Maximum number of requests that one agent remembers. */
 const MAXIMUM_RECORDED_REQUESTS = 50_000;
 
-/** Bytes of answers that one agent keeps for repeats. */
+/** Maximum total size of the answers that one agent keeps for repeats. */
 const MAXIMUM_KEPT_BYTES = 16 * 1024 * 1024;
 
 /** Largest answer kept for repeats. */
@@ -18,7 +18,7 @@
 }
 
 /**
- * What one agent knows of the requests handed to it.
+ * Records the state of each request that was sent to one agent.
  *
  * A request begins at most once: `begin` succeeds only from `waiting`, and a
  * fenced request stays fenced, however late its message arrives.
@@ -30,7 +30,7 @@
 
   private keptBytes = 0;
 
-  /** Notes a request that arrived; false when it is known already. */
+  /** Records an arrived request; false if its identifier is already recorded. */
   public accept(requestId: string, now: number): boolean {
     if (this.entries.has(requestId)) {
       return false;
@@ -39,7 +39,7 @@
     return true;
   }
 
-  /** Notes that a request is about to be sent to its upstream. */
+  /** Records that a request is about to be sent; false if it must not be. */
   public begin(requestId: string, now: number): boolean {
     if (this.entries.get(requestId)?.state !== 'waiting') {
       return false;
@@ -48,7 +48,7 @@
     return true;
   }
 
-  /** Notes the outcome of a request; keeps its answer when asked to. */
+  /** Records the outcome of a request, with its answer if it is to be kept. */
   public end(
     requestId: string,
     outcome: RunOutcome,
@@ -67,7 +67,7 @@
     this.set(requestId, 'ended', kept, now);
   }
 
-  /** Forbids a request to begin, and tells what became of it. */
+  /** Prevents a request from beginning, and returns its outcome so far. */
   public fence(requestId: string, now: number): RunOutcome {
     const entry = this.entries.get(requestId);
     if (entry === undefined || entry.state === 'waiting') {
@@ -86,7 +86,7 @@
     return this.entries.get(requestId);
   }
 
-  /** Forgets what has not changed for the given time. */
+  /** Drops requests that have not changed for the given time. */
   public sweep(olderThanMilliseconds: number, now: number): void {
     this.entries.dropWhile(entry => {
       const isOld = now - entry.changedAt > olderThanMilliseconds;
--- a/packages/request-plane/src/agent/service-time.ts
+++ b/packages/request-plane/src/agent/service-time.ts
@@ -1,10 +1,10 @@
-/** Least weight of a new sample. */
+/** Minimum weight of a new sample in the average. */
 const MINIMUM_SAMPLE_WEIGHT = 0.1;
 
-/** Time after which an estimate without samples has lost most of its weight. */
+/** Time constant of the decay: the weight falls by a factor of e in this time. */
 const DECAY_MILLISECONDS = 5000;
 
-/** Moving average of the time that an upstream takes for one request. */
+/** Moving average of the time that an upstream needs for one request. */
 export class ServiceTime {
   private average = 0;
 
@@ -15,7 +15,7 @@
     return this.average;
   }
 
-  /** Takes in a sample; it weighs the more, the longer the last one is ago. */
+  /** Adds a sample; its weight grows with the time since the previous one. */
   public add(milliseconds: number, now: number): void {
     const weight = Math.max(
       MINIMUM_SAMPLE_WEIGHT,
@@ -26,8 +26,8 @@
   }
 
   /**
-   * Estimate by which requests are refused. It falls while no sample comes, as
-   * an upstream that refuses everything would never be measured again.
+   * Estimate used to refuse requests. It decays while no sample arrives, because
+   * an upstream whose requests are all refused would never be measured again.
    */
   public decayedMilliseconds(now: number): number {
     return this.average * this.remainingWeight(now);
--- a/packages/request-plane/src/agent/slot-gate.ts
+++ b/packages/request-plane/src/agent/slot-gate.ts
@@ -3,14 +3,14 @@
 import type { SlotRequest } from './slot-request.js';
 import type { WaitingRequest } from './waiting-request.js';
 
-/** Requests that may wait for one slot, as a bound on the queue's memory. */
+/** Maximum number of waiting requests per slot; bounds the queue's memory. */
 const MAXIMUM_WAITING_PER_SLOT = 64;
 
 /**
- * Owner of the slots of one upstream.
+ * Limits the requests that run at one upstream to its number of slots.
  *
- * All requests to the upstream pass its gate, so the slots hold for the sum of
- * all entries.
+ * The requests of all entries pass the same gate on the upstream's VM, so the
+ * limit holds for their sum. Requests without a slot wait in a fair queue.
  */
 export class SlotGate {
   public readonly serviceTime = new ServiceTime();
@@ -31,7 +31,10 @@
     return this.queue.length;
   }
 
-  /** Asks for a slot; answers by one of the request's callbacks. */
+  /**
+   * Requests a slot. Calls `grant` or `refuse` of the request at once, or later
+   * if the request has to wait and is not cancelled.
+   */
   public requestSlot(request: SlotRequest, now: number): void {
     const reason = this.refusalReason(request, now);
     if (reason !== '') {
@@ -47,18 +50,18 @@
     this.queue.push({ ...request, tag });
   }
 
-  /** Gives a slot back and passes it on. */
+  /** Returns a slot and grants it to the next waiting request. */
   public releaseSlot(now: number): void {
     this.runningCount -= 1;
     this.grantFreeSlots(now);
   }
 
-  /** Takes a waiting request out; false when it does not wait. */
+  /** Removes a waiting request; false if it is not waiting. */
   public cancel(requestId: string): boolean {
     return this.queue.remove(requestId);
   }
 
-  /** Refuses all that waits and all that comes. */
+  /** Refuses all waiting and all future requests. */
   public close(reason: string): void {
     this.closeReason = reason;
     for (const waiting of this.queue.removeAll()) {
--- a/packages/request-plane/src/agent/slot-request.ts
+++ b/packages/request-plane/src/agent/slot-request.ts
@@ -1,11 +1,11 @@
-/** What a request brings to the gate. */
+/** A request for a slot of an upstream. */
 export interface SlotRequest {
   readonly requestId: string;
   readonly team: string;
   readonly teamWeight: number;
   readonly deadline: number;
-  /** Called once, when a slot is taken for the request. */
+  /** Called at most once, when the request is given a slot. */
   readonly grant: () => void;
-  /** Called once, when the request surely will not get a slot. */
+  /** Called at most once, when the request will never be given a slot. */
   readonly refuse: (reason: string) => void;
 }
--- a/packages/request-plane/src/agent/upstream-registry.ts
+++ b/packages/request-plane/src/agent/upstream-registry.ts
@@ -2,10 +2,10 @@
 import type { LocalUpstream } from './local-upstream.js';
 import { SlotGate } from './slot-gate.js';
 
-/** Silence after which an upstream gets no new work. */
+/** Time without an announcement after which an upstream is removed. */
 const ANNOUNCEMENT_TIMEOUT_MILLISECONDS = 3000;
 
-/** The upstreams of one VM. */
+/** The upstreams on one VM, as they announced themselves to its agent. */
 export class UpstreamRegistry {
   private readonly upstreams = new Map<string, LocalUpstream>();
 
@@ -17,7 +17,7 @@
     return [...this.upstreams.values()];
   }
 
-  /** Takes in an announcement; true when something changed for callers. */
+  /** Applies an announcement; true if it is the first or changes `leaving`. */
   public applyAnnouncement(announcement: Announcement, now: number): boolean {
     const { attempt, leaving } = announcement;
     if (this.endedAttempts.has(attempt)) {
@@ -39,18 +39,19 @@
     return this.upstreams.get(attempt);
   }
 
-  /** Tells whether an attempt has ended here for good. */
+  /** Returns whether an attempt has ended on this VM and cannot return. */
   public hasEnded(attempt: string): boolean {
     return this.endedAttempts.has(attempt);
   }
 
+  /** Removes the upstream of an attempt that has ended. */
   public remove(attempt: string): void {
     this.upstreams.get(attempt)?.gate.close('the upstream has left');
     this.upstreams.delete(attempt);
     this.endedAttempts.add(attempt);
   }
 
-  /** Drops upstreams that have been silent; true when one was dropped. */
+  /** Removes upstreams without recent announcements; true if there were any. */
   public sweep(now: number): boolean {
     const expired = this.all.filter(
       ({ announcedAt }) =>
@@ -71,7 +72,7 @@
     }
   }
 
-  /** Requests that run on the VM now. */
+  /** Number of requests that are running on the VM. */
   public get running(): number {
     return this.all.reduce((sum, { gate }) => sum + gate.running, 0);
   }
--- a/packages/request-plane/src/claim/claim-key.ts
+++ b/packages/request-plane/src/claim/claim-key.ts
@@ -1,4 +1,7 @@
-/** Key under which a caller's repeats are recognised, within its service. */
+/**
+ * Returns the key that identifies repeats of a caller's request: its idempotency
+ * key, within its service and team; empty without an idempotency key.
+ */
 export function claimKeyOf(
   service: string,
   team: string,
--- a/packages/request-plane/src/claim/claim-memory.ts
+++ b/packages/request-plane/src/claim/claim-memory.ts
@@ -2,10 +2,15 @@
 
 import type { RememberedClaim } from './remembered-claim.js';
 
-/** Keys that one entry remembers. */
+/** Maximum number of keys that one entry remembers. */
 const MAXIMUM_KEYS = 100_000;
 
-/** The idempotency keys that were claimed through one entry. */
+/**
+ * The idempotency keys that were claimed through one entry.
+ *
+ * When it is full, the oldest claim is dropped and the memory counts as starting
+ * anew at that time.
+ */
 export class ClaimMemory {
   private readonly claims = new BoundedMap<RememberedClaim>(MAXIMUM_KEYS);
 
@@ -17,12 +22,12 @@
     this.start = now;
   }
 
-  /** Time since which no claim has been forgotten. */
+  /** Time since which no claim has been dropped for lack of space. */
   public get memoryStart(): number {
     return this.start;
   }
 
-  /** Instances whose memory this entry took over. */
+  /** Instances whose claims this entry has inherited. */
   public get inheritedInstances(): readonly string[] {
     return [...this.inherited];
   }
@@ -31,7 +36,7 @@
     return [...this.claims.values()];
   }
 
-  /** Notes that a request claims a key; returns the request that did first. */
+  /** Records a claim unless the key is claimed; returns the first claimant. */
   public claim(key: string, requestId: string, now: number): string {
     const existing = this.claims.get(key);
     if (existing !== undefined) {
@@ -45,7 +50,7 @@
     return requestId;
   }
 
-  /** Replaces the holder of a key by the one that its keeper named. */
+  /** Replaces the holder of a key by the one that the key's owner reported. */
   public replaceHolder(key: string, requestId: string, now: number): void {
     this.claims.set(key, { key, requestId, claimedAt: now });
   }
@@ -60,7 +65,11 @@
     }
   }
 
-  /** Takes over the memory of a stopping entry. */
+  /**
+   * Adopts the claims of a stopping entry.
+   *
+   * @param previouslyInherited - Instances whose claims that entry had inherited.
+   */
   public inherit(
     instance: string,
     previouslyInherited: readonly string[],
--- a/packages/request-plane/src/claim/find-key-owner.ts
+++ b/packages/request-plane/src/claim/find-key-owner.ts
@@ -6,7 +6,7 @@
 import { keyOwnersSince } from './key-owners-since.js';
 import { memoryWindowStart } from './memory-window-start.js';
 
-/** What finding the keeper of a key depends on. */
+/** What finding the owner of a key depends on. */
 interface KeyOwnerDependencies {
   readonly state: SharedState;
   readonly members: MemberTable;
@@ -14,8 +14,8 @@
 }
 
 /**
- * Finds the agent that keeps a key; undefined when no attempt of the service
- * is active, or the agent beside it is out of reach.
+ * Finds the agent that owns a key; undefined when no attempt of the service is
+ * active, or when the agent on the attempt's VM is not a live member.
  */
 export function findKeyOwner(
   { state, members, clock }: KeyOwnerDependencies,
--- a/packages/request-plane/src/claim/key-claimer.ts
+++ b/packages/request-plane/src/claim/key-claimer.ts
@@ -39,14 +39,14 @@
   return { kind: 'settled', outcome };
 }
 
-/** Nothing was handed over yet, so the request surely was not run. */
+/** The request has not been sent to any agent yet, so it was not run. */
 function refusedClaim(reason: string): ClaimResult {
   return settledClaim(notRun(STEP, 'keeper', reason));
 }
 
 /**
- * Tells whether an agent remembers all keys that it was asked to keep: it
- * started before the log made it their keeper, or before the keys that count.
+ * Returns whether an agent remembers all claims on the keys that it owns: its
+ * memory started before the log made it the owner, or before `windowStart`.
  */
 function remembersAllClaims(owner: KeyOwner, answer: ClaimResponse): boolean {
   const { memoryStartOffset: offset } = answer;
@@ -56,18 +56,19 @@
 }
 
 /**
- * Claims idempotency keys, so that the requests under one key run at most once
- * through whatever entry they come.
+ * Claims idempotency keys, so that of the requests under one key at most one
+ * runs, through whichever entries they arrive.
  *
- * One agent keeps each key. When the keeper changed within the memory of keys,
- * every entry is asked as well, and each promises not to claim the key.
+ * Each key is owned by one agent. If the owner may lack earlier claims, because
+ * it changed or restarted within the time that claims are remembered, every
+ * entry is asked as well, and each promises not to claim the key.
  */
 export class KeyClaimer {
   public constructor(private readonly dependencies: ClaimerDependencies) {}
 
   /**
-   * Claims a key for a request; tries again until the deadline while the key's
-   * keeper is out of reach.
+   * Claims a key for a request; retries until the deadline while the claim fails,
+   * for example because the key's owner is unreachable.
    */
   public claim(
     key: string,
@@ -81,8 +82,8 @@
         }
         const { random, clock } = this.dependencies;
         const delay = jitteredBackoff(tries, BACKOFF_BOUNDS, random);
-        // A release that came late would free a key that a later try claimed,
-        // so the claim is given back after the last try only.
+        // A delayed release would free a key that a later try has claimed, so
+        // the claim is released after the last try only.
         return clock.now() + delay >= request.deadline
           ? this.release(key, request).pipe(Effect.as(result))
           : Effect.sleep(delay).pipe(
@@ -92,7 +93,7 @@
     );
   }
 
-  /** Gives a claim back after its request surely was not run. */
+  /** Releases the claim of a request that was not run. */
   public release(key: string, request: CallerRequest): Effect.Effect<void> {
     return Effect.suspend(() => {
       const { memory, clients } = this.dependencies;
@@ -113,8 +114,8 @@
   ): Effect.Effect<ClaimResult> {
     return Effect.suspend(() => {
       const { memory, clock, state, instance } = this.dependencies;
-      // Others ask an entry for its keys from its joining on; a state without
-      // the own joining may name a keeper that others have replaced.
+      // Other entries ask this entry for its claims only once its joining is in
+      // the log, and a state older than that may name a former owner.
       if (!state.fold.configuration.entries.has(instance)) {
         const reason = 'the joining of this entry is not in force yet';
         return Effect.succeed(settledClaim(notRun(STEP, 'local', reason)));
@@ -171,7 +172,8 @@
     if (remembersAll && !owner.changedWithinWindow) {
       return Effect.succeed(first);
     }
-    // Without these records an entry that claimed the key may be unknown here.
+    // Entries that claimed the key before the owner's memory started joined
+    // below this offset; until it is read, some of them may be missing here.
     const requiredOffset = answer.memoryStartOffset;
     if (
       !remembersAll &&
--- a/packages/request-plane/src/claim/key-owner.ts
+++ b/packages/request-plane/src/claim/key-owner.ts
@@ -1,12 +1,12 @@
-/** The agent that keeps a key. */
+/** The agent that owns a key, that is, decides which request holds it. */
 export interface KeyOwner {
   readonly address: string;
   /** Attempt of the minion beside the agent. */
   readonly attempt: string;
-  /** Offset of the record that made the agent keep the key. */
+  /** Offset of the record that made the agent the owner. */
   readonly sinceOffset: number;
   /** Time from which on keys must be remembered. */
   readonly windowStart: number;
-  /** Another agent may have kept the key within the memory of keys. */
+  /** Whether another agent may have owned the key since `windowStart`. */
   readonly changedWithinWindow: boolean;
 }
--- a/packages/request-plane/src/claim/key-owners-since.ts
+++ b/packages/request-plane/src/claim/key-owners-since.ts
@@ -1,6 +1,7 @@
 import { rendezvousRank } from '@basilcourse/foundation/util/rendezvous-rank';
 import type { Scheduling } from '@basilcourse/shared-state/scheduling/scheduling';
 
+/** Time during which an attempt may own keys. */
 interface OwnershipPeriod {
   readonly attempt: string;
   readonly from: number;
@@ -42,11 +43,12 @@
 }
 
 /**
- * Attempts whose agents kept a key at some moment since a time, by the log
- * alone; the present keeper stands first.
+ * Returns the attempts whose agents have owned a key at any moment since a time,
+ * the current owner first. Depends on the records of the log only.
  *
- * Each key is kept by the agent beside the first attempt of its service by
- * rendezvous hashing; attempts whose worker is silent are left out.
+ * A key is owned by the agent on the VM of the attempt of its service that
+ * ranks first by rendezvous hashing. Attempts of an unreachable worker are
+ * skipped.
  */
 export function keyOwnersSince(
   scheduling: Scheduling,
--- a/packages/request-plane/src/claim/memory-window-start.ts
+++ b/packages/request-plane/src/claim/memory-window-start.ts
@@ -1,9 +1,9 @@
 import type { Configuration } from '@basilcourse/shared-state/configuration/configuration';
 
-/** Room for the difference between the clocks of two processes. */
+/** Allowance for the difference between the clocks of two processes. */
 const CLOCK_SKEW_MILLISECONDS = 1000;
 
-/** Time from which on keys must be remembered. */
+/** Returns the time since which claims must be remembered. */
 export function memoryWindowStart(
   configuration: Configuration,
   now: number,
--- a/packages/request-plane/src/claim/recall-from-entries.ts
+++ b/packages/request-plane/src/claim/recall-from-entries.ts
@@ -21,11 +21,11 @@
   readonly instance: string;
 }
 
-/** What the entries know of a key. */
+/** What the entries report about a key. */
 export interface RecallResult {
-  /** Request that claimed the key; empty for none. */
+  /** Identifier of another request that claimed the key; empty for none. */
   readonly holder: string;
-  /** Instances that may know the key and cannot be asked. */
+  /** Instances that may have a claim on the key and whose claims are missing. */
   readonly missing: readonly string[];
 }
 
@@ -78,8 +78,9 @@
 }
 
 /**
- * Asks every entry that may have claimed a key within the memory of keys; each
- * that answers promises not to claim it for another request.
+ * Asks every entry that may have claimed a key within the time that claims are
+ * remembered. An entry that answers promises not to claim it for another
+ * request.
  */
 export function recallFromEntries(
   dependencies: RecallDependencies,
--- a/packages/request-plane/src/claim/recover-answer.ts
+++ b/packages/request-plane/src/claim/recover-answer.ts
@@ -14,7 +14,7 @@
 
 const POLL_INTERVAL_MILLISECONDS = 50;
 
-/** Agents asked at one time. */
+/** Maximum number of agents asked at the same time. */
 const MAXIMUM_CONCURRENT_CALLS = 32;
 
 /** What recovering an answer depends on. */
@@ -60,8 +60,8 @@
 }
 
 /**
- * Finds the answer of an earlier request under the same key at the agents of
- * its service; waits while it runs. Never runs anything.
+ * Fetches the answer of an earlier request under the same key from the agents of
+ * its service; waits while that request is running. Never runs a request.
  */
 export function recoverAnswer(
   dependencies: RecoverDependencies,
--- a/packages/request-plane/src/claim/remembered-claim.ts
+++ b/packages/request-plane/src/claim/remembered-claim.ts
@@ -1,4 +1,4 @@
-/** A key that was claimed through an entry. */
+/** A claim on a key, as an entry remembers it. */
 export interface RememberedClaim {
   readonly key: string;
   readonly requestId: string;
--- a/packages/request-plane/src/http/header-fields.ts
+++ b/packages/request-plane/src/http/header-fields.ts
@@ -1,9 +1,9 @@
 import type { HeaderField } from '@basilcourse/wire/request_plane_pb';
 
-/** A header field before it becomes a message. */
+/** A header field as a plain object, without the properties of a message. */
 export type PlainHeaderField = Pick<HeaderField, 'name' | 'value'>;
 
-/** Fields that concern one connection only (RFC 9110, section 7.6.1). */
+/** Fields that apply to one connection only (RFC 9110, section 7.6.1). */
 const CONNECTION_FIELDS: ReadonlySet<string> = new Set([
   'connection',
   'keep-alive',
@@ -19,7 +19,7 @@
   'expect',
 ]);
 
-/** Reads the fields that may be passed on from Node's raw list. */
+/** Returns the fields of Node's raw header list that may be forwarded. */
 export function forwardedFields(
   rawHeaders: readonly string[],
 ): readonly PlainHeaderField[] {
@@ -40,7 +40,7 @@
   );
 }
 
-/** Turns fields into the list that Node's `http` takes. */
+/** Converts fields to the headers that Node's `http` module takes. */
 export function rawHeadersOf(
   fields: readonly PlainHeaderField[],
 ): Record<string, string[]> {
--- a/packages/request-plane/src/outcome/completed-outcome.ts
+++ b/packages/request-plane/src/outcome/completed-outcome.ts
@@ -1,6 +1,6 @@
 import type { PlainHeaderField } from '../http/header-fields.js';
 
-/** The upstream's whole answer. */
+/** Outcome of a request that the upstream answered completely. */
 export interface CompletedOutcome {
   readonly kind: 'completed';
   readonly status: number;
--- a/packages/request-plane/src/outcome/outcomes.ts
+++ b/packages/request-plane/src/outcome/outcomes.ts
@@ -1,6 +1,6 @@
 import type { RunOutcome } from './run-outcome.js';
 
-/** Creates the outcome of a request that surely was not and will not be run. */
+/** Creates the outcome of a request that was not run and never will be. */
 export function notRun(step: string, peer: string, reason: string): RunOutcome {
   return { kind: 'not-run', step, peer, reason };
 }
--- a/packages/request-plane/src/outcome/run-outcome.ts
+++ b/packages/request-plane/src/outcome/run-outcome.ts
@@ -1,6 +1,6 @@
 import type { CompletedOutcome } from './completed-outcome.js';
 
-/** A promise that no upstream has begun the request, and none will. */
+/** Guarantees that no upstream has begun the request, and none ever will. */
 export interface NotRunOutcome {
   readonly kind: 'not-run';
   readonly step: string;
@@ -13,5 +13,5 @@
   readonly kind: 'unknown';
 };
 
-/** What became of a request. */
+/** Outcome of a request. */
 export type RunOutcome = CompletedOutcome | NotRunOutcome | UnknownOutcome;
--- a/packages/request-plane/tests/agent/run-ledger.test.ts
+++ b/packages/request-plane/tests/agent/run-ledger.test.ts
@@ -11,10 +11,10 @@
   body: Buffer.from('whole'),
 };
 
-/** Messages about one request, in any order and any number. */
+/** A message about one request; any number may arrive in any order. */
 type Message = 'accept' | 'begin' | 'end' | 'fence';
 
-t.test('any order of messages: begun at most once, never after a fence', t => {
+t.test('a request begins at most once and never after a fence', t => {
   const messages = fc.array(
     fc.constantFrom<Message>('accept', 'begin', 'end', 'fence'),
     { maxLength: 14 },
@@ -51,7 +51,7 @@
   t.end();
 });
 
-t.test('the answer of a keyed request is kept, that of another is not', t => {
+t.test('only the answer of a request with a claimed key is kept', t => {
   const ledger = new RunLedger();
   for (const [requestId, keep] of [
     ['keyed', true],
--- a/packages/request-plane/tests/agent/service-time.test.ts
+++ b/packages/request-plane/tests/agent/service-time.test.ts
@@ -2,7 +2,7 @@
 
 import { ServiceTime } from '../../src/agent/service-time.js';
 
-t.test('close samples are averaged', t => {
+t.test('samples within a short time are averaged', t => {
   const time = new ServiceTime();
   time.add(10, 0);
   time.add(20, 1);
@@ -18,7 +18,7 @@
   t.end();
 });
 
-t.test('without samples an upstream is not refused for ever', t => {
+t.test('the estimate used to refuse requests decays without samples', t => {
   const time = new ServiceTime();
   time.add(4000, 0);
   t.equal(time.decayedMilliseconds(0), 4000);
--- a/packages/request-plane/tests/agent/slot-gate.test.ts
+++ b/packages/request-plane/tests/agent/slot-gate.test.ts
@@ -30,7 +30,7 @@
   }),
 );
 
-t.test('slots are never exceeded and each request is answered once', t => {
+t.test('slots are never exceeded; no request is answered twice', t => {
   const property = fc.property(
     fc.array(stepArbitrary, { maxLength: 120 }),
     fc.integer({ min: 1, max: 8 }),
@@ -86,38 +86,35 @@
   t.end();
 });
 
-t.test(
-  'what cannot finish before its deadline is refused before it starts',
-  t => {
-    const gate = new SlotGate(1);
-    gate.serviceTime.add(100, 0);
-    const answers: string[] = [];
-    const enter = (requestId: string, deadline: number): void => {
-      gate.requestSlot(
-        {
-          requestId,
-          team: 'team',
-          teamWeight: 1,
-          deadline,
-          grant: () => answers.push(`${requestId} granted`),
-          refuse: reason => answers.push(`${requestId} ${reason}`),
-        },
-        0,
-      );
-    };
-    enter('first', 150);
-    enter('second', 150);
-    enter('third', 250);
-    gate.releaseSlot(160);
-    t.same(answers, [
-      'first granted',
-      'second cannot finish before the deadline',
-      'third cannot finish before the deadline',
-    ]);
-    t.equal(gate.running, 0);
-    t.end();
-  },
-);
+t.test('a request that cannot finish before its deadline is refused', t => {
+  const gate = new SlotGate(1);
+  gate.serviceTime.add(100, 0);
+  const answers: string[] = [];
+  const enter = (requestId: string, deadline: number): void => {
+    gate.requestSlot(
+      {
+        requestId,
+        team: 'team',
+        teamWeight: 1,
+        deadline,
+        grant: () => answers.push(`${requestId} granted`),
+        refuse: reason => answers.push(`${requestId} ${reason}`),
+      },
+      0,
+    );
+  };
+  enter('first', 150);
+  enter('second', 150);
+  enter('third', 250);
+  gate.releaseSlot(160);
+  t.same(answers, [
+    'first granted',
+    'second cannot finish before the deadline',
+    'third cannot finish before the deadline',
+  ]);
+  t.equal(gate.running, 0);
+  t.end();
+});
 
 t.test('a team that floods the queue does not starve another', t => {
   const gate = new SlotGate(1);
--- a/packages/request-plane/tests/claim/claim-exploration.test.ts
+++ b/packages/request-plane/tests/claim/claim-exploration.test.ts
@@ -27,29 +27,38 @@
   | { readonly kind: 'recover-minion'; readonly minion: number }
   | { readonly kind: 'replace-minion'; readonly minion: number };
 
-const small = fc.nat(5);
+const smallIndex = fc.nat(5);
 
-const operations = fc.oneof(
+const operationArbitrary = fc.oneof(
   {
     weight: 8,
     arbitrary: fc.record({
       kind: fc.constant('send' as const),
-      entry: small,
+      entry: smallIndex,
       key: fc.nat(KEYS - 1),
       isRun: fc.boolean(),
     }),
   },
-  fc.record({ kind: fc.constant('add-entry' as const), unread: small }),
-  fc.record({ kind: fc.constant('kill-entry' as const), entry: small }),
-  fc.record({ kind: fc.constant('catch-up' as const), entry: small }),
-  fc.record({ kind: fc.constant('gossip' as const), entry: small }),
-  fc.record({ kind: fc.constant('restart-agent' as const), minion: small }),
-  fc.record({ kind: fc.constant('lose-minion' as const), minion: small }),
-  fc.record({ kind: fc.constant('recover-minion' as const), minion: small }),
-  fc.record({ kind: fc.constant('replace-minion' as const), minion: small }),
+  fc.record({ kind: fc.constant('add-entry' as const), unread: smallIndex }),
+  fc.record({ kind: fc.constant('kill-entry' as const), entry: smallIndex }),
+  fc.record({ kind: fc.constant('catch-up' as const), entry: smallIndex }),
+  fc.record({ kind: fc.constant('gossip' as const), entry: smallIndex }),
+  fc.record({
+    kind: fc.constant('restart-agent' as const),
+    minion: smallIndex,
+  }),
+  fc.record({ kind: fc.constant('lose-minion' as const), minion: smallIndex }),
+  fc.record({
+    kind: fc.constant('recover-minion' as const),
+    minion: smallIndex,
+  }),
+  fc.record({
+    kind: fc.constant('replace-minion' as const),
+    minion: smallIndex,
+  }),
 );
 
-const fates = fc.array(
+const fatesArbitrary = fc.array(
   fc.oneof(
     { weight: 8, arbitrary: fc.constant('delivered' as const) },
     { weight: 1, arbitrary: fc.constant('lost' as const) },
@@ -129,8 +138,8 @@
     await fc.assert(
       fc.asyncProperty(
         fc.scheduler(),
-        fc.array(operations, { minLength: 4, maxLength: 14 }),
-        fates,
+        fc.array(operationArbitrary, { minLength: 4, maxLength: 14 }),
+        fatesArbitrary,
         async (scheduler, steps, fateList) => {
           let used = 0;
           const simulation = new ClaimSimulation({
@@ -147,11 +156,11 @@
             await perform(simulation, step, number);
           });
           await scheduler.waitFor(Promise.all(work));
-          const doubled = [...simulation.runs].filter(
+          const keysRunTwice = [...simulation.runs].filter(
             ([, list]) => list.length > 1,
           );
           runs += simulation.runs.size;
-          return doubled.length === 0;
+          return keysRunTwice.length === 0;
         },
       ),
       { seed: SEED, numRuns: RUNS },
--- a/packages/request-plane/tests/claim/model/claim-simulation.ts
+++ b/packages/request-plane/tests/claim/model/claim-simulation.ts
@@ -22,25 +22,25 @@
 import { modelMember } from './model-member.js';
 import { TickingClock } from './ticking-clock.js';
 
-/** Enough for some further tries, as each reading takes a millisecond. */
+/** Allows a few retries, as each reading of the clock takes a millisecond. */
 const CLAIM_TIMEOUT_MILLISECONDS = 20;
 
 const START_MILLISECONDS = 10_000_000;
 
-/** Real claimers, memories, registers and folds over faked messages. */
+/** Runs the real claimers, memories, registers and folds on fake messages. */
 export class ClaimSimulation {
   public readonly clock = new TickingClock(START_MILLISECONDS);
 
   public readonly entries: ModelEntry[] = [];
 
-  /** Requests that ran, by key. */
+  /** Identifiers of the requests that ran, by key. */
   public readonly runs = new Map<string, string[]>();
 
   private readonly killedInstances = new Set<string>();
 
   private readonly registers = new Map<string, ClaimRegister>();
 
-  /** The log and its holder's decisions. */
+  /** The log, with the decisions of the cell's lease holder. */
   public readonly log = new ModelLog(this.clock);
 
   private started = 0;
@@ -52,7 +52,7 @@
     this.log.placeMinions();
   }
 
-  /** Starts an entry that has read a part of the log. */
+  /** Starts an entry that has read the log except its last records. */
   public addEntry(unreadRecords: number): void {
     this.started += 1;
     const instance = `entry-${this.started}`;
@@ -83,7 +83,7 @@
     this.readLog(entry, Math.max(1, this.log.end - unreadRecords));
   }
 
-  /** Lets an entry read the log up to an offset. */
+  /** Makes an entry read the log up to an offset. */
   public readLog({ state }: ModelEntry, until: number): void {
     const records = this.log.slice(state.fold.next, until);
     state.applyAll(records, this.log.end);
@@ -93,7 +93,7 @@
     this.readLog(entry, this.log.end);
   }
 
-  /** Tells an entry of all processes that are alive. */
+  /** Sends an entry the heartbeats of all live processes. */
   public gossip({ members }: ModelEntry): void {
     const now = this.clock.now();
     for (const worker of MODEL_WORKERS) {
@@ -104,13 +104,13 @@
     }
   }
 
-  /** Kills an entry with its memory. */
+  /** Stops an entry without a hand-over; its claims are lost. */
   public kill(entry: ModelEntry): void {
     this.killedInstances.add(entry.instance);
     this.entries.splice(this.entries.indexOf(entry), 1);
   }
 
-  /** Replaces an agent by one that remembers nothing. */
+  /** Replaces an agent by one without any claims. */
   public restartAgent(index: number): void {
     const worker = MODEL_WORKERS[index % MODEL_WORKERS.length] ?? '';
     const register = new ClaimRegister(this.clock.now());
@@ -118,7 +118,10 @@
     this.registers.set(worker, register);
   }
 
-  /** Sends a request under a key through an entry; runs it if it may run. */
+  /**
+   * Sends a request under a key through an entry. If it may run, records it as
+   * run, or releases the key if `isRun` is false.
+   */
   public async send(
     entry: ModelEntry,
     key: string,
@@ -205,7 +208,7 @@
     };
   }
 
-  /** Carries one call and its answer, each of which may be lost. */
+  /** Simulates one call, whose message or answer may be lost. */
   private call<Answer>(
     peer: string,
     answer: () => Answer,
--- a/packages/request-plane/tests/claim/model/message-scheduler.ts
+++ b/packages/request-plane/tests/claim/model/message-scheduler.ts
@@ -1,9 +1,9 @@
 /** What becomes of one message between two processes. */
 export type MessageFate = 'delivered' | 'lost' | 'answer-lost';
 
-/** How the world's chance is decided. */
+/** Decides the order and the losses of messages in a simulation. */
 export interface MessageScheduler {
-  /** Lets other work go first. */
+  /** Resolves after other scheduled work may have run. */
   readonly yieldControl: () => Promise<unknown>;
   readonly nextFate: () => MessageFate;
 }
--- a/packages/request-plane/tests/claim/model/model-log.ts
+++ b/packages/request-plane/tests/claim/model/model-log.ts
@@ -5,10 +5,10 @@
 
 const CELL = 'here/0';
 
-/** Workers of the model, with one minion each. */
+/** Workers of the simulation, with one minion each. */
 export const MODEL_WORKERS = ['worker-0', 'worker-1', 'worker-2'];
 
-/** Longer than the difference that is allowed between two clocks. */
+/** Longer than the largest allowed difference between two clocks. */
 const PLACEMENT_DELAY_MILLISECONDS = 2000;
 
 const NOTE = `[note]
@@ -29,7 +29,7 @@
 minions = 3
 `;
 
-/** A log with a service of three minions, and what its holder decides. */
+/** A log with a service of three minions, and its lease holder's decisions. */
 export class ModelLog {
   private readonly records: StoredRecord[] = [];
 
--- a/packages/request-plane/tests/claim/model/model-member.ts
+++ b/packages/request-plane/tests/claim/model/model-member.ts
@@ -1,6 +1,6 @@
 import type { Member } from '../../../src/membership/member.js';
 
-/** A living process whose name is its address as well. */
+/** A live process whose name is also its address. */
 export function modelMember(name: string, role: Member['role']): Member {
   return {
     id: name,
--- a/packages/request-plane/tests/claim/model/ticking-clock.ts
+++ b/packages/request-plane/tests/claim/model/ticking-clock.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@basilcourse/foundation/clock/clock';
 
-/** A clock that moves by a millisecond with each reading. */
+/** A clock that advances by one millisecond with each reading. */
 export class TickingClock implements Clock {
   private current: number;
 
--- a/packages/request-plane/tests/support/labels-service.ts
+++ b/packages/request-plane/tests/support/labels-service.ts
@@ -1,6 +1,6 @@
 import type { Service } from '@basilcourse/shared-state/release-note/service';
 
-/** A service with every field set. */
+/** A service with a value for every property. */
 export const labelsService: Service = {
   name: 'labels',
   team: 'docks',
