refactor(request-plane): plain comments in entry and transport

Connections are closed rather than cut, a request is answered rather than carried, and the handlers name what they depend on. Test titles follow; no assertion changes.

Advice, reasons, steps and outcomes in answers to callers and the texts of time line events are unchanged.

--- a/packages/request-plane/src/entry/caller-request.ts
+++ b/packages/request-plane/src/entry/caller-request.ts
@@ -1,6 +1,6 @@
 import type { PlainHeaderField } from '../http/header-fields.js';
 
-/** A caller's request after its checks. */
+/** A caller's request that has been checked. */
 export interface CallerRequest {
   readonly requestId: string;
   readonly service: string;
@@ -10,10 +10,10 @@
   readonly body: Uint8Array;
   readonly team: string;
   readonly unrepeatable: boolean;
-  /** Key of the caller's own repeats; empty without one. */
+  /** Key by which the caller marks repeats; empty without one. */
   readonly idempotencyKey: string;
   /** Time of arrival in milliseconds since the epoch. */
   readonly arrivedAt: number;
-  /** Time after which the answer is of no use. */
+  /** Time after which the caller no longer needs the answer. */
   readonly deadline: number;
 }
--- a/packages/request-plane/src/entry/caller-server.ts
+++ b/packages/request-plane/src/entry/caller-server.ts
@@ -23,15 +23,15 @@
 
 const MAXIMUM_HEAD_BYTES = 16 * 1024;
 
-/** Requests that one entry holds at once. */
+/** Maximum number of requests in flight at one entry. */
 const MAXIMUM_IN_FLIGHT = 4096;
 
-/** Time in which a caller must send its whole request. */
+/** Time within which a caller must send its whole request. */
 const RECEIVE_TIMEOUT_MILLISECONDS = 30_000;
 
 const KEEP_ALIVE_TIMEOUT_MILLISECONDS = 30_000;
 
-/** Parts that the callers' side works on. */
+/** What the callers' server depends on. */
 interface CallerServerDependencies {
   readonly dispatcher: Pick<RequestDispatcher, 'dispatch'>;
   readonly services: () => ReadonlyMap<string, Service>;
@@ -41,16 +41,16 @@
   readonly observer: RequestObserver;
 }
 
-/** The callers' side of an entry. */
+/** The HTTP server that an entry's callers send their requests to. */
 export class CallerServer {
   private readonly server: Server;
 
   private inFlight = 0;
 
-  /** Connections end after their next answer. */
+  /** Whether each connection is closed after its next answer. */
   private leaving = false;
 
-  /** New requests are refused. */
+  /** Whether new requests are refused. */
   private refusesRequests = false;
 
   private readonly idleListeners: (() => void)[] = [];
@@ -81,16 +81,17 @@
     return listenOn(this.server, address);
   }
 
-  /** Whether the balancer should send no more requests here. */
+  /** Whether the load balancer should stop sending requests here. */
   public get isLeaving(): boolean {
     return this.leaving;
   }
 
   /**
-   * Serves on for the notice, while connections end after their next answer.
+   * Continues to serve for the notice period, but closes each connection after
+   * its next answer.
    *
-   * @param noticeMilliseconds - Time in which the balancer and the callers turn
-   * to other entries.
+   * @param noticeMilliseconds - Time for the load balancer and the callers to
+   * switch to other entries.
    */
   public async startLeaving(noticeMilliseconds: number): Promise<void> {
     this.leaving = true;
@@ -119,7 +120,7 @@
     outgoing: ServerResponse,
   ): Promise<void> {
     this.inFlight += 1;
-    // A request is in flight until its answer has left or its caller has.
+    // A request is in flight until its answer is sent or its caller disconnects.
     outgoing.once('close', () => {
       this.requestEnded();
     });
@@ -162,7 +163,7 @@
     const { requestId } = request;
     const controller = new AbortController();
     outgoing.once('close', () => {
-      // An abort is costly; after a whole answer there is nothing to end.
+      // An abort is costly; after a complete answer there is nothing to abort.
       if (!outgoing.writableFinished) {
         controller.abort();
       }
--- a/packages/request-plane/src/entry/hand-over.ts
+++ b/packages/request-plane/src/entry/hand-over.ts
@@ -14,16 +14,16 @@
 
 const STEP = 'entry.hand-over';
 
-/** Step of a hand-over that failed before anything was sent. */
+/** Step of a hand-over that failed before the request was sent. */
 export const CONNECT_STEP = 'entry.connect';
 
-/** Time for the answer of a fence after a lost connection. */
+/** Time within which an agent must answer a fence. */
 const FENCE_TIMEOUT_MILLISECONDS = 500;
 
-/** Room for the answer's way back after the deadline. */
+/** Time after the deadline for the agent's answer to arrive. */
 const ANSWER_GRACE_MILLISECONDS = 100;
 
-/** Parts that handing requests over works on. */
+/** What handing requests over depends on. */
 export interface HandOverDependencies {
   readonly clients: PeerClients;
   readonly loads: LoadTable;
@@ -32,9 +32,9 @@
   readonly entryId: string;
 }
 
-/** One try at one upstream. */
+/** One try of a request at one upstream. */
 interface HandOverTry {
-  /** Identifier of this try; the agent runs it at most once. */
+  /** Identifier of this try; the agent runs each identifier at most once. */
   readonly tryId: string;
   readonly request: CallerRequest;
   readonly claimKey: string;
@@ -70,10 +70,11 @@
 }
 
 /**
- * Hands a request to an agent in one message.
+ * Hands a request over to an agent in one message.
  *
- * When the answer is lost, the request is fenced at the agent: either it had
- * not begun and never will, or its outcome is told, or it stays unknown.
+ * If the answer is lost, the request is fenced at the agent: either it had not
+ * begun and never will, or the agent returns its outcome, or the outcome remains
+ * unknown.
  */
 export function handOver(
   dependencies: HandOverDependencies,
@@ -113,7 +114,7 @@
       }),
       Effect.tap(({ load }) =>
         Effect.sync(() => {
-          // The report was made after this request had left its slot.
+          // The report was made after this request had returned its slot.
           if (load !== undefined) {
             dependencies.loads.recordReport(
               upstream.attempt,
--- a/packages/request-plane/src/entry/peer-clients.ts
+++ b/packages/request-plane/src/entry/peer-clients.ts
@@ -5,6 +5,6 @@
 export interface PeerClients {
   readonly agentAt: (address: string) => AgentClient;
   readonly entryAt: (address: string) => EntryClient;
-  /** Cuts the connection to a peer that does not answer. */
+  /** Closes the connection to a peer that does not answer. */
   readonly reset: (address: string) => void;
 }
--- a/packages/request-plane/src/entry/read-caller-request.ts
+++ b/packages/request-plane/src/entry/read-caller-request.ts
@@ -13,14 +13,14 @@
 
 const MAXIMUM_TEAM_CHARACTERS = 63;
 
-/** Header fields that the entry reads itself. */
+/** Header fields that the entry reads itself and does not forward. */
 const ENTRY_ONLY_FIELDS: ReadonlySet<string> = new Set([
   'basilcourse-unrepeatable',
   'basilcourse-timeout-milliseconds',
   'basilcourse-request-id',
 ]);
 
-/** What the entry knows of a request before its body is read. */
+/** The parts of a request that are available before its body. */
 interface RequestHead {
   readonly requestId: string;
   readonly method: string;
@@ -49,7 +49,7 @@
   );
 }
 
-/** Returns why a header field is wrong; empty when it is right. */
+/** Returns why the value of a header field is invalid; empty if it is valid. */
 type FieldCheck = (value: string) => string;
 
 const fieldChecks: Readonly<Record<string, FieldCheck>> = {
@@ -101,7 +101,7 @@
 /**
  * Checks the head of a caller's request.
  *
- * The service is the first segment of the path; the rest is passed on.
+ * The first segment of the path names the service; the rest is forwarded.
  */
 export function readRequestHead(head: RequestHead): HeadResult {
   const { rawHeaders } = head;
--- a/packages/request-plane/src/entry/request-dispatcher.ts
+++ b/packages/request-plane/src/entry/request-dispatcher.ts
@@ -21,7 +21,7 @@
 
 const FIRST_SERVER_ERROR = 500;
 
-/** Parts that dispatching works on. */
+/** What the dispatcher depends on. */
 interface DispatcherDependencies extends HandOverDependencies {
   readonly router: UpstreamRouter;
   readonly outliers: OutlierDetector;
@@ -40,11 +40,11 @@
   return outcome.kind === 'not-run' && outcome.step === CONNECT_STEP;
 }
 
-/** Carries callers' requests to upstreams, with retries where they are safe. */
+/** Sends callers' requests to upstreams, with retries where they are safe. */
 export class RequestDispatcher {
   public constructor(private readonly dependencies: DispatcherDependencies) {}
 
-  /** Carries one request; the outcome is final for the caller. */
+  /** Dispatches one request; returns the outcome to be reported to its caller. */
   public dispatch(request: CallerRequest): Effect.Effect<RunOutcome> {
     const { service, team, idempotencyKey, unrepeatable } = request;
     const key = unrepeatable ? claimKeyOf(service, team, idempotencyKey) : '';
@@ -188,7 +188,7 @@
     if (!safe || tries + 1 >= MAXIMUM_TRIES) {
       return false;
     }
-    // A try that was never sent loads nobody, so it costs nothing.
+    // A try that was never sent loads no upstream, so its retry is free.
     return isConnectFailure(outcome) || this.dependencies.retryBudget.take();
   }
 
--- a/packages/request-plane/src/entry/request-observer.ts
+++ b/packages/request-plane/src/entry/request-observer.ts
@@ -1,7 +1,7 @@
 import type { RunOutcome } from '../outcome/run-outcome.js';
 import type { CallerRequest } from './caller-request.js';
 
-/** Told of each request that was answered; for metrics. */
+/** Receives each request that was answered or refused; for metrics. */
 export interface RequestObserver {
   readonly ended: (
     request: CallerRequest,
--- a/packages/request-plane/src/entry/request-tries.ts
+++ b/packages/request-plane/src/entry/request-tries.ts
@@ -1,4 +1,4 @@
-/** Tries of one request at the most. */
+/** Maximum number of tries of one request. */
 export const MAXIMUM_TRIES = 5;
 
 /** Identifier of one try of a caller's request. */
--- a/packages/request-plane/src/entry/write-bad-request.ts
+++ b/packages/request-plane/src/entry/write-bad-request.ts
@@ -2,7 +2,7 @@
 
 import type { BadRequest } from './bad-request.js';
 
-/** Tells a caller that its request was refused before anything was held. */
+/** Answers a request that failed the checks that precede all other work. */
 export function writeBadRequest(
   outgoing: ServerResponse,
   bad: BadRequest,
--- a/packages/request-plane/src/entry/write-outcome.ts
+++ b/packages/request-plane/src/entry/write-outcome.ts
@@ -7,7 +7,7 @@
 
 const HTTP_GATEWAY_TIMEOUT = 504;
 
-/** What a caller may safely do after an outcome without an answer. */
+/** What a caller may safely do when there is no answer from an upstream. */
 const adviceByKind = {
   'not-run': 'The request was not run and never will be; it may be sent again.',
   unknown:
@@ -19,7 +19,7 @@
   unknown: HTTP_GATEWAY_TIMEOUT,
 } as const;
 
-/** Writes the outcome of a request to its caller as a whole answer. */
+/** Sends the outcome of a request to its caller and ends the answer. */
 export function writeOutcome(
   outgoing: ServerResponse,
   requestId: string,
--- a/packages/request-plane/src/membership/member-table.ts
+++ b/packages/request-plane/src/membership/member-table.ts
@@ -85,7 +85,7 @@
     } else {
       this.store(updated, now, now);
     }
-    // A member that is told of a suspicion raises its incarnation, which
+    // A member that is notified of a suspicion raises its incarnation, which
     // overrides what the peers report.
     return this.suspectedByPeers.delete(member.id)
       ? { ...updated, state: 'suspect' }
--- a/packages/request-plane/src/transport/agent-routes.ts
+++ b/packages/request-plane/src/transport/agent-routes.ts
@@ -15,7 +15,7 @@
 
 const MICROSECONDS_PER_MILLISECOND = 1000;
 
-/** Parts behind the calls that an agent answers. */
+/** What the handlers of an agent's calls depend on. */
 interface AgentRouteDependencies {
   readonly runner: RequestRunner;
   readonly ledger: RunLedger;
@@ -33,7 +33,7 @@
   readonly meanServiceMicroseconds: number;
 }
 
-/** Load of an upstream in the form that messages carry. */
+/** Load of an upstream as the fields of a message; undefined if none is here. */
 export function loadReportOf(
   registry: UpstreamRegistry,
   attempt: string,
@@ -72,7 +72,7 @@
   | { readonly case: 'inProgress'; readonly value: true }
   | { readonly case: 'notKnown'; readonly value: true };
 
-/** Start of an agent's memory in the form that messages carry. */
+/** Start of an agent's memory of claims as the fields of a message. */
 export function memoryStartOf(register: ClaimRegister): {
   readonly memoryStartMilliseconds: bigint;
   readonly memoryStartOffset?: bigint;
@@ -93,7 +93,7 @@
   return Effect.runPromise(work, { signal });
 }
 
-/** Registers the calls that an agent answers. */
+/** Registers the handlers of the calls to an agent. */
 export function agentRoutes(
   dependencies: AgentRouteDependencies,
 ): (router: ConnectRouter) => void {
--- a/packages/request-plane/src/transport/call-peer.ts
+++ b/packages/request-plane/src/transport/call-peer.ts
@@ -10,7 +10,7 @@
     : connectError.message;
 }
 
-/** Calls a peer; interruption cancels the call there as well. */
+/** Calls a peer; interruption also cancels the call at the peer. */
 export function callPeer<Answer>(
   step: string,
   peer: string,
--- a/packages/request-plane/src/transport/connect-clients.ts
+++ b/packages/request-plane/src/transport/connect-clients.ts
@@ -87,7 +87,7 @@
   };
 }
 
-/** Clients of peers over connect-es, one for each address. */
+/** Creates clients for peers over connect-es, one for each address. */
 export function createConnectClients(transports: PeerTransports): PeerClients {
   const agents = new Map<string, AgentClient>();
   const entries = new Map<string, EntryClient>();
--- a/packages/request-plane/src/transport/control-server.ts
+++ b/packages/request-plane/src/transport/control-server.ts
@@ -13,7 +13,7 @@
 
 const HTTP_UNAUTHORIZED = 401;
 
-/** Server for other basilcourse processes. */
+/** Server for the calls of other basilcourse processes. */
 export class ControlServer {
   private readonly server: Http2Server;
 
@@ -53,7 +53,7 @@
     });
   }
 
-  /** Bytes received and sent since the start. */
+  /** Total bytes received and sent. */
   public get bytes(): number {
     let sum = this.closedBytes;
     for (const socket of this.sockets) {
@@ -67,7 +67,7 @@
     return listenOn(this.server, address);
   }
 
-  /** Stops listening and cuts all connections. */
+  /** Stops listening and closes all connections. */
   public async close(): Promise<void> {
     const closed = closeServer(this.server);
     for (const session of this.sessions) {
--- a/packages/request-plane/src/transport/entry-routes.ts
+++ b/packages/request-plane/src/transport/entry-routes.ts
@@ -4,14 +4,14 @@
 
 import type { ClaimMemory } from '../claim/claim-memory.js';
 
-/** Parts behind the calls that an entry answers. */
+/** What the handlers of an entry's calls depend on. */
 interface EntryRouteDependencies {
   readonly memory: ClaimMemory;
   readonly clock: Clock;
   readonly instance: string;
 }
 
-/** Registers the calls that an entry answers. */
+/** Registers the handlers of the calls to an entry. */
 export function entryRoutes(
   dependencies: EntryRouteDependencies,
 ): (router: ConnectRouter) => void {
--- a/packages/request-plane/src/transport/outcome-messages.ts
+++ b/packages/request-plane/src/transport/outcome-messages.ts
@@ -15,13 +15,13 @@
 import { notRun, unknown } from '../outcome/outcomes.js';
 import type { RunOutcome } from '../outcome/run-outcome.js';
 
-/** An outcome in the form that messages carry. */
+/** An outcome as a field of a message. */
 export type OutcomeMessage =
   | { readonly case: 'completed'; readonly value: CompletedAnswer }
   | { readonly case: 'notRun'; readonly value: NotRunAnswer }
   | { readonly case: 'unknown'; readonly value: UnknownAnswer };
 
-/** Turns an outcome into its message. */
+/** Converts an outcome to its message. */
 export function outcomeMessageOf(outcome: RunOutcome): OutcomeMessage {
   switch (outcome.kind) {
     case 'completed': {
@@ -49,7 +49,7 @@
   }
 }
 
-/** Reads an outcome that a peer sent. */
+/** Converts a message from a peer to the outcome that it reports. */
 export function readOutcome(
   message: RunResponse['outcome'] | FenceResponse['outcome'],
   peer: string,
--- a/packages/request-plane/src/transport/peer-session.ts
+++ b/packages/request-plane/src/transport/peer-session.ts
@@ -13,10 +13,10 @@
 const IDLE_TIMEOUT_MILLISECONDS = 60_000;
 
 /**
- * The HTTP/2 session to one peer, opened when it is needed.
+ * The HTTP/2 session to one peer, opened at the first request.
  *
- * In place of the library's session manager, whose sessions may raise an error
- * event without a listener when a peer goes away, which ends the process.
+ * Replaces the library's session manager: its sessions may emit an error event
+ * without a listener when a peer closes, which ends the process.
  */
 export class PeerSession {
   public readonly authority: string;
@@ -43,12 +43,12 @@
     return session.request({ ...headers, ...pseudoHeaders }, options);
   }
 
-  /** Part of the library's interface; liveness is judged by the callers. */
+  /** Required by the library; callers detect dead peers by time-outs. */
   public notifyResponseByteRead(): void {
     return undefined;
   }
 
-  /** Cuts the session; the next request opens another. */
+  /** Closes the session; the next request opens a new one. */
   public reset(): void {
     const { session } = this;
     this.session = undefined;
--- a/packages/request-plane/src/transport/peer-transports.ts
+++ b/packages/request-plane/src/transport/peer-transports.ts
@@ -17,8 +17,8 @@
 /**
  * Connections to other basilcourse processes, one for each address.
  *
- * A peer that vanished without a word is noticed by unanswered calls, whose
- * callers reset its connection.
+ * A peer that disappears without closing its connection is detected by calls
+ * that time out; their callers reset the connection.
  */
 export class PeerTransports {
   private readonly connections = new Map<string, PeerConnection>();
@@ -28,7 +28,7 @@
     private readonly openSocket: SocketOpener,
   ) {}
 
-  /** Transport to an IP number and port. */
+  /** Returns the transport to an IP address and port. */
   public to(address: string): Transport {
     const connection =
       this.connections.get(address) ?? this.createConnection(address);
@@ -36,7 +36,7 @@
     return connection.transport;
   }
 
-  /** Cuts the connection to an address; the next call opens another. */
+  /** Closes the connection to an address; the next call opens a new one. */
   public reset(address: string): void {
     this.connections.get(address)?.session.reset();
   }
--- a/packages/request-plane/src/transport/shared-keys.ts
+++ b/packages/request-plane/src/transport/shared-keys.ts
@@ -1,13 +1,13 @@
 import { timingSafeEqual } from 'node:crypto';
 
-/** Header field that carries the key between basilcourse processes. */
+/** Header field with the key that basilcourse processes share. */
 export const KEY_FIELD = 'basilcourse-key';
 
-/** Keys between processes; two are valid while one replaces the other. */
+/** Keys that processes share; two are valid during the rotation of a key. */
 export interface SharedKeys {
-  /** Key that is sent. */
+  /** Key sent with each call. */
   readonly current: string;
-  /** Key that is accepted besides; empty for none. */
+  /** Second key that is accepted; empty for none. */
   readonly other: string;
 }
 
@@ -20,7 +20,7 @@
   );
 }
 
-/** Tells whether a received key is valid, in constant time. */
+/** Returns whether a received key is valid; compares in constant time. */
 export function isValidKey(
   keys: SharedKeys,
   received: string | readonly string[] | undefined,
--- a/packages/request-plane/src/transport/socket-opener.ts
+++ b/packages/request-plane/src/transport/socket-opener.ts
@@ -1,6 +1,6 @@
 import type { Duplex } from 'node:stream';
 
-/** Opens a connection to the IP number and port of another process. */
+/** Opens a connection to the IP address and port of another process. */
 export type SocketOpener = (target: {
   readonly host: string;
   readonly port: number;
--- a/packages/request-plane/tests/entry/caller-server.test.ts
+++ b/packages/request-plane/tests/entry/caller-server.test.ts
@@ -55,7 +55,7 @@
   };
 }
 
-t.test('a request whose body still arrives is in progress', async t => {
+t.test('a drain waits for a request whose body is incomplete', async t => {
   const { server, address } = await listeningServer();
   const agent = new Agent({ keepAlive: true });
   const slow = open(address, agent);
@@ -77,7 +77,7 @@
   agent.destroy();
 });
 
-t.test('the notice serves on and ends connections', async t => {
+t.test('a leaving server answers and closes connections', async t => {
   const { server, address } = await listeningServer();
   const agent = new Agent({ keepAlive: true });
   const before = open(address, agent);
@@ -100,7 +100,7 @@
   agent.destroy();
 });
 
-t.test('a caller that leaves is no longer in progress', async t => {
+t.test('a drain does not wait for a caller that disconnected', async t => {
   const { server, address } = await listeningServer();
   const agent = new Agent();
   const slow = open(address, agent);
--- a/packages/request-plane/tests/entry/read-caller-request.test.ts
+++ b/packages/request-plane/tests/entry/read-caller-request.test.ts
@@ -132,7 +132,7 @@
   });
 }
 
-t.test('connection fields are not passed on', t => {
+t.test('connection fields are not forwarded', t => {
   const result = read('/labels/x', [
     'Connection',
     'keep-alive, X-Secret',
@@ -152,7 +152,7 @@
   t.end();
 });
 
-t.test('any head is answered without an exception', t => {
+t.test('no request head causes an exception', t => {
   const property = fc.property(
     fc.string(),
     fc.array(fc.string(), { maxLength: 12 }),
