--- a/packages/request-plane/src/agent/request-runner.ts
+++ b/packages/request-plane/src/agent/request-runner.ts
@@ -181,8 +181,8 @@
     });
     // A request with a claimed key continues when its caller disconnects, as
     // its answer is kept for repeats.
-    const interruptibleCall = request.claimKey === '' ? restore(call) : call;
-    return interruptibleCall.pipe(
+    const upstreamCall = request.claimKey === '' ? restore(call) : call;
+    return upstreamCall.pipe(
       Effect.tap(outcome =>
         Effect.sync(() => {
           if (outcome.kind === 'completed') {
