--- a/packages/request-plane/tests/membership/member-table.test.ts
+++ b/packages/request-plane/tests/membership/member-table.test.ts
@@ -93,9 +93,9 @@
 
 t.test('an agent always selects the same three entries', t => {
   const entries = Array.from({ length: 14 }, (_, index) => `10.0.0.${index}:1`);
-  const homes = entriesForAgent('agent-1', entries);
-  t.equal(homes.length, 3);
-  t.same(entriesForAgent('agent-1', [...entries].reverse()), homes);
+  const selected = entriesForAgent('agent-1', entries);
+  t.equal(selected.length, 3);
+  t.same(entriesForAgent('agent-1', [...entries].reverse()), selected);
   t.end();
 });
 
--- a/packages/request-plane/tests/membership/unresponsive-peer.test.ts
+++ b/packages/request-plane/tests/membership/unresponsive-peer.test.ts
@@ -91,11 +91,11 @@
       server.listen(0, '127.0.0.1', resolve);
     });
     const { port } = server.address() as AddressInfo;
-    const parts = createDependencies();
+    const dependencies = createDependencies();
     for (let round = 0; round < 20; round += 1) {
       const address = `127.0.0.1:${port}`;
       const progress = await Effect.runPromise(
-        exchangeHeartbeat(parts, address),
+        exchangeHeartbeat(dependencies, address),
       );
       t.equal(progress.seenInstance, '');
     }
