--- a/packages/request-plane/src/agent/service-time.ts
+++ b/packages/request-plane/src/agent/service-time.ts
@@ -1,36 +1,39 @@
-/** Least weight of a new sample. */
-const SAMPLE_WEIGHT = 0.1;
+/** Minimum weight of a new sample in the average. */
+const MINIMUM_SAMPLE_WEIGHT = 0.1;
 
-/** Time after which an estimate without samples has lost most of its weight. */
-const MEMORY_MILLISECONDS = 5000;
+/** Time constant of the decay: the weight falls by a factor of e in this time. */
+const DECAY_MILLISECONDS = 5000;
 
-/** Moving average of the time that an upstream takes for one request. */
+/** Moving average of the time that an upstream needs for one request. */
 export class ServiceTime {
   private average = 0;
 
-  private sampledAt = Number.NEGATIVE_INFINITY;
+  private lastSampleAt = Number.NEGATIVE_INFINITY;
 
   /** Estimate; 0 before the first sample. */
   public get milliseconds(): number {
     return this.average;
   }
 
-  /** Takes in a sample; it weighs the more, the longer the last one is ago. */
+  /** Adds a sample; its weight grows with the time since the previous one. */
   public add(milliseconds: number, now: number): void {
-    const weight = Math.max(SAMPLE_WEIGHT, 1 - this.remainingShare(now));
-    this.sampledAt = now;
+    const weight = Math.max(
+      MINIMUM_SAMPLE_WEIGHT,
+      1 - this.remainingWeight(now),
+    );
+    this.lastSampleAt = now;
     this.average += weight * (milliseconds - this.average);
   }
 
   /**
-   * Estimate by which requests are refused. It falls while no sample comes, as
-   * an upstream that refuses everything would never be measured again.
+   * Estimate used to refuse requests. It decays while no sample arrives, because
+   * an upstream whose requests are all refused would never be measured again.
    */
-  public hopefulMilliseconds(now: number): number {
-    return this.average * this.remainingShare(now);
+  public decayedMilliseconds(now: number): number {
+    return this.average * this.remainingWeight(now);
   }
 
-  private remainingShare(now: number): number {
-    return Math.exp(-Math.max(0, now - this.sampledAt) / MEMORY_MILLISECONDS);
+  private remainingWeight(now: number): number {
+    return Math.exp(-Math.max(0, now - this.lastSampleAt) / DECAY_MILLISECONDS);
   }
 }
--- a/packages/request-plane/src/agent/slot-gate.ts
+++ b/packages/request-plane/src/agent/slot-gate.ts
@@ -1,16 +1,16 @@
 import { FairQueue } from './fair-queue.js';
-import type { GateRequest } from './gate-request.js';
 import { ServiceTime } from './service-time.js';
+import type { SlotRequest } from './slot-request.js';
 import type { WaitingRequest } from './waiting-request.js';
 
-/** Requests that may wait for one slot, as a bound on the queue's memory. */
+/** Maximum number of waiting requests per slot; bounds the queue's memory. */
 const MAXIMUM_WAITING_PER_SLOT = 64;
 
 /**
- * Owner of the slots of one upstream.
+ * Limits the requests that run at one upstream to its number of slots.
  *
- * All requests to the upstream pass its gate, so the slots hold for the sum of
- * all entries.
+ * The requests of all entries pass the same gate on the upstream's VM, so the
+ * limit holds for their sum. Requests without a slot wait in a fair queue.
  */
 export class SlotGate {
   public readonly serviceTime = new ServiceTime();
@@ -19,7 +19,7 @@
 
   private runningCount = 0;
 
-  private closedBecause = '';
+  private closeReason = '';
 
   public constructor(public readonly slots: number) {}
 
@@ -31,9 +31,12 @@
     return this.queue.length;
   }
 
-  /** Asks for a slot; answers by one of the request's callbacks. */
-  public enter(request: GateRequest, now: number): void {
-    const reason = this.refusal(request, now);
+  /**
+   * Requests a slot. Calls `grant` or `refuse` of the request at once, or later
+   * if the request has to wait and is not cancelled.
+   */
+  public requestSlot(request: SlotRequest, now: number): void {
+    const reason = this.refusalReason(request, now);
     if (reason !== '') {
       request.refuse(reason);
       return;
@@ -47,55 +50,57 @@
     this.queue.push({ ...request, tag });
   }
 
-  /** Gives a slot back and passes it on. */
-  public leave(now: number): void {
+  /** Returns a slot and grants it to the next waiting request. */
+  public releaseSlot(now: number): void {
     this.runningCount -= 1;
-    this.passOn(now);
+    this.grantFreeSlots(now);
   }
 
-  /** Takes a waiting request out; false when it does not wait. */
+  /** Removes a waiting request; false if it is not waiting. */
   public cancel(requestId: string): boolean {
     return this.queue.remove(requestId);
   }
 
-  /** Refuses all that waits and all that comes. */
+  /** Refuses all waiting and all future requests. */
   public close(reason: string): void {
-    this.closedBecause = reason;
+    this.closeReason = reason;
     for (const waiting of this.queue.removeAll()) {
       waiting.refuse(reason);
     }
   }
 
-  private refusal(request: GateRequest, now: number): string {
-    if (this.closedBecause !== '') {
-      return this.closedBecause;
+  private refusalReason(request: SlotRequest, now: number): string {
+    if (this.closeReason !== '') {
+      return this.closeReason;
     }
     if (this.queue.length >= this.slots * MAXIMUM_WAITING_PER_SLOT) {
       return 'the queue is full';
     }
-    return this.isTooLate(request, this.queue.length, now)
+    return this.wouldMissDeadline(request, this.queue.length, now)
       ? 'cannot finish before the deadline'
       : '';
   }
 
-  private isTooLate(
+  private wouldMissDeadline(
     request: Pick<WaitingRequest, 'deadline'>,
-    ahead: number,
+    requestsAhead: number,
     now: number,
   ): boolean {
-    const service = this.serviceTime.hopefulMilliseconds(now);
-    const busy = this.runningCount >= this.slots;
-    const wait = busy ? ((ahead + 1) * service) / this.slots : 0;
-    return now + wait + service > request.deadline;
+    const serviceMilliseconds = this.serviceTime.decayedMilliseconds(now);
+    const allSlotsTaken = this.runningCount >= this.slots;
+    const waitMilliseconds = allSlotsTaken
+      ? ((requestsAhead + 1) * serviceMilliseconds) / this.slots
+      : 0;
+    return now + waitMilliseconds + serviceMilliseconds > request.deadline;
   }
 
-  private passOn(now: number): void {
+  private grantFreeSlots(now: number): void {
     while (this.runningCount < this.slots) {
       const next = this.queue.shift();
       if (next === undefined) {
         return;
       }
-      if (this.isTooLate(next, -1, now)) {
+      if (this.wouldMissDeadline(next, -1, now)) {
         next.refuse('cannot finish before the deadline');
         continue;
       }
--- a/packages/request-plane/src/entry/caller-server.ts
+++ b/packages/request-plane/src/entry/caller-server.ts
@@ -13,7 +13,7 @@
 import { notRun } from '../outcome/outcomes.js';
 import type { RunOutcome } from '../outcome/run-outcome.js';
 import type { CallerRequest } from './caller-request.js';
-import { describeEnding } from './describe-ending.js';
+import { describeOutcome } from './describe-outcome.js';
 import { readBody } from './read-body.js';
 import { MAXIMUM_BODY_BYTES, readRequestHead } from './read-caller-request.js';
 import type { RequestDispatcher } from './request-dispatcher.js';
@@ -23,16 +23,16 @@
 
 const MAXIMUM_HEAD_BYTES = 16 * 1024;
 
-/** Requests that one entry holds at once. */
+/** Maximum number of requests in flight at one entry. */
 const MAXIMUM_IN_FLIGHT = 4096;
 
-/** Time in which a caller must send its whole request. */
+/** Time within which a caller must send its whole request. */
 const RECEIVE_TIMEOUT_MILLISECONDS = 30_000;
 
-const KEEP_ALIVE_MILLISECONDS = 30_000;
+const KEEP_ALIVE_TIMEOUT_MILLISECONDS = 30_000;
 
-/** Parts that the callers' side works on. */
-interface CallerServerParts {
+/** What the callers' server depends on. */
+interface CallerServerDependencies {
   readonly dispatcher: Pick<RequestDispatcher, 'dispatch'>;
   readonly services: () => ReadonlyMap<string, Service>;
   readonly clock: Clock;
@@ -41,27 +41,27 @@
   readonly observer: RequestObserver;
 }
 
-/** The callers' side of an entry. */
+/** The HTTP server that an entry's callers send their requests to. */
 export class CallerServer {
   private readonly server: Server;
 
   private inFlight = 0;
 
-  /** Connections end after their next answer. */
+  /** Whether each connection is closed after its next answer. */
   private leaving = false;
 
-  /** New requests are refused. */
-  private refusing = false;
+  /** Whether new requests are refused. */
+  private refusesRequests = false;
 
   private readonly idleListeners: (() => void)[] = [];
 
-  public constructor(private readonly parts: CallerServerParts) {
+  public constructor(private readonly dependencies: CallerServerDependencies) {
     this.server = createServer(
       {
         maxHeaderSize: MAXIMUM_HEAD_BYTES,
         requestTimeout: RECEIVE_TIMEOUT_MILLISECONDS,
         headersTimeout: RECEIVE_TIMEOUT_MILLISECONDS,
-        keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+        keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MILLISECONDS,
       },
       (incoming, outgoing) => {
         this.serve(incoming, outgoing).catch(() => outgoing.destroy());
@@ -81,18 +81,19 @@
     return listenOn(this.server, address);
   }
 
-  /** Whether the balancer should send no more requests here. */
+  /** Whether the load balancer should stop sending requests here. */
   public get isLeaving(): boolean {
     return this.leaving;
   }
 
   /**
-   * Serves on for the notice, while connections end after their next answer.
+   * Continues to serve for the notice period, but closes each connection after
+   * its next answer.
    *
-   * @param noticeMilliseconds - Time in which the balancer and the callers turn
-   * to other entries.
+   * @param noticeMilliseconds - Time for the load balancer and the callers to
+   * switch to other entries.
    */
-  public async giveNotice(noticeMilliseconds: number): Promise<void> {
+  public async startLeaving(noticeMilliseconds: number): Promise<void> {
     this.leaving = true;
     await new Promise(resolve => setTimeout(resolve, noticeMilliseconds));
   }
@@ -100,7 +101,7 @@
   /** Refuses new requests, and resolves once those in flight are answered. */
   public async drain(): Promise<void> {
     this.leaving = true;
-    this.refusing = true;
+    this.refusesRequests = true;
     if (this.inFlight > 0) {
       await new Promise<void>(resolve => {
         this.idleListeners.push(resolve);
@@ -119,9 +120,9 @@
     outgoing: ServerResponse,
   ): Promise<void> {
     this.inFlight += 1;
-    // A request is in flight until its answer has left or its caller has.
+    // A request is in flight until its answer is sent or its caller disconnects.
     outgoing.once('close', () => {
-      this.leave();
+      this.requestEnded();
     });
     await this.receive(incoming, outgoing);
   }
@@ -130,7 +131,7 @@
     incoming: IncomingMessage,
     outgoing: ServerResponse,
   ): Promise<void> {
-    const { identifiers, clock, services, observer } = this.parts;
+    const { identifiers, clock, services, observer } = this.dependencies;
     const head = readRequestHead({
       requestId: identifiers.next('request'),
       method: incoming.method ?? 'GET',
@@ -158,11 +159,11 @@
     request: CallerRequest,
     outgoing: ServerResponse,
   ): Promise<void> {
-    const { clock, observer, events } = this.parts;
+    const { clock, observer, events } = this.dependencies;
     const { requestId } = request;
     const controller = new AbortController();
     outgoing.once('close', () => {
-      // An abort is costly; after a whole answer there is nothing to end.
+      // An abort is costly; after a complete answer there is nothing to abort.
       if (!outgoing.writableFinished) {
         controller.abort();
       }
@@ -172,15 +173,15 @@
     const { signal } = controller;
     const work = this.outcomeOf(request);
     const outcome = await Effect.runPromise(work, { signal });
-    const took = clock.now() - request.arrivedAt;
-    observer.ended(request, outcome, took);
-    const ending = describeEnding(outcome, took);
+    const duration = clock.now() - request.arrivedAt;
+    observer.ended(request, outcome, duration);
+    const ending = describeOutcome(outcome, duration);
     events.record('request-ended', ending, { request: requestId });
     this.write(outgoing, requestId, outcome);
   }
 
   private outcomeOf(request: CallerRequest): Effect.Effect<RunOutcome> {
-    if (this.refusing) {
+    if (this.refusesRequests) {
       const reason = 'the entry is stopping';
       return Effect.succeed(notRun('entry.accept', 'local', reason));
     }
@@ -188,7 +189,7 @@
       const reason = 'the entry holds too many requests';
       return Effect.succeed(notRun('entry.accept', 'local', reason));
     }
-    return this.parts.dispatcher.dispatch(request);
+    return this.dependencies.dispatcher.dispatch(request);
   }
 
   private write(
@@ -202,7 +203,7 @@
     writeOutcome(outgoing, requestId, outcome);
   }
 
-  private leave(): void {
+  private requestEnded(): void {
     this.inFlight -= 1;
     if (this.inFlight === 0) {
       for (const listener of this.idleListeners.splice(0)) {
@@ -216,11 +217,11 @@
       socket.destroy();
       return;
     }
-    const isLarge = error.code === 'HPE_HEADER_OVERFLOW';
-    const status = isLarge
+    const isHeadTooLarge = error.code === 'HPE_HEADER_OVERFLOW';
+    const status = isHeadTooLarge
       ? '431 Request Header Fields Too Large'
       : '400 Bad Request';
-    this.parts.observer.refused(isLarge ? 431 : 400);
+    this.dependencies.observer.refused(isHeadTooLarge ? 431 : 400);
     socket.end(
       `HTTP/1.1 ${status}\r\nBasilcourse-Outcome: not-run\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
     );
--- a/packages/request-plane/src/entry/hand-over.ts
+++ b/packages/request-plane/src/entry/hand-over.ts
@@ -14,17 +14,17 @@
 
 const STEP = 'entry.hand-over';
 
-/** Step of a hand-over that failed before anything was sent. */
+/** Step of a hand-over that failed before the request was sent. */
 export const CONNECT_STEP = 'entry.connect';
 
-/** Time for the answer of a fence after a lost connection. */
+/** Time within which an agent must answer a fence. */
 const FENCE_TIMEOUT_MILLISECONDS = 500;
 
-/** Room for the answer's way back after the deadline. */
+/** Time after the deadline for the agent's answer to arrive. */
 const ANSWER_GRACE_MILLISECONDS = 100;
 
-/** Parts that handing requests over works on. */
-export interface HandOverParts {
+/** What handing requests over depends on. */
+export interface HandOverDependencies {
   readonly clients: PeerClients;
   readonly loads: LoadTable;
   readonly events: EventRecorder;
@@ -32,19 +32,23 @@
   readonly entryId: string;
 }
 
-/** One try at one upstream. */
+/** One try of a request at one upstream. */
 interface HandOverTry {
-  /** Identifier of this try; the agent runs it at most once. */
+  /** Identifier of this try; the agent runs each identifier at most once. */
   readonly tryId: string;
   readonly request: CallerRequest;
   readonly claimKey: string;
   readonly upstream: UpstreamCandidate;
 }
 
-function messageOf(entryId: string, one: HandOverTry, now: number): RunRequest {
-  const { request, upstream } = one;
+function runRequestOf(
+  entryId: string,
+  handOverTry: HandOverTry,
+  now: number,
+): RunRequest {
+  const { request, upstream } = handOverTry;
   return create(RunRequestSchema, {
-    requestId: one.tryId,
+    requestId: handOverTry.tryId,
     callerRequestId: request.requestId,
     service: request.service,
     agentInstance: upstream.agentInstance,
@@ -57,29 +61,30 @@
     body: request.body,
     team: request.team,
     entryId,
-    claimKey: one.claimKey,
+    claimKey: handOverTry.claimKey,
   });
 }
 
-function neverSent(reason: string): boolean {
+function isConnectFailure(reason: string): boolean {
   return /ECONNREFUSED|EHOSTUNREACH|ENETUNREACH/.test(reason);
 }
 
 /**
- * Hands a request to an agent in one message.
+ * Hands a request over to an agent in one message.
  *
- * When the answer is lost, the request is fenced at the agent: either it had
- * not begun and never will, or its outcome is told, or it stays unknown.
+ * If the answer is lost, the request is fenced at the agent: either it had not
+ * begun and never will, or the agent returns its outcome, or the outcome remains
+ * unknown.
  */
 export function handOver(
-  parts: HandOverParts,
-  one: HandOverTry,
+  dependencies: HandOverDependencies,
+  handOverTry: HandOverTry,
   now: number,
 ): Effect.Effect<RunOutcome> {
-  const { upstream, tryId, request } = one;
-  const client = parts.clients.agentAt(upstream.agentAddress);
+  const { upstream, tryId, request } = handOverTry;
+  const client = dependencies.clients.agentAt(upstream.agentAddress);
   const remaining = request.deadline - now + ANSWER_GRACE_MILLISECONDS;
-  const fence = (lost: string): Effect.Effect<RunOutcome> =>
+  const fence = (failure: string): Effect.Effect<RunOutcome> =>
     client.fence(tryId, upstream.agentInstance).pipe(
       Effect.timeoutFail({
         duration: FENCE_TIMEOUT_MILLISECONDS,
@@ -87,44 +92,53 @@
       }),
       Effect.catchAll(() =>
         Effect.sync(() => {
-          parts.clients.reset(upstream.agentAddress);
-          return unknown(STEP, upstream.agentId, lost);
+          dependencies.clients.reset(upstream.agentAddress);
+          return unknown(STEP, upstream.agentId, failure);
         }),
       ),
       Effect.tap(outcome =>
         Effect.sync(() => {
           const text = `Fenced at ${upstream.agentId}: ${outcome.kind}.`;
-          parts.events.record('request-fenced', text, { request: tryId });
+          dependencies.events.record('request-fenced', text, {
+            request: tryId,
+          });
         }),
       ),
     );
-  const send = client.run(messageOf(parts.entryId, one, now)).pipe(
-    Effect.timeoutFail({
-      duration: Math.max(0, remaining),
-      onTimeout: () => new Error('no answer before the deadline'),
-    }),
-    Effect.tap(({ load }) =>
-      Effect.sync(() => {
-        // The report was made after this request had left its slot.
-        if (load !== undefined) {
-          parts.loads.note(upstream.attempt, load, parts.clock.now(), 1);
-        }
+  const send = client
+    .run(runRequestOf(dependencies.entryId, handOverTry, now))
+    .pipe(
+      Effect.timeoutFail({
+        duration: Math.max(0, remaining),
+        onTimeout: () => new Error('no answer before the deadline'),
       }),
-    ),
-    Effect.map(({ outcome }) => outcome),
-    Effect.catchAll(({ message }) =>
-      neverSent(message)
-        ? Effect.succeed(notRun(CONNECT_STEP, upstream.agentId, message))
-        : fence(message),
-    ),
-  );
+      Effect.tap(({ load }) =>
+        Effect.sync(() => {
+          // The report was made after this request had returned its slot.
+          if (load !== undefined) {
+            dependencies.loads.recordReport(
+              upstream.attempt,
+              load,
+              dependencies.clock.now(),
+              1,
+            );
+          }
+        }),
+      ),
+      Effect.map(({ outcome }) => outcome),
+      Effect.catchAll(({ message }) =>
+        isConnectFailure(message)
+          ? Effect.succeed(notRun(CONNECT_STEP, upstream.agentId, message))
+          : fence(message),
+      ),
+    );
   return Effect.sync(() => {
-    parts.loads.started(upstream.attempt);
+    dependencies.loads.requestStarted(upstream.attempt);
   }).pipe(
     Effect.zipRight(send),
     Effect.ensuring(
       Effect.sync(() => {
-        parts.loads.ended(upstream.attempt);
+        dependencies.loads.requestEnded(upstream.attempt);
       }),
     ),
   );
--- a/packages/request-plane/src/membership/exchange-routes.ts
+++ b/packages/request-plane/src/membership/exchange-routes.ts
@@ -14,20 +14,23 @@
 
 const MICROSECONDS_PER_MILLISECOND = 1000;
 
-/** Changes in one answer at the most. */
-const MAXIMUM_CHANGES = 5000;
+/** Maximum number of member changes in one response. */
+const MAXIMUM_CHANGES_PER_RESPONSE = 5000;
 
-/** Parts behind the heartbeat call. */
-interface ExchangeParts {
+/** What the handler of heartbeats depends on. */
+interface ExchangeDependencies {
   readonly members: MemberTable;
   readonly loads: LoadTable;
   readonly self: () => Member;
-  /** Outbids a doubt about this process. */
-  readonly refute: (told: Member) => void;
+  /**
+   * Contradicts a peer that reports this process as suspect or dead, by raising
+   * this process's incarnation.
+   */
+  readonly refute: (reported: Member) => void;
   readonly clock: Clock;
 }
 
-function noteLoads(
+function recordLoads(
   loads: LoadTable,
   request: ExchangeRequest,
   now: number,
@@ -38,30 +41,32 @@
       const serviceMilliseconds =
         meanServiceMicroseconds / MICROSECONDS_PER_MILLISECOND;
       const report = { slots, running, queued, serviceMilliseconds };
-      loads.note(attemptId, report, now);
+      loads.recordReport(attemptId, report, now);
     }
   }
 }
 
-/** Changes that a sender needs: agents hear of entries only. */
+/** Member changes for a sender; agents receive those of entries only. */
 function changesFor(
   members: MemberTable,
   sender: Member,
   seenSequence: number,
 ): readonly Member[] {
   const changes = members.changesSince(seenSequence);
-  const wanted =
+  const relevant =
     sender.role === 'entry'
       ? changes
       : changes.filter(({ role }) => role === 'entry');
-  return wanted.filter(({ id }) => id !== sender.id).slice(0, MAXIMUM_CHANGES);
+  return relevant
+    .filter(({ id }) => id !== sender.id)
+    .slice(0, MAXIMUM_CHANGES_PER_RESPONSE);
 }
 
-/** Registers the heartbeat call. */
+/** Registers the handler of heartbeats from other processes. */
 export function exchangeRoutes(
-  parts: ExchangeParts,
+  dependencies: ExchangeDependencies,
 ): (router: ConnectRouter) => void {
-  const { members, loads, clock } = parts;
+  const { members, loads, clock } = dependencies;
   return router => {
     router.service(MembershipService, {
       exchange: request => {
@@ -70,18 +75,20 @@
         }
         const sender = memberOf(request.self);
         const now = clock.now();
-        const known = members.hear(sender, now);
+        const current = members.applyHeartbeat(sender, now);
         const changes = request.changes.map(memberOf);
-        const self = parts.self();
-        changes.filter(({ id }) => id === self.id).forEach(parts.refute);
+        const self = dependencies.self();
+        changes.filter(({ id }) => id === self.id).forEach(dependencies.refute);
         members.merge(changes, now);
-        noteLoads(loads, request, now);
-        const isSameRun = request.seenInstance === self.instance;
-        const seen = isSameRun ? Number(request.seenSequence) : 0;
+        recordLoads(loads, request, now);
+        const isSameInstance = request.seenInstance === self.instance;
+        const seenSequence = isSameInstance ? Number(request.seenSequence) : 0;
         return create(ExchangeResponseSchema, {
-          self: memberRecordOf(parts.self()),
-          you: memberRecordOf(known),
-          changes: changesFor(members, sender, seen).map(memberRecordOf),
+          self: memberRecordOf(dependencies.self()),
+          you: memberRecordOf(current),
+          changes: changesFor(members, sender, seenSequence).map(
+            memberRecordOf,
+          ),
           sequence: BigInt(members.sequence),
         });
       },
--- a/packages/request-plane/src/membership/own-member.ts
+++ b/packages/request-plane/src/membership/own-member.ts
@@ -1,29 +1,33 @@
 import type { Member } from './member.js';
 
-/** The member that a process says it is. */
+/** The state that a process reports of itself. */
 export class OwnMember {
   public constructor(private current: Member) {}
 
   public readonly get = (): Member => this.current;
 
-  /** Changes what the process says of itself, under a new incarnation. */
-  public change(change: Partial<Member>): void {
+  /** Changes the reported state and raises the incarnation. */
+  public update(changes: Partial<Member>): void {
     const incarnation = this.current.incarnation + 1;
-    this.current = { ...this.current, ...change, incarnation };
+    this.current = { ...this.current, ...changes, incarnation };
   }
 
   /**
-   * Outbids a peer that holds this process for suspect or dead, or knows a
-   * later incarnation of it; true when it did.
+   * Raises the incarnation above the one that a peer reported, if the peer
+   * reports this process as suspect or dead, or under another instance, or with
+   * a later incarnation.
+   *
+   * @returns whether the incarnation was raised.
    */
-  public refute(told: Member): boolean {
-    const isOther = told.instance !== this.current.instance;
-    const isDoubted = told.state === 'suspect' || told.state === 'dead';
-    const isBehind = told.incarnation > this.current.incarnation;
-    if (!isDoubted && !isBehind && !isOther) {
+  public refute(reported: Member): boolean {
+    const isOtherInstance = reported.instance !== this.current.instance;
+    const isSuspected =
+      reported.state === 'suspect' || reported.state === 'dead';
+    const hasLaterIncarnation = reported.incarnation > this.current.incarnation;
+    if (!isSuspected && !hasLaterIncarnation && !isOtherInstance) {
       return false;
     }
-    const highest = Math.max(told.incarnation, this.current.incarnation);
+    const highest = Math.max(reported.incarnation, this.current.incarnation);
     this.current = { ...this.current, incarnation: highest + 1 };
     return true;
   }
--- a/packages/request-plane/src/routing/load-table.ts
+++ b/packages/request-plane/src/routing/load-table.ts
@@ -1,6 +1,6 @@
 import type { UpstreamLoad } from './upstream-load.js';
 
-const NO_LOAD: UpstreamLoad = {
+const UNREPORTED_LOAD: UpstreamLoad = {
   slots: 1,
   running: 0,
   queued: 0,
@@ -8,12 +8,15 @@
   ownInFlight: 0,
 };
 
-/** Load of the upstreams, from reports and from this entry's own requests. */
+/**
+ * Load of the upstreams, by attempt: what their agents last reported, and the
+ * requests that this entry has in flight there.
+ */
 export class LoadTable {
   private readonly reports = new Map<string, UpstreamLoad>();
 
-  /** When the service time of an upstream last changed. */
-  private readonly measuredAt = new Map<string, number>();
+  /** Time at which the reported service time of an upstream last changed. */
+  private readonly serviceTimeChangedAt = new Map<string, number>();
 
   private readonly inFlight = new Map<string, number>();
 
@@ -22,47 +25,54 @@
   }
 
   public reportOf(attempt: string): UpstreamLoad {
-    return this.reports.get(attempt) ?? NO_LOAD;
+    return this.reports.get(attempt) ?? UNREPORTED_LOAD;
   }
 
-  /** Time since the service time of an upstream last changed. */
-  public ageOf(attempt: string, now: number): number {
-    return now - (this.measuredAt.get(attempt) ?? now);
+  /** Milliseconds since the reported service time of an upstream changed. */
+  public serviceTimeAge(attempt: string, now: number): number {
+    return now - (this.serviceTimeChangedAt.get(attempt) ?? now);
   }
 
-  /** Requests of other entries at an upstream, as last reported. */
-  public othersAt(attempt: string): number {
+  /**
+   * Requests of other entries at an upstream: those last reported, less the
+   * ones that this entry had in flight at the time of the report.
+   */
+  public othersInFlightAt(attempt: string): number {
     const { running, queued, ownInFlight } = this.reportOf(attempt);
     return Math.max(0, running + queued - ownInFlight);
   }
 
   /**
-   * Takes in a report.
+   * Stores a load report.
    *
-   * @param finishing - Own requests that the report no longer counts.
+   * @param endedSinceReport - Requests of this entry that count as in flight
+   * here but that the report no longer includes.
    */
-  public note(
+  public recordReport(
     attempt: string,
     report: Omit<UpstreamLoad, 'ownInFlight'>,
     now: number,
-    finishing = 0,
+    endedSinceReport = 0,
   ): void {
     const { serviceMilliseconds } = this.reportOf(attempt);
     if (report.serviceMilliseconds !== serviceMilliseconds) {
-      this.measuredAt.set(attempt, now);
+      this.serviceTimeChangedAt.set(attempt, now);
     }
-    const ownInFlight = Math.max(0, this.inFlightAt(attempt) - finishing);
+    const ownInFlight = Math.max(
+      0,
+      this.inFlightAt(attempt) - endedSinceReport,
+    );
     this.reports.set(attempt, { ...report, ownInFlight });
   }
 
-  public started(attempt: string): void {
+  public requestStarted(attempt: string): void {
     this.inFlight.set(attempt, this.inFlightAt(attempt) + 1);
   }
 
-  public ended(attempt: string): void {
-    const left = this.inFlightAt(attempt) - 1;
-    if (left > 0) {
-      this.inFlight.set(attempt, left);
+  public requestEnded(attempt: string): void {
+    const remaining = this.inFlightAt(attempt) - 1;
+    if (remaining > 0) {
+      this.inFlight.set(attempt, remaining);
     } else {
       this.inFlight.delete(attempt);
     }
@@ -70,6 +80,6 @@
 
   public forget(attempt: string): void {
     this.reports.delete(attempt);
-    this.measuredAt.delete(attempt);
+    this.serviceTimeChangedAt.delete(attempt);
   }
 }
--- a/packages/request-plane/src/routing/routing-policies.ts
+++ b/packages/request-plane/src/routing/routing-policies.ts
@@ -4,28 +4,36 @@
 import type { RoutingPolicy } from './routing-policy.js';
 import type { UpstreamCandidate } from './upstream-candidate.js';
 
-/** Candidates compared for one request, against all choosing the same. */
+/**
+ * Number of candidates compared for one request. Comparing all of them would
+ * make every entry choose the same upstream.
+ */
 const SAMPLE_SIZE = 4;
 
-const LEAST_SERVICE_MILLISECONDS = 0.1;
+const MINIMUM_SERVICE_MILLISECONDS = 0.1;
 
-function outstanding(candidate: UpstreamCandidate): number {
+function outstandingRequests(candidate: UpstreamCandidate): number {
   return candidate.inFlight + candidate.othersInFlight;
 }
 
-/** Expected time to completion of one more request, in milliseconds. */
-export function expectedMilliseconds(candidate: UpstreamCandidate): number {
-  const service = Math.max(
+/** Expected milliseconds until one more request would be completed. */
+export function expectedCompletionMilliseconds(
+  candidate: UpstreamCandidate,
+): number {
+  const serviceMilliseconds = Math.max(
     candidate.serviceMilliseconds,
-    LEAST_SERVICE_MILLISECONDS,
+    MINIMUM_SERVICE_MILLISECONDS,
   );
-  const ahead = outstanding(candidate) - candidate.slots + 1;
-  const wait = ahead > 0 ? (ahead * service) / candidate.slots : 0;
-  const load = outstanding(candidate) / candidate.slots;
-  return service * (1 + load) + wait;
+  const requestsAhead = outstandingRequests(candidate) - candidate.slots + 1;
+  const waitMilliseconds =
+    requestsAhead > 0
+      ? (requestsAhead * serviceMilliseconds) / candidate.slots
+      : 0;
+  const load = outstandingRequests(candidate) / candidate.slots;
+  return serviceMilliseconds * (1 + load) + waitMilliseconds;
 }
 
-function leastBy(
+function candidateWithLowestCost(
   candidates: readonly UpstreamCandidate[],
   cost: (candidate: UpstreamCandidate) => number,
 ): UpstreamCandidate | undefined {
@@ -41,39 +49,46 @@
   return best;
 }
 
-/** Some candidates in drawn order, so that entries spread over equal ones. */
-function sample(
+/** Random candidates in random order, so that entries break ties differently. */
+function sampleCandidates(
   candidates: readonly UpstreamCandidate[],
   random: RandomSource,
 ): readonly UpstreamCandidate[] {
-  const left = [...candidates];
+  const remaining = [...candidates];
   const chosen: UpstreamCandidate[] = [];
   while (chosen.length < SAMPLE_SIZE) {
-    const candidate = pickOne(left, random);
+    const candidate = pickOne(remaining, random);
     if (candidate === undefined) {
       break;
     }
-    left.splice(left.indexOf(candidate), 1);
+    remaining.splice(remaining.indexOf(candidate), 1);
     chosen.push(candidate);
   }
   return chosen;
 }
 
 /**
- * Policies by name; `expected-time` is in use, the others are baselines.
+ * Routing policies by name. `expected-time` is the default; the others are
+ * baselines for measurements.
  *
  * Round robin and least connections are those of the Linux Virtual Server.
- * Sampling few candidates: Mitzenmacher, "The Power of Two Choices in
+ * Sampling a few candidates: Mitzenmacher, "The Power of Two Choices in
  * Randomized Load Balancing", IEEE TPDS 2001.
  */
 export const routingPolicies = {
   'round-robin': (candidates, _random, turn) =>
     candidates[turn % Math.max(1, candidates.length)],
   'least-connections': candidates =>
-    leastBy(candidates, ({ inFlight, slots }) => inFlight / slots),
+    candidateWithLowestCost(
+      candidates,
+      ({ inFlight, slots }) => inFlight / slots,
+    ),
   'expected-time': (candidates, random) =>
-    leastBy(sample(candidates, random), expectedMilliseconds),
+    candidateWithLowestCost(
+      sampleCandidates(candidates, random),
+      expectedCompletionMilliseconds,
+    ),
 } as const satisfies Readonly<Record<string, RoutingPolicy>>;
 
-/** Names of the policies. */
+/** Name of a routing policy. */
 export type RoutingPolicyName = keyof typeof routingPolicies;
--- a/packages/request-plane/src/transport/agent-routes.ts
+++ b/packages/request-plane/src/transport/agent-routes.ts
@@ -9,14 +9,14 @@
 import type { RequestRunner } from '../agent/request-runner.js';
 import type { RunLedger } from '../agent/run-ledger.js';
 import type { UpstreamRegistry } from '../agent/upstream-registry.js';
-import { MAXIMUM_TRIES, tryName } from '../entry/maximum-tries.js';
+import { MAXIMUM_TRIES, tryIdOf } from '../entry/request-tries.js';
 import { unknown } from '../outcome/outcomes.js';
 import { outcomeMessageOf } from './outcome-messages.js';
 
 const MICROSECONDS_PER_MILLISECOND = 1000;
 
-/** Parts behind the calls that an agent answers. */
-interface AgentRouteParts {
+/** What the handlers of an agent's calls depend on. */
+interface AgentRouteDependencies {
   readonly runner: RequestRunner;
   readonly ledger: RunLedger;
   readonly register: ClaimRegister;
@@ -26,18 +26,18 @@
   readonly instance: string;
 }
 
-interface LoadFields {
+interface LoadReportFields {
   readonly slots: number;
   readonly running: number;
   readonly queued: number;
   readonly meanServiceMicroseconds: number;
 }
 
-/** Load of an upstream in the form that messages carry. */
-export function loadOf(
+/** Load of an upstream as the fields of a message; undefined if none is here. */
+export function loadReportOf(
   registry: UpstreamRegistry,
   attempt: string,
-): LoadFields | undefined {
+): LoadReportFields | undefined {
   const upstream = registry.find(attempt);
   if (upstream === undefined) {
     return undefined;
@@ -49,11 +49,11 @@
 }
 
 function recover(
-  { ledger }: AgentRouteParts,
+  { ledger }: AgentRouteDependencies,
   requestId: string,
 ): RecoverOutcome {
-  for (let number = MAXIMUM_TRIES - 1; number >= 0; number -= 1) {
-    const entry = ledger.find(tryName(requestId, number));
+  for (let tryNumber = MAXIMUM_TRIES - 1; tryNumber >= 0; tryNumber -= 1) {
+    const entry = ledger.find(tryIdOf(requestId, tryNumber));
     if (entry?.state === 'waiting' || entry?.state === 'began') {
       return { case: 'inProgress', value: true };
     }
@@ -72,7 +72,7 @@
   | { readonly case: 'inProgress'; readonly value: true }
   | { readonly case: 'notKnown'; readonly value: true };
 
-/** Start of an agent's memory in the form that messages carry. */
+/** Start of an agent's memory of claims as the fields of a message. */
 export function memoryStartOf(register: ClaimRegister): {
   readonly memoryStartMilliseconds: bigint;
   readonly memoryStartOffset?: bigint;
@@ -85,7 +85,7 @@
 }
 
 function run(
-  { runner }: AgentRouteParts,
+  { runner }: AgentRouteDependencies,
   request: RunRequest,
   signal: AbortSignal,
 ): Promise<ReturnType<typeof outcomeMessageOf>> {
@@ -93,21 +93,21 @@
   return Effect.runPromise(work, { signal });
 }
 
-/** Registers the calls that an agent answers. */
+/** Registers the handlers of the calls to an agent. */
 export function agentRoutes(
-  parts: AgentRouteParts,
+  dependencies: AgentRouteDependencies,
 ): (router: ConnectRouter) => void {
-  const { ledger, register, registry, clock, instance } = parts;
+  const { ledger, register, registry, clock, instance } = dependencies;
   return router => {
     router.service(AgentService, {
       run: async (request, context) => {
-        const outcome = await run(parts, request, context.signal);
-        const load = loadOf(registry, request.attemptId);
+        const outcome = await run(dependencies, request, context.signal);
+        const load = loadReportOf(registry, request.attemptId);
         return load === undefined ? { outcome } : { outcome, load };
       },
       fence: request => {
-        const isOther = request.agentInstance !== instance;
-        const outcome = isOther
+        const isOtherInstance = request.agentInstance !== instance;
+        const outcome = isOtherInstance
           ? unknown('agent.fence', instance, 'the agent was restarted')
           : ledger.fence(request.requestId, clock.now());
         return { outcome: outcomeMessageOf(outcome) };
@@ -126,7 +126,9 @@
         register.release(request.claimKey, request.requestId);
         return {};
       },
-      recover: request => ({ outcome: recover(parts, request.requestId) }),
+      recover: request => ({
+        outcome: recover(dependencies, request.requestId),
+      }),
     });
   };
 }
--- a/packages/request-plane/src/transport/peer-session.ts
+++ b/packages/request-plane/src/transport/peer-session.ts
@@ -10,13 +10,13 @@
 
 import type { SocketOpener } from './socket-opener.js';
 
-const IDLE_MILLISECONDS = 60_000;
+const IDLE_TIMEOUT_MILLISECONDS = 60_000;
 
 /**
- * The HTTP/2 session to one peer, opened when it is needed.
+ * The HTTP/2 session to one peer, opened at the first request.
  *
- * In place of the library's session manager, whose sessions may raise an error
- * event without a listener when a peer goes away, which ends the process.
+ * Replaces the library's session manager: its sessions may emit an error event
+ * without a listener when a peer closes, which ends the process.
  */
 export class PeerSession {
   public readonly authority: string;
@@ -43,12 +43,12 @@
     return session.request({ ...headers, ...pseudoHeaders }, options);
   }
 
-  /** Part of the library's interface; liveness is judged by the callers. */
+  /** Required by the library; callers detect dead peers by time-outs. */
   public notifyResponseByteRead(): void {
     return undefined;
   }
 
-  /** Cuts the session; the next request opens another. */
+  /** Closes the session; the next request opens a new one. */
   public reset(): void {
     const { session } = this;
     this.session = undefined;
@@ -73,16 +73,16 @@
       this.session = undefined;
       session.on('error', (error: Error) => {
         reject(error);
-        this.forget(session);
+        this.discard(session);
       });
       session.once('close', () => {
         reject(new Error('the session was closed'));
-        this.forget(session);
+        this.discard(session);
       });
       session.once('goaway', () => {
-        this.forget(session);
+        this.discard(session);
       });
-      session.setTimeout(IDLE_MILLISECONDS, () => {
+      session.setTimeout(IDLE_TIMEOUT_MILLISECONDS, () => {
         session.close();
       });
       session.once('connect', () => {
@@ -94,7 +94,7 @@
     });
   }
 
-  private forget(session: ClientHttp2Session): void {
+  private discard(session: ClientHttp2Session): void {
     if (this.session === session || this.session === undefined) {
       this.session = undefined;
       this.opening = undefined;
--- a/packages/request-plane/tests/claim/model/claim-world.ts
+++ b/packages/request-plane/tests/claim/model/claim-simulation.ts
@@ -16,44 +16,44 @@
 import type { EntryClient } from '../../../src/entry/entry-client.js';
 import { MemberTable } from '../../../src/membership/member-table.js';
 import { memoryStartOf } from '../../../src/transport/agent-routes.js';
+import type { MessageScheduler } from './message-scheduler.js';
 import type { ModelEntry } from './model-entry.js';
 import { MODEL_WORKERS, ModelLog } from './model-log.js';
 import { modelMember } from './model-member.js';
 import { TickingClock } from './ticking-clock.js';
-import type { WorldChance } from './world-chance.js';
 
-/** Enough for some further tries, as each reading takes a millisecond. */
-const PATIENCE_MILLISECONDS = 20;
+/** Allows a few retries, as each reading of the clock takes a millisecond. */
+const CLAIM_TIMEOUT_MILLISECONDS = 20;
 
 const START_MILLISECONDS = 10_000_000;
 
-/** Real claimers, memories, registers and folds over faked messages. */
-export class ClaimWorld {
+/** Runs the real claimers, memories, registers and folds on fake messages. */
+export class ClaimSimulation {
   public readonly clock = new TickingClock(START_MILLISECONDS);
 
   public readonly entries: ModelEntry[] = [];
 
-  /** Requests that ran, by key. */
+  /** Identifiers of the requests that ran, by key. */
   public readonly runs = new Map<string, string[]>();
 
-  private readonly dead = new Set<string>();
+  private readonly killedInstances = new Set<string>();
 
   private readonly registers = new Map<string, ClaimRegister>();
 
-  /** The log and its holder's decisions. */
+  /** The log, with the decisions of the cell's lease holder. */
   public readonly log = new ModelLog(this.clock);
 
   private started = 0;
 
-  public constructor(private readonly chance: WorldChance) {
+  public constructor(private readonly scheduler: MessageScheduler) {
     MODEL_WORKERS.forEach((_, index) => {
       this.restartAgent(index);
     });
     this.log.placeMinions();
   }
 
-  /** Starts an entry that has read a part of the log. */
-  public addEntry(unread: number): void {
+  /** Starts an entry that has read the log except its last records. */
+  public addEntry(unreadRecords: number): void {
     this.started += 1;
     const instance = `entry-${this.started}`;
     this.log.append('entry-joined', { instance, address: instance });
@@ -80,45 +80,48 @@
     const entry = { instance, memory, state, members, claimer };
     this.entries.push(entry);
     this.gossip(entry);
-    this.read(entry, Math.max(1, this.log.end - unread));
+    this.readLog(entry, Math.max(1, this.log.end - unreadRecords));
   }
 
-  /** Lets an entry read the log up to an offset. */
-  public read({ state }: ModelEntry, until: number): void {
+  /** Makes an entry read the log up to an offset. */
+  public readLog({ state }: ModelEntry, until: number): void {
     const records = this.log.slice(state.fold.next, until);
     state.applyAll(records, this.log.end);
   }
 
   public catchUp(entry: ModelEntry): void {
-    this.read(entry, this.log.end);
+    this.readLog(entry, this.log.end);
   }
 
-  /** Tells an entry of all processes that are alive. */
+  /** Sends an entry the heartbeats of all live processes. */
   public gossip({ members }: ModelEntry): void {
     const now = this.clock.now();
     for (const worker of MODEL_WORKERS) {
-      members.hear(modelMember(worker, 'agent'), now);
+      members.applyHeartbeat(modelMember(worker, 'agent'), now);
     }
     for (const { instance } of this.entries) {
-      members.hear(modelMember(instance, 'entry'), now);
+      members.applyHeartbeat(modelMember(instance, 'entry'), now);
     }
   }
 
-  /** Kills an entry with its memory. */
+  /** Stops an entry without a hand-over; its claims are lost. */
   public kill(entry: ModelEntry): void {
-    this.dead.add(entry.instance);
+    this.killedInstances.add(entry.instance);
     this.entries.splice(this.entries.indexOf(entry), 1);
   }
 
-  /** Replaces an agent by one that remembers nothing. */
+  /** Replaces an agent by one without any claims. */
   public restartAgent(index: number): void {
     const worker = MODEL_WORKERS[index % MODEL_WORKERS.length] ?? '';
     const register = new ClaimRegister(this.clock.now());
-    register.noteLogEnd(this.log.end, register.memoryStart);
+    register.recordLogEnd(this.log.end, register.memoryStart);
     this.registers.set(worker, register);
   }
 
-  /** Sends a request under a key through an entry; runs it if it may run. */
+  /**
+   * Sends a request under a key through an entry. If it may run, records it as
+   * run, or releases the key if `isRun` is false.
+   */
   public async send(
     entry: ModelEntry,
     key: string,
@@ -127,8 +130,8 @@
   ): Promise<void> {
     const request = this.requestOf(key, requestId);
     const result = await Effect.runPromise(entry.claimer.claim(key, request));
-    await this.chance.pause();
-    if (result.kind !== 'first' || this.dead.has(entry.instance)) {
+    await this.scheduler.yieldControl();
+    if (result.kind !== 'first' || this.killedInstances.has(entry.instance)) {
       return;
     }
     if (!isRun) {
@@ -151,7 +154,7 @@
       unrepeatable: true,
       idempotencyKey: key,
       arrivedAt: now,
-      deadline: now + PATIENCE_MILLISECONDS,
+      deadline: now + CLAIM_TIMEOUT_MILLISECONDS,
     };
   }
 
@@ -190,11 +193,11 @@
     return {
       recall: (key, requestId) =>
         this.call(instance, () => {
-          const peer = this.entries.find(known => known.instance === instance);
+          const peer = this.entries.find(entry => entry.instance === instance);
           if (peer === undefined) {
             throw new Error('dead');
           }
-          const holder = peer.memory.note(key, requestId, this.clock.now());
+          const holder = peer.memory.claim(key, requestId, this.clock.now());
           return create(RecallResponseSchema, {
             instance,
             holderRequestId: holder === requestId ? '' : holder,
@@ -205,24 +208,24 @@
     };
   }
 
-  /** Carries one call and its answer, each of which may be lost. */
+  /** Simulates one call, whose message or answer may be lost. */
   private call<Answer>(
     peer: string,
     answer: () => Answer,
   ): Effect.Effect<Answer, PeerUnreachableError> {
-    const fate = this.chance.nextFate();
+    const fate = this.scheduler.nextFate();
     return Effect.tryPromise({
       try: async () => {
-        await this.chance.pause();
+        await this.scheduler.yieldControl();
         if (fate === 'lost') {
           throw new Error('the message was lost');
         }
-        const given = answer();
-        await this.chance.pause();
+        const result = answer();
+        await this.scheduler.yieldControl();
         if (fate === 'answer-lost') {
           throw new Error('the answer was lost');
         }
-        return given;
+        return result;
       },
       catch: error => new PeerUnreachableError('call', peer, error),
     });
--- a/packages/request-plane/tests/claim/model/model-log.ts
+++ b/packages/request-plane/tests/claim/model/model-log.ts
@@ -5,11 +5,11 @@
 
 const CELL = 'here/0';
 
-/** Workers of the model, with one minion each. */
+/** Workers of the simulation, with one minion each. */
 export const MODEL_WORKERS = ['worker-0', 'worker-1', 'worker-2'];
 
-/** Longer than the difference that is allowed between two clocks. */
-const SETTLING_MILLISECONDS = 2000;
+/** Longer than the largest allowed difference between two clocks. */
+const PLACEMENT_DELAY_MILLISECONDS = 2000;
 
 const NOTE = `[note]
 name = first
@@ -29,7 +29,7 @@
 minions = 3
 `;
 
-/** A log with a service of three minions, and what its holder decides. */
+/** A log with a service of three minions, and its lease holder's decisions. */
 export class ModelLog {
   private readonly records: StoredRecord[] = [];
 
@@ -50,7 +50,7 @@
 
   /** Places the minions long after their agents started. */
   public placeMinions(): void {
-    this.clock.advance(SETTLING_MILLISECONDS);
+    this.clock.advance(PLACEMENT_DELAY_MILLISECONDS);
     MODEL_WORKERS.forEach((_, minion) => {
       this.placeMinion(minion);
     });
--- a/packages/request-plane/tests/membership/member-table.test.ts
+++ b/packages/request-plane/tests/membership/member-table.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 
-import { homeEntries } from '../../src/membership/home-entries.js';
+import { entriesForAgent } from '../../src/membership/entries-for-agent.js';
 import type { Member } from '../../src/membership/member.js';
 import { MemberTable } from '../../src/membership/member-table.js';
 import { OwnMember } from '../../src/membership/own-member.js';
@@ -33,11 +33,11 @@
   return members.find('agent-1')?.member.state ?? 'unknown';
 }
 
-t.test('one witness suspects, two drop', t => {
+t.test('one observer suspects a member, two declare it dead', t => {
   const one = table('one');
   const two = table('two');
-  one.hear(agent, 1);
-  two.hear(agent, 1);
+  one.applyHeartbeat(agent, 1);
+  two.applyHeartbeat(agent, 1);
   one.sweep(2501);
   t.equal(stateIn(one), 'suspect');
   t.ok(one.ofRole('agent').length === 1);
@@ -50,14 +50,14 @@
 
 t.test('a heartbeat clears a suspicion', t => {
   const one = table('one');
-  one.hear(agent, 1);
+  one.applyHeartbeat(agent, 1);
   one.sweep(2501);
-  one.hear(agent, 2600);
+  one.applyHeartbeat(agent, 2600);
   t.equal(stateIn(one), 'alive');
   t.end();
 });
 
-t.test('an entry that a member never reported to does not drop it', t => {
+t.test('an entry that received no heartbeat does not declare death', t => {
   const far = table('far');
   far.merge([agent], 0);
   far.sweep(1_000_000);
@@ -66,47 +66,51 @@
 });
 
 t.test(
-  'a member that was dropped while paused must come back under a new incarnation',
+  'a member that was declared dead while paused returns with a new incarnation',
   t => {
     const one = table('one');
-    one.hear(agent, 1);
+    one.applyHeartbeat(agent, 1);
     one.sweep(9001);
     t.equal(stateIn(one), 'dead');
-    const told = one.hear(agent, 9100);
-    t.equal(told.state, 'dead');
+    const answer = one.applyHeartbeat(agent, 9100);
+    t.equal(answer.state, 'dead');
     const own = new OwnMember(agent);
-    t.ok(own.refute(told));
-    one.hear(own.get(), 9200);
+    t.ok(own.refute(answer));
+    one.applyHeartbeat(own.get(), 9200);
     t.equal(stateIn(one), 'alive');
     t.end();
   },
 );
 
-t.test('a leaving member stays leaving, whatever late news says', t => {
+t.test('a leaving member stays leaving, whatever late reports say', t => {
   const one = table('one');
-  one.hear({ ...agent, incarnation: 2, state: 'leaving' }, 0);
+  one.applyHeartbeat({ ...agent, incarnation: 2, state: 'leaving' }, 0);
   one.merge([agent], 10);
   one.merge([{ ...agent, state: 'suspect' }], 10);
   t.equal(stateIn(one), 'leaving');
   t.end();
 });
 
-t.test('an agent reports to few entries, and to the same ones', t => {
+t.test('an agent always selects the same three entries', t => {
   const entries = Array.from({ length: 14 }, (_, index) => `10.0.0.${index}:1`);
-  const homes = homeEntries('agent-1', entries);
-  t.equal(homes.length, 3);
-  t.same(homeEntries('agent-1', [...entries].reverse()), homes);
+  const selected = entriesForAgent('agent-1', entries);
+  t.equal(selected.length, 3);
+  t.same(entriesForAgent('agent-1', [...entries].reverse()), selected);
   t.end();
 });
 
-t.test('what was heard from a member outweighs the doubts of others', t => {
+t.test("a member's own heartbeat overrides the suspicion of others", t => {
   const members = table('one');
-  members.hear(agent, 1000);
+  members.applyHeartbeat(agent, 1000);
   members.merge([{ ...agent, state: 'dead', suspectedBy: ['two'] }], 1500);
   t.equal(stateIn(members), 'alive');
-  t.equal(members.hear(agent, 2000).state, 'suspect', 'it is told to outbid');
-  t.equal(members.hear(agent, 3000).state, 'alive', 'once');
+  t.equal(
+    members.applyHeartbeat(agent, 2000).state,
+    'suspect',
+    'the member is notified of the suspicion',
+  );
+  t.equal(members.applyHeartbeat(agent, 3000).state, 'alive', 'once');
   members.merge([{ ...agent, state: 'dead', suspectedBy: ['two'] }], 9000);
-  t.equal(stateIn(members), 'dead', 'after silence others are believed');
+  t.equal(stateIn(members), 'dead', 'others are believed once heartbeats stop');
   t.end();
 });
