--- a/packages/daemon/src/scheduling/cell-holder.ts
+++ b/packages/daemon/src/scheduling/cell-holder.ts
@@ -1,8 +1,8 @@
 import type { Clock } from '@basilcourse/foundation/clock/clock';
 import type { EventRecorder } from '@basilcourse/foundation/events/event-recorder';
 import type { IdentifierSource } from '@basilcourse/foundation/identifiers/identifier-source';
-import { GrantedLeases } from '@basilcourse/scheduler/cell/granted-leases';
 import { runTaskPerPeer } from '@basilcourse/request-plane/membership/run-task-per-peer';
+import { GrantedLeases } from '@basilcourse/scheduler/cell/granted-leases';
 import { newWorkerView } from '@basilcourse/scheduler/cell/new-worker-view';
 import type { WorkerView } from '@basilcourse/scheduler/cell/worker-view';
 import { WorkloadEstimator } from '@basilcourse/scheduler/learning/workload-estimator';
