refactor(platform-stand-in): recorders, faults and behaviour in the usual terms

The stand-ins named their observers "witness", the interference of tasks "harm", and their actions with words such as "forget" or "drained"; the doc comments did the same.

Exported names and members, old -> new: - RequestWitness -> RequestRecorder (upstream/request-witness.ts -> upstream/request-recorder.ts): began -> recordRun, doubled -> duplicateRuns - Witness -> ExecutionRecorder (worker/witness.ts -> worker/execution-recorder.ts): starts -> startCount, total -> violationCount, doubledFinishes -> duplicateFinishes, started -> recordStart, ended -> recordEnd, finishedAt -> recordFinish, assigned -> checkCapacity - RunnerOptions -> TaskRunnerOptions (worker/runner-options.ts -> worker/task-runner-options.ts): witness -> recorder - UpstreamBehaviour: slowness -> slowdownFactor, failingShare -> failedResponseShare, cutShare -> truncatedResponseShare - UpstreamStandIn: highestRunning -> maximumConcurrentRequests, arrivedOverSlots -> requestsAboveSlots, arrived -> receivedRequests, runningNow -> runningRequests - TaskBehaviour: harm -> interference, trueSeconds -> actualSeconds, failure -> failureReason - TaskHooks: started -> onStarted, stopping -> onStopping, stopped -> onStopped (with them UpstreamHost of packages/proving) - TaskRunner: isKnown -> hasAttempt, forget -> discardReport, drained -> completeStop, begin -> start - UsageHistory: note -> record, before -> samplesBefore

The comment on the failure share of an upstream named status 500; the status is 503.

What stays: paths, fields and error texts of the HTTP bodies, the fields of LogFaults and WorkerFaults (bodies of POST /faults), the kinds and texts of violations, reasons in reports, and the texts that seed the behaviour.

--- a/packages/platform-stand-in/src/log/log-faults.ts
+++ b/packages/platform-stand-in/src/log/log-faults.ts
@@ -1,20 +1,20 @@
-/** Faults of the log stand-in; each may change at any time. */
+/** Faults that the log stand-in injects; they can be changed while it runs. */
 export interface LogFaults {
-  /** Neither reads nor appends are answered. */
+  /** Reads and appends are rejected with status 503. */
   readonly down: boolean;
-  /** Delay of each answer. */
+  /** Delay before each request is processed. */
   readonly delayMilliseconds: number;
-  /** Share of appends whose answer is lost after they took effect. */
+  /** Share of appends that take effect but whose response is lost. */
   readonly lostAnswerShare: number;
-  /** Share of appends that are refused before they take effect. */
+  /** Share of appends that fail before they take effect. */
   readonly refusedShare: number;
-  /** Records kept; older ones vanish. */
+  /** Maximum number of records retained; the oldest are discarded first. */
   readonly keptRecords: number;
-  /** Appends taken in one second. */
+  /** Maximum number of appends accepted in one second. */
   readonly appendsPerSecond: number;
 }
 
-/** A log without faults. */
+/** Settings of a log without injected faults. */
 export const HEALTHY_LOG: LogFaults = {
   down: false,
   delayMilliseconds: 0,
--- a/packages/platform-stand-in/src/log/log-server.ts
+++ b/packages/platform-stand-in/src/log/log-server.ts
@@ -7,24 +7,27 @@
 import type { LogFaults } from './log-faults.js';
 import type { LogStandIn } from './log-stand-in.js';
 
-async function answering(work: () => Promise<unknown>): Promise<JsonResponse> {
+/** Turns the outcome of an operation into an HTTP response. */
+async function respondWith(
+  operation: () => Promise<unknown>,
+): Promise<JsonResponse> {
   try {
-    return { status: 200, body: await work() };
+    return { status: 200, body: await operation() };
   } catch (error) {
     const status = error instanceof PeerRefusedError ? error.status : 500;
     return { status, body: { error: messageOf(error) } };
   }
 }
 
-/** Serves a log stand-in over HTTP. */
+/** Creates the HTTP server of a log stand-in. */
 export function createLogServer(log: LogStandIn): JsonServer {
   return new JsonServer({
     'POST /records': ({ body }) =>
-      answering(async () => ({
+      respondWith(async () => ({
         offset: await log.append(body as RecordEnvelope),
       })),
     'GET /records': ({ query }) =>
-      answering(() =>
+      respondWith(() =>
         log.read(Number(query.get('from')), Number(query.get('maximum'))),
       ),
     'POST /faults': ({ body }) => {
--- a/packages/platform-stand-in/src/log/log-stand-in.ts
+++ b/packages/platform-stand-in/src/log/log-stand-in.ts
@@ -12,11 +12,11 @@
 
 const HTTP_TOO_MANY_REQUESTS = 429;
 
-const HTTP_UNAVAILABLE = 503;
+const HTTP_SERVICE_UNAVAILABLE = 503;
 
-const SECOND_MILLISECONDS = 1000;
+const RATE_WINDOW_MILLISECONDS = 1000;
 
-/** A small stand-in for the platform's append-only log, in memory. */
+/** An in-memory stand-in for the platform's append-only log. */
 export class LogStandIn implements PlatformLog {
   private records: StoredRecord[] = [];
 
@@ -24,39 +24,39 @@
 
   private faults: LogFaults = HEALTHY_LOG;
 
-  private secondStart = 0;
+  private windowStart = 0;
 
-  private appendsInSecond = 0;
+  private appendsInWindow = 0;
 
   public constructor(
     private readonly clock: Clock,
     private readonly random: RandomSource,
   ) {}
 
-  /** Offset that the next append will get. */
+  /** Offset that the next append will be assigned. */
   public get end(): number {
     return this.firstKept + this.records.length;
   }
 
   public setFaults(faults: Partial<LogFaults>): void {
     this.faults = { ...this.faults, ...faults };
-    this.dropOld();
+    this.discardOldRecords();
   }
 
   public readonly append = async (
     envelope: RecordEnvelope,
   ): Promise<number> => {
-    await this.delay();
-    this.refuseWhenDown('log.append');
-    this.throttle();
+    await this.delayResponse();
+    this.refuseIfDown('log.append');
+    this.enforceAppendRate();
     if (this.random.next() < this.faults.refusedShare) {
       throw new PeerUnreachableError('log.append', 'log', 'connection reset');
     }
     const offset = this.end;
-    // A copy, so that later changes by the writer stay without effect.
+    // Stores a copy, so that later changes to the caller's object have no effect.
     const copy = JSON.parse(JSON.stringify(envelope)) as RecordEnvelope;
     this.records.push({ offset, envelope: copy });
-    this.dropOld();
+    this.discardOldRecords();
     if (this.random.next() < this.faults.lostAnswerShare) {
       throw new PeerUnreachableError('log.append', 'log', 'answer lost');
     }
@@ -67,8 +67,8 @@
     from: number,
     maximum: number,
   ): Promise<LogPage> => {
-    await this.delay();
-    this.refuseWhenDown('log.read');
+    await this.delayResponse();
+    this.refuseIfDown('log.read');
     const start = Math.max(from, this.firstKept);
     const index = start - this.firstKept;
     const records = this.records.slice(index, index + maximum);
@@ -76,38 +76,43 @@
     return { records, firstKept: this.firstKept, next, end: this.end };
   };
 
-  private async delay(): Promise<void> {
+  private async delayResponse(): Promise<void> {
     const { delayMilliseconds } = this.faults;
     if (delayMilliseconds > 0) {
       await new Promise(resolve => setTimeout(resolve, delayMilliseconds));
     }
   }
 
-  private refuseWhenDown(step: string): void {
+  private refuseIfDown(step: string): void {
     if (this.faults.down) {
-      throw new PeerRefusedError(step, 'log', HTTP_UNAVAILABLE, 'outage');
+      throw new PeerRefusedError(
+        step,
+        'log',
+        HTTP_SERVICE_UNAVAILABLE,
+        'outage',
+      );
     }
   }
 
-  private throttle(): void {
+  private enforceAppendRate(): void {
     const now = this.clock.now();
-    if (now - this.secondStart >= SECOND_MILLISECONDS) {
-      this.secondStart = now;
-      this.appendsInSecond = 0;
+    if (now - this.windowStart >= RATE_WINDOW_MILLISECONDS) {
+      this.windowStart = now;
+      this.appendsInWindow = 0;
     }
-    this.appendsInSecond += 1;
-    if (this.appendsInSecond > this.faults.appendsPerSecond) {
+    this.appendsInWindow += 1;
+    if (this.appendsInWindow > this.faults.appendsPerSecond) {
       const reason = 'over the append rate';
       const status = HTTP_TOO_MANY_REQUESTS;
       throw new PeerRefusedError('log.append', 'log', status, reason);
     }
   }
 
-  private dropOld(): void {
-    const surplus = this.records.length - this.faults.keptRecords;
-    if (surplus > 0) {
-      this.records = this.records.slice(surplus);
-      this.firstKept += surplus;
+  private discardOldRecords(): void {
+    const excess = this.records.length - this.faults.keptRecords;
+    if (excess > 0) {
+      this.records = this.records.slice(excess);
+      this.firstKept += excess;
     }
   }
 }
--- a/packages/platform-stand-in/src/upstream/request-witness.ts
+++ b/packages/platform-stand-in/src/upstream/request-recorder.ts
@@ -1,10 +1,10 @@
-/** Counts the runs of each request, apart from the system under test. */
-export class RequestWitness {
+/** Counts the runs of each request independently of the system under test. */
+export class RequestRecorder {
   private readonly runsByRequest = new Map<string, number>();
 
   private readonly runsByKey = new Map<string, number>();
 
-  private doubledCount = 0;
+  private duplicateRunCount = 0;
 
   private runCount = 0;
 
@@ -12,9 +12,9 @@
     return this.runCount;
   }
 
-  /** Unrepeatable runs beyond the first. */
-  public get doubled(): number {
-    return this.doubledCount;
+  /** Number of runs of unrepeatable requests after the first run of each. */
+  public get duplicateRuns(): number {
+    return this.duplicateRunCount;
   }
 
   public hasRun(request: string): boolean {
@@ -25,8 +25,8 @@
     return this.runsByKey.has(key);
   }
 
-  /** Notes the begin of a run. */
-  public began(request: string, key: string, unrepeatable: boolean): void {
+  /** Records that a run has started. */
+  public recordRun(request: string, key: string, unrepeatable: boolean): void {
     this.runCount += 1;
     const runs = (this.runsByRequest.get(request) ?? 0) + 1;
     this.runsByRequest.set(request, runs);
@@ -35,7 +35,7 @@
       this.runsByKey.set(key, keyRuns);
     }
     if (unrepeatable && (runs > 1 || keyRuns > 1)) {
-      this.doubledCount += 1;
+      this.duplicateRunCount += 1;
     }
   }
 }
--- a/packages/platform-stand-in/src/upstream/upstream-behaviour.ts
+++ b/packages/platform-stand-in/src/upstream/upstream-behaviour.ts
@@ -1,11 +1,11 @@
-/** How an upstream stand-in serves. */
+/** Service times and injected faults of an upstream stand-in. */
 export interface UpstreamBehaviour {
-  /** Time of one request alone. */
+  /** Service time of one request without interference. */
   readonly serviceMilliseconds: () => number;
-  /** Factor on the service time at this moment; 1 for full speed. */
-  readonly slowness: () => number;
-  /** Share of answers that fail with status 500. */
-  readonly failingShare: number;
-  /** Share of answers cut off in the middle of the body. */
-  readonly cutShare: number;
+  /** Current factor on the service time; 1 for full speed. */
+  readonly slowdownFactor: () => number;
+  /** Share of responses with status 503. */
+  readonly failedResponseShare: number;
+  /** Share of responses that end in the middle of the body. */
+  readonly truncatedResponseShare: number;
 }
--- a/packages/platform-stand-in/src/upstream/upstream-stand-in.ts
+++ b/packages/platform-stand-in/src/upstream/upstream-stand-in.ts
@@ -5,17 +5,17 @@
 import { listenOn } from '@basilcourse/foundation/net/listen-on';
 import type { RandomSource } from '@basilcourse/foundation/random/random-source';
 
-import type { RequestWitness } from './request-witness.js';
+import type { RequestRecorder } from './request-recorder.js';
 import type { UpstreamBehaviour } from './upstream-behaviour.js';
 
-const HTTP_OVERLOADED = 503;
+const HTTP_SERVICE_UNAVAILABLE = 503;
 
 function headerOf(incoming: IncomingMessage, name: string): string {
   const value = incoming.headers[name];
   return typeof value === 'string' ? value : '';
 }
 
-async function readAll(incoming: IncomingMessage): Promise<Buffer> {
+async function readBody(incoming: IncomingMessage): Promise<Buffer> {
   const chunks: Buffer[] = [];
   for await (const chunk of incoming) {
     chunks.push(chunk as Buffer);
@@ -23,17 +23,17 @@
   return Buffer.concat(chunks);
 }
 
-/** A small stand-in for one minion of a service. */
+/** A stand-in for one minion of a service. */
 export class UpstreamStandIn {
   private readonly server: Server;
 
   private running = 0;
 
-  private highest = 0;
+  private maximumRunning = 0;
 
-  private overSlots = 0;
+  private arrivalsAboveSlots = 0;
 
-  private arrivals = 0;
+  private arrivalCount = 0;
 
   private readonly idleListeners: (() => void)[] = [];
 
@@ -41,7 +41,7 @@
     public readonly name: string,
     private readonly slots: number,
     private readonly behaviour: UpstreamBehaviour,
-    private readonly witness: RequestWitness,
+    private readonly recorder: RequestRecorder,
     private readonly random: RandomSource,
   ) {
     this.server = createServer((incoming, outgoing) => {
@@ -49,22 +49,22 @@
     });
   }
 
-  /** Largest number of requests that ran at once. */
-  public get highestRunning(): number {
-    return this.highest;
+  /** Largest number of requests that ran concurrently. */
+  public get maximumConcurrentRequests(): number {
+    return this.maximumRunning;
   }
 
-  /** Requests that arrived while all slots were taken. */
-  public get arrivedOverSlots(): number {
-    return this.overSlots;
+  /** Number of requests that arrived while all slots were in use. */
+  public get requestsAboveSlots(): number {
+    return this.arrivalsAboveSlots;
   }
 
-  /** Requests that arrived at all. */
-  public get arrived(): number {
-    return this.arrivals;
+  /** Number of requests received. */
+  public get receivedRequests(): number {
+    return this.arrivalCount;
   }
 
-  public get runningNow(): number {
+  public get runningRequests(): number {
     return this.running;
   }
 
@@ -72,13 +72,13 @@
     return listenOn(this.server, address);
   }
 
-  /** Cuts everything off at once, as when the process is killed. */
+  /** Closes all connections immediately, as when the process is killed. */
   public async kill(): Promise<void> {
     this.server.closeAllConnections();
     await closeServer(this.server);
   }
 
-  /** Calls back when no request is running. */
+  /** Calls the listener once no request is running. */
   public whenIdle(listener: () => void): void {
     if (this.running === 0) {
       listener();
@@ -91,20 +91,20 @@
     incoming: IncomingMessage,
     outgoing: ServerResponse,
   ): Promise<void> {
-    const body = await readAll(incoming);
-    this.witness.began(
+    const body = await readBody(incoming);
+    this.recorder.recordRun(
       headerOf(incoming, 'basilcourse-request-id'),
       headerOf(incoming, 'idempotency-key'),
       headerOf(incoming, 'basilcourse-unrepeatable') === 'true',
     );
-    this.arrivals += 1;
+    this.arrivalCount += 1;
     this.running += 1;
-    this.highest = Math.max(this.highest, this.running);
+    this.maximumRunning = Math.max(this.maximumRunning, this.running);
     if (this.running > this.slots) {
-      this.overSlots += 1;
+      this.arrivalsAboveSlots += 1;
     }
     try {
-      await this.work(incoming, outgoing, body);
+      await this.processRequest(incoming, outgoing, body);
     } finally {
       this.running -= 1;
       if (this.running === 0) {
@@ -115,14 +115,14 @@
     }
   }
 
-  private async work(
+  private async processRequest(
     incoming: IncomingMessage,
     outgoing: ServerResponse,
     body: Buffer,
   ): Promise<void> {
-    const { serviceMilliseconds, slowness } = this.behaviour;
-    const duration = serviceMilliseconds() * slowness();
-    const left = new Promise<boolean>(resolve => {
+    const { serviceMilliseconds, slowdownFactor } = this.behaviour;
+    const duration = serviceMilliseconds() * slowdownFactor();
+    const disconnected = new Promise<boolean>(resolve => {
       const timer = setTimeout(() => {
         resolve(false);
       }, duration);
@@ -131,32 +131,33 @@
         resolve(true);
       });
     });
-    if (await left) {
+    if (await disconnected) {
       return;
     }
-    const answer = Buffer.from(
+    const content = Buffer.from(
       JSON.stringify({
         minion: this.name,
         path: incoming.url,
         echo: body.toString('utf8'),
       }),
     );
-    this.answer(outgoing, answer);
+    this.sendResponse(outgoing, content);
   }
 
-  private answer(outgoing: ServerResponse, answer: Buffer): void {
-    const failing = this.random.next() < this.behaviour.failingShare;
-    const cut = this.random.next() < this.behaviour.cutShare;
-    const status = failing ? HTTP_OVERLOADED : 200;
+  private sendResponse(outgoing: ServerResponse, content: Buffer): void {
+    const failed = this.random.next() < this.behaviour.failedResponseShare;
+    const truncated =
+      this.random.next() < this.behaviour.truncatedResponseShare;
+    const status = failed ? HTTP_SERVICE_UNAVAILABLE : 200;
     outgoing.writeHead(status, {
       'content-type': 'application/json',
-      'content-length': answer.length,
+      'content-length': content.length,
     });
-    if (cut) {
-      outgoing.write(answer.subarray(0, answer.length / 2));
+    if (truncated) {
+      outgoing.write(content.subarray(0, content.length / 2));
       setImmediate(() => outgoing.destroy());
       return;
     }
-    outgoing.end(answer);
+    outgoing.end(content);
   }
 }
--- a/packages/platform-stand-in/src/worker/running-task.ts
+++ b/packages/platform-stand-in/src/worker/running-task.ts
@@ -1,15 +1,15 @@
 import type { StartCommand } from '@basilcourse/scheduler/platform/start-command';
 
-/** One attempt on a worker stand-in. */
+/** One attempt that runs on a worker stand-in. */
 export interface RunningTask {
   readonly command: StartCommand;
   readonly startedAt: number;
   readonly leaseUntil: number;
-  /** Work done, in seconds of a run alone. */
+  /** Completed work, in seconds of a run without interference. */
   readonly doneSeconds: number;
-  /** Work that the most recent checkpoint holds. */
+  /** Completed work that the most recent checkpoint covers. */
   readonly checkpointSeconds: number;
   readonly throttle: number;
-  /** Time at which a graceful end is due; 0 while none is wanted. */
+  /** Time at which the grace period ends; 0 while no stop is requested. */
   readonly stopAt: number;
 }
--- a/packages/platform-stand-in/src/worker/seeded-behaviour.ts
+++ b/packages/platform-stand-in/src/worker/seeded-behaviour.ts
@@ -2,30 +2,37 @@
 
 import type { TaskBehaviour } from './task-behaviour.js';
 
-const LARGEST_HARM = 0.35;
+const MAXIMUM_INTERFERENCE = 0.35;
 
-const HARMLESS_SHARE = 0.5;
+const INTERFERENCE_FREE_SHARE = 0.5;
 
-const LARGEST_INTEGER = 2 ** 32;
+const UNSIGNED_INTEGER_RANGE = 2 ** 32;
 
-/** Number from 0 to 1 that depends on all of the seed and the text. */
-function draw(seed: number, text: string): number {
+/** Pseudorandom number from 0 to 1, derived from the seed and the text. */
+function pseudorandomFraction(seed: number, text: string): number {
   const digest = createHash('sha256').update(`${seed} ${text}`).digest();
-  return digest.readUInt32BE(0) / LARGEST_INTEGER;
+  return digest.readUInt32BE(0) / UNSIGNED_INTEGER_RANGE;
 }
 
-/** Behaviour drawn from a seed: pairs harm each other or do not. */
+/**
+ * Creates a behaviour that depends only on the seed. About half of the ordered
+ * pairs of task kinds cause no interference.
+ */
 export function seededBehaviour(seed: number): TaskBehaviour {
   return {
-    harm: (sufferer, neighbour) => {
-      const drawn = draw(seed, `harm ${sufferer} ${neighbour}`);
-      const harmful = Math.max(0, drawn - HARMLESS_SHARE);
-      return (harmful / (1 - HARMLESS_SHARE)) * LARGEST_HARM;
+    interference: (taskKind, neighbour) => {
+      const fraction = pseudorandomFraction(
+        seed,
+        `harm ${taskKind} ${neighbour}`,
+      );
+      const excess = Math.max(0, fraction - INTERFERENCE_FREE_SHARE);
+      return (excess / (1 - INTERFERENCE_FREE_SHARE)) * MAXIMUM_INTERFERENCE;
     },
-    trueSeconds: command =>
+    actualSeconds: command =>
       command.declaredSeconds *
-      (0.5 + 1.5 * draw(seed, `time ${command.task}`)),
-    usedShare: taskKind => 0.4 + 0.6 * draw(seed, `size ${taskKind}`),
-    failure: () => '',
+      (0.5 + 1.5 * pseudorandomFraction(seed, `time ${command.task}`)),
+    usedShare: taskKind =>
+      0.4 + 0.6 * pseudorandomFraction(seed, `size ${taskKind}`),
+    failureReason: () => '',
   };
 }
--- a/packages/platform-stand-in/src/worker/task-behaviour.ts
+++ b/packages/platform-stand-in/src/worker/task-behaviour.ts
@@ -1,13 +1,13 @@
 import type { StartCommand } from '@basilcourse/scheduler/platform/start-command';
 
-/** How tasks behave, unseen by the scheduler. */
+/** Actual behaviour of tasks, which the scheduler can only estimate. */
 export interface TaskBehaviour {
-  /** Slowdown of the first kind for each neighbour of the second. */
-  readonly harm: (sufferer: string, neighbour: string) => number;
-  /** True run time of a job alone, in seconds. */
-  readonly trueSeconds: (command: StartCommand) => number;
-  /** Share of the declared size that the kind really uses. */
+  /** Slowdown of a task for each neighbour of the given kind. */
+  readonly interference: (taskKind: string, neighbour: string) => number;
+  /** Actual run time of a job without interference, in seconds. */
+  readonly actualSeconds: (command: StartCommand) => number;
+  /** Share of the declared resources that a task of the kind uses. */
   readonly usedShare: (taskKind: string) => number;
-  /** Why a job fails wherever it runs; empty when it does not. */
-  readonly failure: (command: StartCommand) => string;
+  /** Why a job fails at its start on any worker; empty if it does not fail. */
+  readonly failureReason: (command: StartCommand) => string;
 }
--- a/packages/platform-stand-in/src/worker/task-hooks.ts
+++ b/packages/platform-stand-in/src/worker/task-hooks.ts
@@ -1,9 +1,9 @@
 import type { StartCommand } from '@basilcourse/scheduler/platform/start-command';
 
-/** Called when attempts start and stop, to run real upstreams. */
+/** Callbacks for the start and stop of attempts, used to run real upstreams. */
 export interface TaskHooks {
-  readonly started: (command: StartCommand) => void;
-  /** A graceful end was asked for. */
-  readonly stopping: (attempt: string) => void;
-  readonly stopped: (attempt: string) => void;
+  readonly onStarted: (command: StartCommand) => void;
+  /** Called when a graceful stop is requested. */
+  readonly onStopping: (attempt: string) => void;
+  readonly onStopped: (attempt: string) => void;
 }
--- a/packages/platform-stand-in/src/worker/task-runner.ts
+++ b/packages/platform-stand-in/src/worker/task-runner.ts
@@ -5,14 +5,14 @@
 import type { WorkerReport } from '@basilcourse/scheduler/platform/worker-report';
 import { sumOf } from '@basilcourse/shared-state/resources/sum-of';
 
-import type { RunnerOptions } from './runner-options.js';
 import type { RunningTask } from './running-task.js';
+import type { TaskRunnerOptions } from './task-runner-options.js';
 import { UsageHistory } from './usage-history.js';
 
-/** Time between the checkpoints that a job takes by itself. */
-const CHECKPOINT_SECONDS = 60;
+/** Completed work between the checkpoints that a job writes on its own. */
+const CHECKPOINT_INTERVAL_SECONDS = 60;
 
-/** The tasks of a worker stand-in; moved on by `advance`. */
+/** Simulates the tasks of a worker; their time passes only in `advance`. */
 export class TaskRunner {
   private readonly running = new Map<string, RunningTask>();
 
@@ -20,10 +20,10 @@
 
   private readonly usage = new UsageHistory();
 
-  private advancedTo: number;
+  private simulatedUntil: number;
 
-  public constructor(private readonly options: RunnerOptions) {
-    this.advancedTo = options.clock.now();
+  public constructor(private readonly options: TaskRunnerOptions) {
+    this.simulatedUntil = options.clock.now();
   }
 
   private get name(): string {
@@ -34,24 +34,24 @@
     return [...this.running.values()];
   }
 
-  /** Forgets all tasks without a report. */
+  /** Removes all tasks without reporting them. */
   public clear(): void {
     for (const task of this.running.values()) {
-      this.options.witness.ended(task.command.task, this.placeOf(task));
-      this.options.hooks?.stopped(task.command.attempt);
+      this.options.recorder.recordEnd(task.command.task, this.placeOf(task));
+      this.options.hooks?.onStopped(task.command.attempt);
     }
     this.running.clear();
     this.ended.clear();
     this.usage.clear();
   }
 
-  /** Relative slowdown that an attempt suffers now. */
+  /** Current relative slowdown of an attempt caused by interference. */
   public slowdownOf(attempt: string): number {
     const task = this.running.get(attempt);
     return task === undefined ? 0 : 1 / this.speedOf(task) - 1;
   }
 
-  public isKnown(attempt: string): boolean {
+  public hasAttempt(attempt: string): boolean {
     return this.running.has(attempt) || this.ended.has(attempt);
   }
 
@@ -67,7 +67,7 @@
     }
   }
 
-  public forget(attempt: string): void {
+  public discardReport(attempt: string): void {
     this.ended.delete(attempt);
   }
 
@@ -78,17 +78,17 @@
     }
   }
 
-  /** Report of all tasks, with usage no younger than the given time. */
+  /** Reports all tasks, with usage sampled no later than the given time. */
   public report(usageBefore: number): WorkerReport {
     const running = this.tasks.map(task => this.reportOf(task));
     return {
       worker: this.name,
       tasks: [...running, ...this.ended.values()],
-      usage: this.usage.before(usageBefore),
+      usage: this.usage.samplesBefore(usageBefore),
     };
   }
 
-  /** Begins the graceful end of a running attempt. */
+  /** Starts the graceful stop of a running attempt. */
   public stop(command: StopCommand, now: number): void {
     const task = this.running.get(command.attempt);
     if (task?.stopAt !== 0) {
@@ -97,68 +97,71 @@
     const checkpointSeconds = command.checkpoint
       ? task.doneSeconds
       : task.checkpointSeconds;
-    const waits =
+    const hasGracePeriod =
       this.options.hooks !== undefined && task.command.role === 'service';
-    const stopAt = now + (waits ? command.graceMilliseconds : 0);
+    const stopAt = now + (hasGracePeriod ? command.graceMilliseconds : 0);
     this.running.set(command.attempt, { ...task, checkpointSeconds, stopAt });
-    this.options.hooks?.stopping(command.attempt);
+    this.options.hooks?.onStopping(command.attempt);
   }
 
-  /** Moves the tasks on to the given time. */
+  /** Advances all tasks to the given time. */
   public advance(now: number): void {
-    const seconds = Math.max(0, now - this.advancedTo) / 1000;
-    this.advancedTo = Math.max(now, this.advancedTo);
+    const seconds = Math.max(0, now - this.simulatedUntil) / 1000;
+    this.simulatedUntil = Math.max(now, this.simulatedUntil);
     for (const [attempt, task] of this.running) {
       const speed = this.speedOf(task);
-      this.running.set(attempt, this.progressed(task, seconds * speed));
+      this.running.set(attempt, this.withProgress(task, seconds * speed));
     }
     for (const task of this.tasks) {
       this.endIfDue(task, now);
     }
-    this.usage.note(
+    this.usage.record(
       this.tasks.map(task => this.sampleOf(task, now)),
       now,
     );
   }
 
-  /** Called when the graceful end of an attempt is complete. */
-  public drained(attempt: string): void {
+  /** Ends an attempt whose graceful stop is complete. */
+  public completeStop(attempt: string): void {
     const task = this.running.get(attempt);
     if (task !== undefined) {
       this.end(task, 'stopped', 'graceful end');
     }
   }
 
-  /** Starts an attempt; it fails at once when a reason is given. */
-  public begin(command: StartCommand, now: number, failure: string): void {
-    const { witness, behaviour, hooks, description } = this.options;
-    const resumed = Number(command.checkpoint.split('@')[1] ?? 0);
+  /** Starts an attempt; it fails immediately if a reason is given. */
+  public start(command: StartCommand, now: number, failure: string): void {
+    const { recorder, behaviour, hooks, description } = this.options;
+    const resumedSeconds = Number(command.checkpoint.split('@')[1] ?? 0);
     const task: RunningTask = {
       command,
       startedAt: now,
       leaseUntil: command.leaseUntil,
-      doneSeconds: resumed,
-      checkpointSeconds: resumed,
+      doneSeconds: resumedSeconds,
+      checkpointSeconds: resumedSeconds,
       throttle: 1,
       stopAt: 0,
     };
     this.running.set(command.attempt, task);
-    witness.started(command.task, this.placeOf(task), now);
+    recorder.recordStart(command.task, this.placeOf(task), now);
     const sizes = this.tasks.map(other => other.command.resources);
-    witness.assigned(this.name, sumOf(sizes), description.resources, now);
-    const reason = failure === '' ? behaviour.failure(command) : failure;
+    recorder.checkCapacity(this.name, sumOf(sizes), description.resources, now);
+    const reason = failure === '' ? behaviour.failureReason(command) : failure;
     if (reason !== '') {
       this.end(task, 'failed', reason);
       return;
     }
-    hooks?.started(command);
+    hooks?.onStarted(command);
   }
 
-  private progressed(task: RunningTask, doneNow: number): RunningTask {
-    const doneSeconds = task.doneSeconds + doneNow;
-    const due = doneSeconds - task.checkpointSeconds >= CHECKPOINT_SECONDS;
-    const takes = due && task.command.role === 'job';
-    const checkpointSeconds = takes ? doneSeconds : task.checkpointSeconds;
+  private withProgress(task: RunningTask, addedSeconds: number): RunningTask {
+    const doneSeconds = task.doneSeconds + addedSeconds;
+    const isCheckpointDue =
+      doneSeconds - task.checkpointSeconds >= CHECKPOINT_INTERVAL_SECONDS;
+    const writesCheckpoint = isCheckpointDue && task.command.role === 'job';
+    const checkpointSeconds = writesCheckpoint
+      ? doneSeconds
+      : task.checkpointSeconds;
     return { ...task, doneSeconds, checkpointSeconds };
   }
 
@@ -166,7 +169,7 @@
     const { command } = task;
     const isDone =
       command.role === 'job' &&
-      task.doneSeconds >= this.options.behaviour.trueSeconds(command);
+      task.doneSeconds >= this.options.behaviour.actualSeconds(command);
     if (isDone) {
       this.end(task, 'finished', '');
     } else if (task.stopAt > 0 && now >= task.stopAt) {
@@ -181,15 +184,15 @@
     state: TaskReport['state'],
     reason: string,
   ): void {
-    const { witness, hooks } = this.options;
+    const { recorder, hooks } = this.options;
     const { attempt, task: name } = task.command;
     this.running.delete(attempt);
     this.ended.set(attempt, { ...this.reportOf(task), state, reason });
-    witness.ended(name, this.placeOf(task));
+    recorder.recordEnd(name, this.placeOf(task));
     if (state === 'finished') {
-      witness.finishedAt(name);
+      recorder.recordFinish(name);
     }
-    hooks?.stopped(attempt);
+    hooks?.onStopped(attempt);
   }
 
   private reportOf(task: RunningTask): TaskReport {
@@ -227,8 +230,8 @@
     for (const other of this.running.values()) {
       if (other.command.attempt !== task.command.attempt) {
         const kind = task.command.taskKind;
-        const harm = behaviour.harm(kind, other.command.taskKind);
-        slowdown += harm * other.throttle;
+        const added = behaviour.interference(kind, other.command.taskKind);
+        slowdown += added * other.throttle;
       }
     }
     return task.throttle / (1 + slowdown);
--- a/packages/platform-stand-in/src/worker/usage-history.ts
+++ b/packages/platform-stand-in/src/worker/usage-history.ts
@@ -2,32 +2,32 @@
 
 const SAMPLE_INTERVAL_MILLISECONDS = 1000;
 
-const MAXIMUM_POINTS = 300;
+const MAXIMUM_MEASUREMENTS = 300;
 
-interface UsagePoint {
+interface UsageMeasurement {
   readonly at: number;
   readonly samples: readonly UsageSample[];
 }
 
-/** Usage of a worker over time, reported with a lag. */
+/** Resource usage of a worker over time, reported with a delay. */
 export class UsageHistory {
-  private points: UsagePoint[] = [];
+  private measurements: UsageMeasurement[] = [];
 
-  public note(samples: readonly UsageSample[], at: number): void {
-    const last = this.points.at(-1)?.at ?? Number.NEGATIVE_INFINITY;
+  public record(samples: readonly UsageSample[], at: number): void {
+    const last = this.measurements.at(-1)?.at ?? Number.NEGATIVE_INFINITY;
     if (at - last >= SAMPLE_INTERVAL_MILLISECONDS) {
-      this.points.push({ at, samples });
-      this.points = this.points.slice(-MAXIMUM_POINTS);
+      this.measurements.push({ at, samples });
+      this.measurements = this.measurements.slice(-MAXIMUM_MEASUREMENTS);
     }
   }
 
-  /** Samples of the most recent point that is old enough. */
-  public before(time: number): UsageSample[] {
-    const point = this.points.findLast(({ at }) => at <= time);
-    return [...(point?.samples ?? [])];
+  /** Returns the latest samples taken at or before the given time. */
+  public samplesBefore(time: number): UsageSample[] {
+    const measurement = this.measurements.findLast(({ at }) => at <= time);
+    return [...(measurement?.samples ?? [])];
   }
 
   public clear(): void {
-    this.points = [];
+    this.measurements = [];
   }
 }
--- a/packages/platform-stand-in/src/worker/violation.ts
+++ b/packages/platform-stand-in/src/worker/violation.ts
@@ -1,4 +1,4 @@
-/** A promise that the stand-ins saw broken. */
+/** A violation of an invariant, as observed by the stand-ins. */
 export interface Violation {
   readonly kind: 'doubled' | 'overcommitted';
   readonly text: string;
--- a/packages/platform-stand-in/src/worker/worker-faults.ts
+++ b/packages/platform-stand-in/src/worker/worker-faults.ts
@@ -1,16 +1,16 @@
-/** Faults of a worker stand-in; each may change at any time. */
+/** Faults that a worker stand-in injects; they can be changed while it runs. */
 export interface WorkerFaults {
-  /** Answers nothing, though its tasks run on. */
+  /** All commands fail as unreachable, but the tasks continue to run. */
   readonly unreachable: boolean;
-  /** Every task fails right after its start. */
+  /** Every task fails immediately after its start. */
   readonly failEveryStart: boolean;
-  /** Share of commands whose answer is lost after the effect. */
+  /** Share of commands that take effect but whose response is lost. */
   readonly lostAnswerShare: number;
-  /** Age of the usage samples that it reports. */
+  /** Minimum age of the usage samples in a report. */
   readonly reportLagMilliseconds: number;
 }
 
-/** A worker without faults. */
+/** Settings of a worker without injected faults. */
 export const HEALTHY_WORKER: WorkerFaults = {
   unreachable: false,
   failEveryStart: false,
--- a/packages/platform-stand-in/src/worker/worker-server.ts
+++ b/packages/platform-stand-in/src/worker/worker-server.ts
@@ -14,26 +14,29 @@
   readonly share: number;
 }
 
-async function answering(work: () => Promise<unknown>): Promise<JsonResponse> {
+/** Turns the outcome of an operation into an HTTP response. */
+async function respondWith(
+  operation: () => Promise<unknown>,
+): Promise<JsonResponse> {
   try {
-    return { status: 200, body: (await work()) ?? {} };
+    return { status: 200, body: (await operation()) ?? {} };
   } catch (error) {
     const status = error instanceof PeerRefusedError ? error.status : 500;
     return { status, body: { error: messageOf(error) } };
   }
 }
 
-/** Serves a worker stand-in over HTTP. */
+/** Creates the HTTP server of a worker stand-in. */
 export function createWorkerServer(worker: WorkerStandIn): JsonServer {
   return new JsonServer({
     'POST /sync': ({ body }) =>
-      answering(() => worker.sync(body as SyncCommand)),
+      respondWith(() => worker.sync(body as SyncCommand)),
     'POST /start': ({ body }) =>
-      answering(() => worker.start(body as StartCommand)),
+      respondWith(() => worker.start(body as StartCommand)),
     'POST /stop': ({ body }) =>
-      answering(() => worker.stop(body as StopCommand)),
+      respondWith(() => worker.stop(body as StopCommand)),
     'POST /throttle': ({ body }) =>
-      answering(() => {
+      respondWith(() => {
         const { attempt, share } = body as ThrottleBody;
         return worker.throttle(attempt, share);
       }),
--- a/packages/platform-stand-in/src/worker/worker-stand-in.ts
+++ b/packages/platform-stand-in/src/worker/worker-stand-in.ts
@@ -6,8 +6,8 @@
 import type { SyncCommand } from '@basilcourse/scheduler/platform/sync-command';
 import type { WorkerReport } from '@basilcourse/scheduler/platform/worker-report';
 
-import type { RunnerOptions } from './runner-options.js';
 import { TaskRunner } from './task-runner.js';
+import type { TaskRunnerOptions } from './task-runner-options.js';
 import type { WorkerFaults } from './worker-faults.js';
 import { HEALTHY_WORKER } from './worker-faults.js';
 
@@ -16,17 +16,17 @@
 const HTTP_NOT_FOUND = 404;
 
 /**
- * A small stand-in for one worker of the platform.
+ * A stand-in for one worker of the platform.
  *
- * It starts what it is given, whether it fits or not, and moves its tasks on
- * whenever it is asked something.
+ * It starts every task that it is sent, even beyond its capacity, and advances
+ * its tasks to the current time whenever it handles a command.
  */
 export class WorkerStandIn implements PlatformWorker {
   public readonly runner: TaskRunner;
 
   private faults: WorkerFaults = HEALTHY_WORKER;
 
-  public constructor(private readonly options: RunnerOptions) {
+  public constructor(private readonly options: TaskRunnerOptions) {
     this.runner = new TaskRunner(options);
   }
 
@@ -39,45 +39,51 @@
   }
 
   public readonly sync = (command: SyncCommand): Promise<WorkerReport> =>
-    this.answer('worker.sync', now => {
+    this.handleCommand('worker.sync', now => {
       for (const renewal of command.renewals) {
         this.runner.renew(renewal);
       }
       for (const attempt of command.acknowledged) {
-        this.runner.forget(attempt);
+        this.runner.discardReport(attempt);
       }
       return this.runner.report(now - this.faults.reportLagMilliseconds);
     });
 
   public readonly start = (command: StartCommand): Promise<void> =>
-    this.answer('worker.start', now => {
+    this.handleCommand('worker.start', now => {
       if (command.leaseUntil <= now) {
         const reason = 'the lease has lapsed';
-        throw this.refusal('worker.start', HTTP_CONFLICT, reason);
+        throw this.createRefusal('worker.start', HTTP_CONFLICT, reason);
       }
-      if (!this.runner.isKnown(command.attempt)) {
-        const broken = this.faults.failEveryStart ? 'the worker is broken' : '';
-        this.runner.begin(command, now, broken);
+      if (!this.runner.hasAttempt(command.attempt)) {
+        const failureReason = this.faults.failEveryStart
+          ? 'the worker is broken'
+          : '';
+        this.runner.start(command, now, failureReason);
       }
     });
 
   public readonly stop = (command: StopCommand): Promise<void> =>
-    this.answer('worker.stop', now => {
+    this.handleCommand('worker.stop', now => {
       if (!this.runner.isRunning(command.attempt)) {
-        throw this.refusal('worker.stop', HTTP_NOT_FOUND, 'unknown attempt');
+        throw this.createRefusal(
+          'worker.stop',
+          HTTP_NOT_FOUND,
+          'unknown attempt',
+        );
       }
       this.runner.stop(command, now);
       this.runner.advance(now);
     });
 
   public readonly throttle = (attempt: string, share: number): Promise<void> =>
-    this.answer('worker.throttle', () => {
+    this.handleCommand('worker.throttle', () => {
       this.runner.throttle(attempt, share);
     });
 
-  private async answer<Result>(
+  private async handleCommand<Result>(
     step: string,
-    work: (now: number) => Result,
+    operation: (now: number) => Result,
   ): Promise<Result> {
     await Promise.resolve();
     if (this.faults.unreachable) {
@@ -85,14 +91,14 @@
     }
     const now = this.options.clock.now();
     this.runner.advance(now);
-    const result = work(now);
+    const result = operation(now);
     if (this.options.random.next() < this.faults.lostAnswerShare) {
       throw new PeerUnreachableError(step, this.name, 'answer lost');
     }
     return result;
   }
 
-  private refusal(
+  private createRefusal(
     step: string,
     status: number,
     reason: string,
--- a/packages/proving/src/demo/main.ts
+++ b/packages/proving/src/demo/main.ts
@@ -87,9 +87,9 @@
     taskBehaviour: seededBehaviour(SEED),
     upstreamBehaviour: () => ({
       serviceMilliseconds: () => 4 + 8 * random.next(),
-      slowness: () => 1,
-      failingShare: 0,
-      cutShare: 0,
+      slowdownFactor: () => 1,
+      failedResponseShare: 0,
+      truncatedResponseShare: 0,
     }),
   });
   await deployment.start();
@@ -124,7 +124,9 @@
     REQUESTS - count('completed') - count('not-run') - count('unknown');
   const { witness, requestWitness } = deployment;
   const doubled =
-    requestWitness.doubled + witness.total + witness.doubledFinishes;
+    requestWitness.duplicateRuns +
+    witness.violationCount +
+    witness.duplicateFinishes;
   print(
     `demo: requests ${count('completed')} completed, ${count('not-run')} not run, ${count('unknown')} unknown; batch jobs ${witness.finished} finished; ${lost} lost, ${doubled} doubled`,
   );
--- a/packages/proving/src/deployment/deployment.ts
+++ b/packages/proving/src/deployment/deployment.ts
@@ -10,8 +10,8 @@
 import { seededRandom } from '@basilcourse/foundation/random/seeded-random';
 import { createLogServer } from '@basilcourse/platform-stand-in/log/log-server';
 import { LogStandIn } from '@basilcourse/platform-stand-in/log/log-stand-in';
-import { RequestWitness } from '@basilcourse/platform-stand-in/upstream/request-witness';
-import { Witness } from '@basilcourse/platform-stand-in/worker/witness';
+import { RequestRecorder } from '@basilcourse/platform-stand-in/upstream/request-recorder';
+import { ExecutionRecorder } from '@basilcourse/platform-stand-in/worker/execution-recorder';
 import { createWorkerServer } from '@basilcourse/platform-stand-in/worker/worker-server';
 import { WorkerStandIn } from '@basilcourse/platform-stand-in/worker/worker-stand-in';
 import { HttpPlatformWorker } from '@basilcourse/scheduler/platform/http-platform-worker';
@@ -28,9 +28,9 @@
 export class Deployment {
   public readonly log: LogStandIn;
 
-  public readonly witness = new Witness();
+  public readonly witness = new ExecutionRecorder();
 
-  public readonly requestWitness = new RequestWitness();
+  public readonly requestWitness = new RequestRecorder();
 
   public readonly entries: EntryNode[] = [];
 
@@ -134,14 +134,14 @@
       behaviourOf: this.plan.upstreamBehaviour,
       agentAddress: () => this.vms[index]?.agent?.localAddress ?? '',
       drained: attempt => {
-        worker.runner.drained(attempt);
+        worker.runner.completeStop(attempt);
       },
     });
     const worker = new WorkerStandIn({
       description: this.descriptionOf(index, ''),
       clock: systemClock,
       random,
-      witness: this.witness,
+      recorder: this.witness,
       behaviour: this.plan.taskBehaviour,
       hooks: host,
     });
--- a/packages/proving/src/deployment/upstream-host.ts
+++ b/packages/proving/src/deployment/upstream-host.ts
@@ -1,6 +1,6 @@
 import { callJson } from '@basilcourse/foundation/http/call-json';
 import type { RandomSource } from '@basilcourse/foundation/random/random-source';
-import type { RequestWitness } from '@basilcourse/platform-stand-in/upstream/request-witness';
+import type { RequestRecorder } from '@basilcourse/platform-stand-in/upstream/request-recorder';
 import type { UpstreamBehaviour } from '@basilcourse/platform-stand-in/upstream/upstream-behaviour';
 import { UpstreamStandIn } from '@basilcourse/platform-stand-in/upstream/upstream-stand-in';
 import type { TaskHooks } from '@basilcourse/platform-stand-in/worker/task-hooks';
@@ -12,7 +12,7 @@
 
 /** Parts of the upstreams of one VM. */
 interface HostParts {
-  readonly witness: RequestWitness;
+  readonly witness: RequestRecorder;
   readonly random: RandomSource;
   readonly behaviourOf: (attempt: string) => UpstreamBehaviour;
   /** Local address of the agent on the VM; empty while there is none. */
@@ -39,7 +39,7 @@
     return [...this.hosted.values()].map(({ upstream }) => upstream);
   }
 
-  public readonly started = (command: StartCommand): void => {
+  public readonly onStarted = (command: StartCommand): void => {
     if (command.role === 'service') {
       void this.begin(command);
     }
@@ -54,7 +54,7 @@
     }
   }
 
-  public readonly stopping = (attempt: string): void => {
+  public readonly onStopping = (attempt: string): void => {
     const known = this.hosted.get(attempt);
     if (known === undefined) {
       return;
@@ -66,7 +66,7 @@
     });
   };
 
-  public readonly stopped = (attempt: string): void => {
+  public readonly onStopped = (attempt: string): void => {
     const known = this.hosted.get(attempt);
     if (known === undefined) {
       return;
--- a/packages/proving/src/measure/colocation/run-case.ts
+++ b/packages/proving/src/measure/colocation/run-case.ts
@@ -24,7 +24,7 @@
   for (let round = 0; round < TEACHING_ROUNDS; round += 1) {
     for (const sufferer of kinds) {
       for (const neighbour of kinds) {
-        const harm = behaviour.harm(sufferer, neighbour);
+        const harm = behaviour.interference(sufferer, neighbour);
         const beside = [{ taskKind: neighbour, share: 1 }];
         learner.interference.observe(sufferer, beside, harm);
       }
@@ -109,6 +109,6 @@
     evictions,
     lostShare: samples.lostSeconds() / Math.max(1, batchSeconds),
     urgentStartSeconds,
-    violations: run.witness.total,
+    violations: run.witness.violationCount,
   };
 }
--- a/packages/proving/src/measure/request-path/added-time.ts
+++ b/packages/proving/src/measure/request-path/added-time.ts
@@ -1,7 +1,7 @@
 import { Agent } from 'node:http';
 
 import { seededRandom } from '@basilcourse/foundation/random/seeded-random';
-import { RequestWitness } from '@basilcourse/platform-stand-in/upstream/request-witness';
+import { RequestRecorder } from '@basilcourse/platform-stand-in/upstream/request-recorder';
 import { UpstreamStandIn } from '@basilcourse/platform-stand-in/upstream/upstream-stand-in';
 import { seededBehaviour } from '@basilcourse/platform-stand-in/worker/seeded-behaviour';
 
@@ -45,15 +45,15 @@
 export async function measureAddedTime(): Promise<readonly string[]> {
   const behaviour = {
     serviceMilliseconds: () => 0,
-    slowness: () => 1,
-    failingShare: 0,
-    cutShare: 0,
+    slowdownFactor: () => 1,
+    failedResponseShare: 0,
+    truncatedResponseShare: 0,
   };
   const upstream = new UpstreamStandIn(
     'direct',
     SLOTS,
     behaviour,
-    new RequestWitness(),
+    new RequestRecorder(),
     seededRandom(SEED),
   );
   const direct = await sequential(await upstream.listen(), '/print');
--- a/packages/proving/src/measure/request-path/measure-request-path.ts
+++ b/packages/proving/src/measure/request-path/measure-request-path.ts
@@ -73,9 +73,9 @@
       const isSlow = one.fault === 'slow' && attempt === slowAttempt;
       return {
         serviceMilliseconds: () => SERVICE_MILLISECONDS * (0.5 + random.next()),
-        slowness: () => (isSlow ? SLOWNESS : 1),
-        failingShare: 0,
-        cutShare: 0,
+        slowdownFactor: () => (isSlow ? SLOWNESS : 1),
+        failedResponseShare: 0,
+        truncatedResponseShare: 0,
       };
     },
   });
--- a/packages/proving/src/measure/shared-state/fleet-measure.ts
+++ b/packages/proving/src/measure/shared-state/fleet-measure.ts
@@ -120,9 +120,9 @@
     taskBehaviour: seededBehaviour(SEED),
     upstreamBehaviour: () => ({
       serviceMilliseconds: () => seededRandom(SEED).next(),
-      slowness: () => 1,
-      failingShare: 0,
-      cutShare: 0,
+      slowdownFactor: () => 1,
+      failedResponseShare: 0,
+      truncatedResponseShare: 0,
     }),
   });
   deployment.log.setFaults({ delayMilliseconds: LOG_DELAY_MILLISECONDS });
--- a/packages/proving/src/stepped/stepped-run.ts
+++ b/packages/proving/src/stepped/stepped-run.ts
@@ -2,7 +2,7 @@
 import { mergePages } from '@basilcourse/foundation/events/merge-pages';
 import { seededRandom } from '@basilcourse/foundation/random/seeded-random';
 import { LogStandIn } from '@basilcourse/platform-stand-in/log/log-stand-in';
-import { Witness } from '@basilcourse/platform-stand-in/worker/witness';
+import { ExecutionRecorder } from '@basilcourse/platform-stand-in/worker/execution-recorder';
 import { WorkerStandIn } from '@basilcourse/platform-stand-in/worker/worker-stand-in';
 import type { PlatformWorker } from '@basilcourse/scheduler/platform/platform-worker';
 import { StateFold } from '@basilcourse/shared-state/fold/state-fold';
@@ -27,7 +27,7 @@
 export class SteppedRun {
   public readonly clock = new SteppedClock(START_MILLISECONDS);
 
-  public readonly witness = new Witness();
+  public readonly witness = new ExecutionRecorder();
 
   public readonly log: LogStandIn;
 
@@ -176,7 +176,7 @@
       description: this.describe(index),
       clock: this.clock,
       random: seededRandom(this.plan.seed * 31 + index),
-      witness: this.witness,
+      recorder: this.witness,
       behaviour: this.plan.behaviour,
     });
   }
--- a/packages/proving/tests/live/leaving.test.ts
+++ b/packages/proving/tests/live/leaving.test.ts
@@ -38,7 +38,9 @@
   const busy = load(deployment, 71);
   const hosts = deployment.vms.map(({ host }) => host);
   const findBusy = (): UpstreamHost | undefined =>
-    hosts.find(({ upstreams }) => upstreams.some(one => one.arrived > 10));
+    hosts.find(({ upstreams }) =>
+      upstreams.some(one => one.receivedRequests > 10),
+    );
   await waitUntil(() => findBusy() !== undefined, PATIENCE_MILLISECONDS);
   const host = findBusy();
   const upstream = host?.upstreams[0];
@@ -48,11 +50,15 @@
   }
   await host.leave(upstream.name);
   // What the agent had let through before the announcement still arrives.
-  await waitUntil(() => upstream.runningNow === 0, PATIENCE_MILLISECONDS);
-  const before = upstream.arrived;
+  await waitUntil(() => upstream.runningRequests === 0, PATIENCE_MILLISECONDS);
+  const before = upstream.receivedRequests;
   const during = await busy;
   const after = await load(deployment, 72);
-  t.equal(upstream.arrived, before, 'no request came after its leaving');
+  t.equal(
+    upstream.receivedRequests,
+    before,
+    'no request came after its leaving',
+  );
   t.equal(countOutcomes(during).completed, during.length);
   t.equal(countOutcomes(after).completed, after.length);
   checkPromises(t, deployment, [...during, ...after]);
@@ -62,11 +68,11 @@
 t.test('callers that leave in a burst free their slots', async t => {
   const deployment = await servingDeployment(73, 2, {
     serviceMilliseconds: () => 60_000,
-    slowness: () => 1,
+    slowdownFactor: () => 1,
   });
   const upstreams = deployment.vms.flatMap(({ host }) => host.upstreams);
   const running = (): number =>
-    upstreams.reduce((sum, { runningNow }) => sum + runningNow, 0);
+    upstreams.reduce((sum, { runningRequests }) => sum + runningRequests, 0);
   const leaving = Array.from({ length: CALLERS_THAT_LEAVE }, (_, number) => {
     const address = deployment.entries[number % 2]?.callersAddress ?? '';
     const outgoing = request({
@@ -90,7 +96,7 @@
     await waitUntil(() => running() === 0, PATIENCE_MILLISECONDS),
     'every slot is free again',
   );
-  const arrived = upstreams.reduce((sum, one) => sum + one.arrived, 0);
+  const arrived = upstreams.reduce((sum, one) => sum + one.receivedRequests, 0);
   t.ok(arrived <= CALLERS_THAT_LEAVE, 'nothing ran for those who left twice');
   checkPromises(t, deployment, []);
   await deployment.kill();
--- a/packages/proving/tests/live/processes.test.ts
+++ b/packages/proving/tests/live/processes.test.ts
@@ -8,9 +8,9 @@
 import { seededRandom } from '@basilcourse/foundation/random/seeded-random';
 import { createLogServer } from '@basilcourse/platform-stand-in/log/log-server';
 import { LogStandIn } from '@basilcourse/platform-stand-in/log/log-stand-in';
-import { RequestWitness } from '@basilcourse/platform-stand-in/upstream/request-witness';
+import { RequestRecorder } from '@basilcourse/platform-stand-in/upstream/request-recorder';
+import { ExecutionRecorder } from '@basilcourse/platform-stand-in/worker/execution-recorder';
 import { seededBehaviour } from '@basilcourse/platform-stand-in/worker/seeded-behaviour';
-import { Witness } from '@basilcourse/platform-stand-in/worker/witness';
 import { createWorkerServer } from '@basilcourse/platform-stand-in/worker/worker-server';
 import { WorkerStandIn } from '@basilcourse/platform-stand-in/worker/worker-stand-in';
 import t from 'tap';
@@ -68,20 +68,20 @@
   const [entryPorts, otherPorts, agentPorts] = [0, 4, 8].map(from =>
     ports.slice(from, from + 4),
   );
-  const witness = new Witness();
-  const requestWitness = new RequestWitness();
+  const witness = new ExecutionRecorder();
+  const requestWitness = new RequestRecorder();
   const host = new UpstreamHost({
     witness: requestWitness,
     random,
     behaviourOf: () => ({
       serviceMilliseconds: () => 5,
-      slowness: () => 1,
-      failingShare: 0,
-      cutShare: 0,
+      slowdownFactor: () => 1,
+      failedResponseShare: 0,
+      truncatedResponseShare: 0,
     }),
     agentAddress: () => `127.0.0.1:${agentPorts?.[3] ?? 0}`,
     drained: attempt => {
-      worker.runner.drained(attempt);
+      worker.runner.completeStop(attempt);
     },
   });
   const worker = new WorkerStandIn({
@@ -95,7 +95,7 @@
     },
     clock: systemClock,
     random,
-    witness,
+    recorder: witness,
     behaviour: seededBehaviour(1),
     hooks: host,
   });
@@ -215,7 +215,7 @@
   t.equal(await two.exited, 0, 'the entry stops gracefully');
   agent.process.kill('SIGTERM');
   t.equal(await agent.exited, 0, 'the agent stops gracefully');
-  t.equal(requestWitness.doubled, 0);
+  t.equal(requestWitness.duplicateRuns, 0);
   t.same(witness.violations, []);
   const unreachable = await runTool(['status', '--entries', operators]);
   t.equal(unreachable.code, 1);
--- a/packages/proving/tests/live/steady.test.ts
+++ b/packages/proving/tests/live/steady.test.ts
@@ -26,8 +26,8 @@
   'upstreams that cut answers off or fail never yield half an answer',
   async t => {
     const deployment = await servingDeployment(3, 2, {
-      cutShare: 0.15,
-      failingShare: 0.1,
+      truncatedResponseShare: 0.15,
+      failedResponseShare: 0.1,
     });
     const results = await runLoad({
       requests: 300,
--- a/packages/proving/tests/support/check-promises.ts
+++ b/packages/proving/tests/support/check-promises.ts
@@ -21,10 +21,10 @@
       outcome === 'not-run' && requestWitness.hasRun(requestId),
   );
   t.same(lies, [], 'what was said not to be run was not run');
-  t.equal(requestWitness.doubled, 0, 'nothing unrepeatable ran twice');
+  t.equal(requestWitness.duplicateRuns, 0, 'nothing unrepeatable ran twice');
   t.same(witness.violations, [], 'no worker over its size, no task twice');
   const over = deployment.vms
     .flatMap(({ host }) => host.upstreams)
-    .reduce((sum, upstream) => sum + upstream.arrivedOverSlots, 0);
+    .reduce((sum, upstream) => sum + upstream.requestsAboveSlots, 0);
   t.equal(over, 0, 'no upstream was given more than its slots');
 }
--- a/packages/proving/tests/support/serving-deployment.ts
+++ b/packages/proving/tests/support/serving-deployment.ts
@@ -45,9 +45,9 @@
     taskBehaviour: seededBehaviour(seed),
     upstreamBehaviour: () => ({
       serviceMilliseconds: () => 2 + 6 * random.next(),
-      slowness: () => 1,
-      failingShare: 0,
-      cutShare: 0,
+      slowdownFactor: () => 1,
+      failedResponseShare: 0,
+      truncatedResponseShare: 0,
       ...behaviour,
     }),
   });
