refactor(scripts): lint messages and test runner in plain terms

The messages of the lint rules did not say what is wrong, and the test runner called its two runs green and red. Local names: knownRed -> knownFailures, isKnownRed -> isKnownFailure, green -> mainRun, red -> knownFailureRun.

Rule names, the export houseRules, the line format `test: FILE` of KNOWN-RED.txt and the lines that the runner prints stay. On a scratch copy with one failing test file, the runner before and after prints the same counts and exits with the same status, with the file listed as known and not.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,6 +1,6 @@
 /**
- * Bundles the platform's programs into one file, so that a process opens few
- * files and starts fast.
+ * Bundles the platform's programs into one file, so that each process opens few
+ * files and starts quickly.
  */
 import { build } from 'esbuild';
 
--- a/scripts/eslint-house-rules.mjs
+++ b/scripts/eslint-house-rules.mjs
@@ -1,11 +1,13 @@
 /**
- * Lint rules for the house lines that no published rule covers.
+ * Lint rules for the project's conventions that no published rule covers.
  */
 
 const noIndexFile = {
   meta: {
     type: 'problem',
-    messages: { indexFile: 'Name the file for the one thing it exports.' },
+    messages: {
+      indexFile: 'Index files are not allowed; name the file after its export.',
+    },
     schema: [],
   },
   create(context) {
@@ -27,7 +29,10 @@
 const oneExportedType = {
   meta: {
     type: 'problem',
-    messages: { secondType: 'Move this type to a file of its own.' },
+    messages: {
+      secondType:
+        'A file may export only one type; move this type to its own file.',
+    },
     schema: [],
   },
   create(context) {
@@ -49,7 +54,7 @@
 const readonlyProperties = {
   meta: {
     type: 'problem',
-    messages: { mutableProperty: 'Mark this property readonly.' },
+    messages: { mutableProperty: 'Mark this property as readonly.' },
     schema: [],
   },
   create(context) {
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -1,13 +1,13 @@
 /**
  * Runs the test files and prints how many assertions passed and failed.
  *
- * Files named in KNOWN-RED.txt by a line `test: FILE` run apart: they are
- * printed, and their failures do not fail the run.
+ * Test files listed in KNOWN-RED.txt, each by a line `test: FILE`, are known to
+ * fail. They run separately; their results are printed but do not fail the run.
  */
 import { spawnSync } from 'node:child_process';
 import { readFileSync } from 'node:fs';
 
-const knownRed = readFileSync('KNOWN-RED.txt', 'utf8')
+const knownFailures = readFileSync('KNOWN-RED.txt', 'utf8')
   .split('\n')
   .filter(line => line.startsWith('test: '))
   .map(line => line.slice('test: '.length).trim());
@@ -26,11 +26,13 @@
     .sort();
 }
 
-function isKnownRed(file) {
-  return knownRed.some(red => file.endsWith(red.replace(/\.ts$/, '.js')));
+function isKnownFailure(file) {
+  return knownFailures.some(known =>
+    file.endsWith(known.replace(/\.ts$/, '.js')),
+  );
 }
 
-function runTap(chosen) {
+function runTap(testFiles) {
   const { stdout, stderr, status } = spawnSync(
     'npx',
     [
@@ -39,7 +41,7 @@
       '--reporter=tap',
       '--timeout=240',
       '--jobs=4',
-      ...chosen,
+      ...testFiles,
     ],
     { encoding: 'utf8', maxBuffer: 256 * 1024 * 1024 },
   );
@@ -59,16 +61,16 @@
   process.stdout.write(stderr);
 }
 
-const green = runTap(files.filter(file => !isKnownRed(file)));
-if (green.status !== 0) {
-  printFailures(green);
+const mainRun = runTap(files.filter(file => !isKnownFailure(file)));
+if (mainRun.status !== 0) {
+  printFailures(mainRun);
 }
-for (const file of files.filter(isKnownRed)) {
-  const red = runTap([file]);
+for (const file of files.filter(isKnownFailure)) {
+  const knownFailureRun = runTap([file]);
   process.stdout.write(
-    `known red: ${file}: ${red.passed} assertions passed, ${red.failed} did not\n`,
+    `known red: ${file}: ${knownFailureRun.passed} assertions passed, ${knownFailureRun.failed} did not\n`,
   );
 }
-const failed = green.status === 0 ? 0 : Math.max(1, green.failed);
-process.stdout.write(`${green.passed} passed, ${failed} failed\n`);
+const failed = mainRun.status === 0 ? 0 : Math.max(1, mainRun.failed);
+process.stdout.write(`${mainRun.passed} passed, ${failed} failed\n`);
 process.exitCode = failed === 0 ? 0 : 1;
