--- a/packages/foundation/src/http/http-response.ts
+++ b/packages/foundation/src/http/http-response.ts
@@ -1,4 +1,4 @@
-/** A complete HTTP response of any status. */
+/** A whole answer over HTTP, whatever its status. */
 export interface HttpResponse {
   readonly status: number;
   readonly body: Buffer;
