--- a/packages/job-nodes/src/agent/leader-link.ts
+++ b/packages/job-nodes/src/agent/leader-link.ts
@@ -5,7 +5,7 @@
 
 import type { AgentMessage } from '../lines/agent-message.js';
 import type { LeaderMessage } from '../lines/leader-message.js';
-import { readLines } from '../lines/line-reader.js';
+import { readLines } from '../lines/read-lines.js';
 import { pause } from '../time/pause.js';
 import type { LeaderLinkOptions } from './leader-link-options.js';
 
--- a/packages/job-nodes/src/entry/entry-process.ts
+++ b/packages/job-nodes/src/entry/entry-process.ts
@@ -15,7 +15,12 @@
 import { WatchStreams } from './watch-streams.js';
 
 /** Figures of a leader where there is none. */
-const NOT_LEADING = { agents: 0, jobs: 0, waitingJobs: 0, owedMilliseconds: 0 };
+const NOT_LEADING = {
+  agents: 0,
+  jobs: 0,
+  waitingJobs: 0,
+  pendingAppendMilliseconds: 0,
+};
 
 const WATCH_BEAT_MILLISECONDS = 500;
 
@@ -42,19 +47,19 @@
     const localLeader = (): Leader | undefined => this.leader;
     this.leadership = new Leadership({
       name: options.name,
-      life: this.life,
+      incarnation: this.life,
       address: options.internalAddress,
       log: options.leadershipLog,
       time: options.time,
       logger: options.logger('leadership'),
-      onWon: epoch => {
+      onAcquired: epoch => {
         this.lead(epoch);
       },
       onLost: () => {
         this.leader?.close();
         this.leader = undefined;
       },
-      onLeader: leader => {
+      onLeaderChange: leader => {
         this.watches.tell({ leader });
       },
     });
@@ -94,7 +99,7 @@
     return {
       leads: this.leadership.isValid(),
       configurationVersion: this.configuration.current?.version ?? 0,
-      ...(this.leader?.figures() ?? NOT_LEADING),
+      ...(this.leader?.statistics() ?? NOT_LEADING),
     };
   }
 
@@ -114,14 +119,14 @@
         this.takeMessage(message);
       },
       onGone: life => {
-        this.leadership.noteGone(life);
+        this.leadership.recordTermination(life);
       },
     });
   }
 
   private takeMessage({ leader, configuration }: WatchMessage): void {
     if (leader !== undefined) {
-      this.leadership.learn(leader);
+      this.leadership.observeLeader(leader);
     }
     if (configuration !== undefined) {
       this.configuration.offer(configuration);
@@ -146,7 +151,7 @@
       leaseMilliseconds: this.options.leaseMilliseconds,
       isValid: () => this.leadership.isValid(),
       onFenced: () => {
-        this.leadership.lose('a later leader writes');
+        this.leadership.relinquish('a later leader writes');
       },
       observe: this.options.observe,
       entries: () => [
--- a/packages/job-nodes/src/entry/internal-server.ts
+++ b/packages/job-nodes/src/entry/internal-server.ts
@@ -12,7 +12,7 @@
 import type { LeaderRecord } from '../leadership/leader-record.js';
 import type { AgentMessage } from '../lines/agent-message.js';
 import type { CallMessage } from '../lines/call-message.js';
-import { readLines } from '../lines/line-reader.js';
+import { readLines } from '../lines/read-lines.js';
 import type { TimeSource } from '../time/time-source.js';
 import type { WatchStreams } from './watch-streams.js';
 
@@ -124,11 +124,11 @@
     line => {
       const message = line as AgentMessage;
       if (message.kind === 'report') {
-        leader.agents.report(session, message.report);
+        leader.agents.handleReport(session, message.report);
       } else if (message.kind === 'images') {
         leader.agents.adopt(message.images);
       }
-      leader.agents.hear(session, message.sentAt);
+      leader.agents.renewLease(session, message.sentAt);
     },
     reason => {
       options.logger.info('The stream of an agent has ended.', {
--- a/packages/job-nodes/src/entry/leader-watch.ts
+++ b/packages/job-nodes/src/entry/leader-watch.ts
@@ -6,7 +6,7 @@
 
 import { callPeer } from '../http/call-peer.js';
 import type { LeaderRecord } from '../leadership/leader-record.js';
-import { readLines } from '../lines/line-reader.js';
+import { readLines } from '../lines/read-lines.js';
 import { pause } from '../time/pause.js';
 import type { LeaderWatchOptions } from './leader-watch-options.js';
 import type { WatchMessage } from './watch-message.js';
--- a/packages/job-nodes/src/leader/agent-session.ts
+++ b/packages/job-nodes/src/leader/agent-session.ts
@@ -2,15 +2,15 @@
 
 import type { LeaderMessage } from '../lines/leader-message.js';
 
-/** More waiting than this means that the agent does not read. */
-const MOST_WAITING_BYTES = 1024 * 1024;
+/** With more unsent data than this, the agent counts as not reading. */
+const MAXIMUM_UNSENT_BYTES = 1024 * 1024;
 
 /** The leader's side of the stream of one agent. */
 export class AgentSession {
-  /** Incarnation that the agent last reported; empty for none. */
+  /** Incarnation of the minion that the agent last reported; empty if none. */
   public incarnation = '';
 
-  public heardAt: number;
+  public lastContactAt: number;
 
   public open = true;
 
@@ -29,21 +29,20 @@
     this.agent = agent;
     this.fencingToken = fencingToken;
     this.output = output;
-    this.heardAt = now;
+    this.lastContactAt = now;
   }
 
-  /** Sends a message; ends the stream if the agent does not read. */
+  /** Sends a message; closes the stream if the agent does not read. */
   public send(message: LeaderMessage): void {
     if (!this.open) {
       return;
     }
     this.output.write(`${JSON.stringify(message)}\n`);
-    if (this.output.writableLength > MOST_WAITING_BYTES) {
+    if (this.output.writableLength > MAXIMUM_UNSENT_BYTES) {
       this.close();
     }
   }
 
-  /** Ends the stream. */
   public close(): void {
     this.open = false;
     this.output.destroy();
--- a/packages/job-nodes/src/leader/agent-sessions.ts
+++ b/packages/job-nodes/src/leader/agent-sessions.ts
@@ -7,10 +7,10 @@
 
 import type { AgentSession } from './agent-session.js';
 
-/** A stream that was silent for longer is closed. */
-const SILENT_MILLISECONDS = 2000;
+/** A stream on which nothing was received for longer is closed. */
+const STREAM_TIMEOUT_MILLISECONDS = 2000;
 
-/** The open streams of agents, and the minions beside them. */
+/** The open streams of agents, and the minions on the agents' VMs. */
 export class AgentSessions {
   private readonly sessions = new Map<string, AgentSession>();
 
@@ -25,7 +25,7 @@
     return this.sessions.size;
   }
 
-  /** Takes up a stream; an earlier one of the agent ends. */
+  /** Adds a stream, and closes an earlier one of the same agent. */
   public attach(session: AgentSession): void {
     const earlier = this.sessions.get(session.agent);
     if (earlier !== undefined) {
@@ -35,7 +35,7 @@
     this.sessions.set(session.agent, session);
   }
 
-  /** Notes that a stream has ended. */
+  /** Removes a stream, and marks its minion as disconnected. */
   public detach(session: AgentSession): void {
     session.open = false;
     if (this.sessions.get(session.agent) === session) {
@@ -45,27 +45,28 @@
   }
 
   /**
-   * Notes that an agent was heard, and so may extend its minion's lease. Before
-   * its first report that may be any life that is known beside it.
+   * Records a message from an agent, which renews its minion's lease. Until the
+   * agent's first report, the lease of every recorded incarnation on its VM is
+   * renewed, as any of them may be the running one.
    */
-  public hear(session: AgentSession, now: number): void {
-    session.heardAt = now;
-    for (const minion of this.leasedBy(session)) {
+  public recordContact(session: AgentSession, now: number): void {
+    session.lastContactAt = now;
+    for (const minion of this.minionsLeasedBy(session)) {
       minion.lastContactAt = now;
     }
   }
 
-  /** Ends the streams of agents that are silent. */
-  public closeSilent(now: number): void {
+  /** Closes the streams of agents that have stopped sending. */
+  public closeUnresponsive(now: number): void {
     for (const session of [...this.sessions.values()]) {
-      if (now - session.heardAt > SILENT_MILLISECONDS) {
+      if (now - session.lastContactAt > STREAM_TIMEOUT_MILLISECONDS) {
         session.close();
         this.detach(session);
       }
     }
   }
 
-  /** Ends all streams. */
+  /** Closes all streams. */
   public closeAll(): void {
     for (const session of this.sessions.values()) {
       session.close();
@@ -73,34 +74,40 @@
     this.sessions.clear();
   }
 
-  /** Returns the stream of the agent beside a task's minion. */
-  public of(task: TaskEntry): AgentSession | undefined {
+  /** Returns the stream of the agent that drives a task's minion. */
+  public sessionFor(task: TaskEntry): AgentSession | undefined {
     const minion = this.table.minions.get(task.incarnation);
     const session = minion && this.sessions.get(minion.agent);
     return session?.incarnation === task.incarnation ? session : undefined;
   }
 
-  /** Returns the incarnations that a report shows to be over. */
-  public goneBy(session: AgentSession, report: AgentReport): readonly string[] {
-    const alive = report.minion?.incarnation;
+  /** Returns the incarnations that have ended according to a report. */
+  public departedIncarnations(
+    session: AgentSession,
+    report: AgentReport,
+  ): readonly string[] {
+    const currentIncarnation = report.minion?.incarnation;
     return [...this.table.minions.values()]
       .filter(minion => {
         const replaced =
-          alive !== undefined &&
-          minion.incarnation !== alive &&
-          isBeside(session.agent, minion);
+          currentIncarnation !== undefined &&
+          minion.incarnation !== currentIncarnation &&
+          isOnSameVm(session.agent, minion);
         return replaced || report.gone.includes(minion.incarnation);
       })
       .map(({ incarnation }) => incarnation);
   }
 
-  /** The stream has reported this life of its minion before. */
-  public isKnownTo(session: AgentSession, report: AgentReport): boolean {
+  /** Tells whether the stream has reported this minion incarnation before. */
+  public hasReportedIncarnation(
+    session: AgentSession,
+    report: AgentReport,
+  ): boolean {
     return session.incarnation === (report.minion?.incarnation ?? '');
   }
 
-  /** Returns what is known of the tasks that a report lists as running. */
-  public traitsFor({ running }: AgentReport): readonly KnownTask[] {
+  /** Returns the recorded traits of the tasks that a report lists as running. */
+  public traitsFor({ running }: AgentReport): readonly TaskWithTraits[] {
     return running.flatMap(({ task }) => {
       const entry = this.table.task(task);
       return entry === undefined
@@ -109,8 +116,11 @@
     });
   }
 
-  /** Notes what a report says of the minion itself. */
-  public takeReport(
+  /**
+   * Updates the minion from a report; returns nothing if the stream is closed or
+   * the agent has no minion.
+   */
+  public updateMinion(
     session: AgentSession,
     report: AgentReport,
     now: number,
@@ -118,7 +128,7 @@
     if (!session.open) {
       return undefined;
     }
-    session.heardAt = now;
+    session.lastContactAt = now;
     if (report.minion === null) {
       this.disconnect(session.incarnation);
       session.incarnation = '';
@@ -130,17 +140,17 @@
     minion.agent = session.agent;
     minion.connected = true;
     if (minion.fencingToken !== report.fencingToken) {
-      repeatStops(minion);
+      markStopsUnsent(minion);
     }
     minion.fencingToken = report.fencingToken;
     minion.lastContactAt = now;
     return minion;
   }
 
-  private leasedBy(session: AgentSession): readonly MinionEntry[] {
+  private minionsLeasedBy(session: AgentSession): readonly MinionEntry[] {
     if (session.incarnation === '') {
       return [...this.table.minions.values()].filter(minion =>
-        isBeside(session.agent, minion),
+        isOnSameVm(session.agent, minion),
       );
     }
     const minion = this.table.minions.get(session.incarnation);
@@ -155,18 +165,18 @@
   }
 }
 
-/** A minion's incarnation begins with the name of the agent beside it. */
-function isBeside(agent: string, { incarnation }: MinionEntry): boolean {
+/** A minion's incarnation starts with the name of the agent on its VM. */
+function isOnSameVm(agent: string, { incarnation }: MinionEntry): boolean {
   return incarnation.startsWith(`${agent}|`);
 }
 
-interface KnownTask {
+interface TaskWithTraits {
   readonly task: string;
   readonly traits: TaskTraits;
 }
 
-/** Lets stops be sent again, as those of an ended stream may be lost. */
-function repeatStops(minion: MinionEntry): void {
+/** Lets stops be sent again: those sent on an earlier stream may be lost. */
+function markStopsUnsent(minion: MinionEntry): void {
   for (const { entry, run } of minion.runs.values()) {
     if (entry.run === run) {
       entry.stopping = false;
--- a/packages/job-nodes/src/leader/agent-desk.ts
+++ b/packages/job-nodes/src/leader/agent-stream-handler.ts
@@ -7,22 +7,25 @@
 import type { AgentSession } from './agent-session.js';
 import type { LeaderContext } from './leader-context.js';
 
-/** Serves the streams of agents: leases, reports, and what follows from them. */
-export class AgentDesk {
+/**
+ * Handles the messages on the streams of agents: renews leases, applies reports
+ * and sends the resulting stops and confirmations.
+ */
+export class AgentStreamHandler {
   private readonly context: LeaderContext;
 
   private readonly onChange: () => void;
 
   /**
-   * @param onChange - Called once a report may have changed what can start or
-   * has to stop.
+   * @param onChange - Called after a report that may have changed which tasks
+   * can start or must stop.
    */
   public constructor(context: LeaderContext, onChange: () => void) {
     this.context = context;
     this.onChange = onChange;
   }
 
-  /** Takes up the stream of an agent. */
+  /** Registers the stream of an agent, under a new fencing token. */
   public attach(create: (fencingToken: number) => AgentSession): AgentSession {
     const { state, options } = this.context;
     const session = create(state.nextFencingToken());
@@ -36,53 +39,56 @@
     return session;
   }
 
-  /** An agent's stream has ended. */
+  /** Removes an agent's stream that has ended. */
   public detach(session: AgentSession): void {
     this.context.state.sessions.detach(session);
   }
 
-  /** Extends an agent's lease, counted from its own message. */
-  public hear(session: AgentSession, sentAt: number): void {
+  /** Renews an agent's lease; the agent counts it from when it sent the message. */
+  public renewLease(session: AgentSession, sentAt: number): void {
     const { state, options, isReady } = this.context;
     if (isReady()) {
-      state.sessions.hear(session, options.time.now());
+      state.sessions.recordContact(session, options.time.now());
       session.send({ kind: 'grant', sentAt, entries: options.entries() });
     }
   }
 
-  /** Takes over what an agent was told of images by the last leader. */
+  /** Adopts the image statistics that an agent received from the last leader. */
   public adopt(images: ImageStatistics): void {
     this.context.state.interference.adopt(images);
   }
 
-  /** Takes in what an agent reports. */
-  public report(session: AgentSession, report: AgentReport): void {
+  /** Applies an agent's report, unless it carries another fencing token. */
+  public handleReport(session: AgentSession, report: AgentReport): void {
     const { state, options, isReady } = this.context;
     if (!isReady() || report.fencingToken !== session.fencingToken) {
       return;
     }
     const now = options.time.now();
-    this.forgetGone(session, report, now);
-    const known = state.sessions.isKnownTo(session, report);
-    const minion = state.sessions.takeReport(session, report, now);
+    this.removeDepartedMinions(session, report, now);
+    const alreadyReported = state.sessions.hasReportedIncarnation(
+      session,
+      report,
+    );
+    const minion = state.sessions.updateMinion(session, report, now);
     if (minion === undefined) {
       return;
     }
-    if (!known) {
+    if (!alreadyReported) {
       const tasks = state.sessions.traitsFor(report);
       session.send({ kind: 'traits', tasks });
     }
-    state.interference.learn(state.table, session, report, now);
+    state.interference.applyReport(state.table, session, report, now);
     const outcome = applyReport(state.table, minion, report, now);
     this.logOutcome(session, outcome, now);
     if (outcome.stops.length > 0) {
       session.send({ kind: 'stops', stops: outcome.stops });
     }
-    this.settleOnceStored(session, minion, report, outcome);
+    this.sendSettledOnceStored(session, minion, report, outcome);
     this.onChange();
   }
 
-  private settleOnceStored(
+  private sendSettledOnceStored(
     session: AgentSession,
     { incarnation }: MinionEntry,
     report: AgentReport,
@@ -124,13 +130,16 @@
     }
   }
 
-  private forgetGone(
+  private removeDepartedMinions(
     session: AgentSession,
     report: AgentReport,
     now: number,
   ): void {
     const { state, options } = this.context;
-    for (const incarnation of state.sessions.goneBy(session, report)) {
+    for (const incarnation of state.sessions.departedIncarnations(
+      session,
+      report,
+    )) {
       const freed = state.table.removeMinion(incarnation, now);
       options.logger.warn('A minion is gone.', {
         incarnation,
--- a/packages/job-nodes/src/leader/answer-call.ts
+++ b/packages/job-nodes/src/leader/answer-call.ts
@@ -9,12 +9,12 @@
 
 const UNKNOWN: JobAnswer = { kind: 'unknown' };
 
-/** What an answer depends on. */
+/** State and time that an answer is based on. */
 export interface AnswerContext {
   readonly state: LeaderState;
   readonly now: number;
-  /** The store does not answer at present. */
-  readonly blocked: boolean;
+  /** The store has not answered an append in time. */
+  readonly storeBlocked: boolean;
   readonly afterStored: (action: (stored: boolean) => void) => void;
 }
 
@@ -24,7 +24,7 @@
 
 type CancelCall = Extract<JobCall, { readonly kind: 'cancel' }>;
 
-/** Answers an entry's call, once what the answer says is stored. */
+/** Answers an entry's call, after what the answer states has been stored. */
 export async function answerCall(
   call: JobCall,
   context: AnswerContext,
@@ -45,9 +45,9 @@
   call: SubmitCall,
   context: AnswerContext,
 ): Promise<JobAnswer> {
-  const { state, now, blocked } = context;
+  const { state, now, storeBlocked } = context;
   if (!state.table.jobs.has(call.specification.identifier)) {
-    if (blocked) {
+    if (storeBlocked) {
       return {
         kind: 'refused',
         reason: 'the store does not answer',
@@ -57,21 +57,21 @@
     const { specification, queue } = call;
     state.accept({ specification, queue, acceptedAt: now });
   }
-  return (await stored(context)) ? { kind: 'accepted' } : UNKNOWN;
+  return (await waitUntilStored(context)) ? { kind: 'accepted' } : UNKNOWN;
 }
 
-function stored(context: AnswerContext): Promise<boolean> {
+function waitUntilStored(context: AnswerContext): Promise<boolean> {
   return new Promise(resolve => {
     context.afterStored(resolve);
   });
 }
 
-/** An end is shown only once it is stored; asked once for each job. */
+/** A job's end is reported only once stored; this is awaited once per job. */
 async function endIsStored(
   job: JobEntry,
   context: AnswerContext,
 ): Promise<boolean> {
-  job.endStored ||= await stored(context);
+  job.endStored ||= await waitUntilStored(context);
   return job.endStored;
 }
 
@@ -91,9 +91,10 @@
   if (job === undefined) {
     return { kind: 'no-such-job' };
   }
-  const told: JobStatus = job.status;
-  const sure = job.ended === undefined || (await endIsStored(job, context));
-  return sure ? { kind: 'status', status: told } : UNKNOWN;
+  const reportedStatus: JobStatus = job.status;
+  const isConfirmed =
+    job.ended === undefined || (await endIsStored(job, context));
+  return isConfirmed ? { kind: 'status', status: reportedStatus } : UNKNOWN;
 }
 
 async function cancel(
@@ -108,7 +109,7 @@
     job.end('cancelled', context.now);
     context.state.table.changed.add(call.identifier);
   }
-  return (await stored(context)) ? { kind: 'cancelled' } : UNKNOWN;
+  return (await waitUntilStored(context)) ? { kind: 'cancelled' } : UNKNOWN;
 }
 
 function pending(queue: string, { state }: AnswerContext): JobAnswer {
--- a/packages/job-nodes/src/leader/interference-watch.ts
+++ b/packages/job-nodes/src/leader/interference-watch.ts
@@ -11,108 +11,127 @@
 
 import type { AgentSession } from './agent-session.js';
 
-/** Tasks whose last tail is remembered. */
-const MOST_TASKS = 20_000;
+/** Number of tasks whose last tail latency is kept. */
+const MAXIMUM_TASKS = 20_000;
 
-const LOADS_EVERY_MILLISECONDS = 450;
+const LOADS_INTERVAL_MILLISECONDS = 450;
 
-const IMAGES_EVERY_MILLISECONDS = 1000;
+const IMAGES_INTERVAL_MILLISECONDS = 1000;
 
-const UPDATE_EVERY_MILLISECONDS = 300;
+const UPDATE_INTERVAL_MILLISECONDS = 300;
 
-const KEEP_MILLISECONDS = 10_000;
+const LOAD_RETENTION_MILLISECONDS = 10_000;
 
-/** What an agent was told on its present stream. */
-interface Told {
-  readonly loadsAt: number;
-  readonly imagesAt: number;
-  readonly harmVersion: number;
-  readonly tailVersion: number;
+/** What was sent to an agent on its current stream, and when. */
+interface SentState {
+  readonly loadsSentAt: number;
+  readonly imagesSentAt: number;
+  readonly interferenceVersion: number;
+  readonly tailLatencyVersion: number;
 }
 
-const NOTHING_TOLD: Told = {
-  loadsAt: Number.NEGATIVE_INFINITY,
-  imagesAt: Number.NEGATIVE_INFINITY,
-  harmVersion: 0,
-  tailVersion: 0,
+const NOTHING_SENT: SentState = {
+  loadsSentAt: Number.NEGATIVE_INFINITY,
+  imagesSentAt: Number.NEGATIVE_INFINITY,
+  interferenceVersion: 0,
+  tailLatencyVersion: 0,
 };
 
-/** Learns from all agents how images harm each other, and tells them. */
+/**
+ * Estimates the interference between images from the reports of all agents, and
+ * sends the estimates to the agents.
+ */
 export class InterferenceWatch {
-  private readonly harms = new InterferenceTable();
+  private readonly interference = new InterferenceTable();
 
-  private readonly learner = new InterferenceEstimator(this.harms);
+  private readonly estimator = new InterferenceEstimator(this.interference);
 
   private updatedAt = Number.NEGATIVE_INFINITY;
 
   private readonly loads = new LoadMonitor();
 
-  private readonly tails = new BoundedMap<number>(MOST_TASKS);
+  private readonly previousTailLatencies = new BoundedMap<number>(
+    MAXIMUM_TASKS,
+  );
 
-  private readonly told = new WeakMap<AgentSession, Told>();
+  private readonly sent = new WeakMap<AgentSession, SentState>();
 
-  /** Returns what is known by now. */
-  public estimate(now: number): InterferencePredictor {
-    return new InterferencePredictor(this.harms, this.loads, now);
+  /** Returns a predictor over the current estimates. */
+  public predictor(now: number): InterferencePredictor {
+    return new InterferencePredictor(this.interference, this.loads, now);
   }
 
-  /** Learns from a report, and tells its agent what it needs to pace. */
-  public learn(
+  /**
+   * Updates the estimates from a report, and sends the agent the statistics that
+   * it needs for throttling.
+   */
+  public applyReport(
     table: JobTable,
     session: AgentSession,
     report: AgentReport,
     now: number,
   ): void {
-    const { learner, loads, tails } = this;
-    updateEstimates(table, learner, loads, tails, report.running, now);
-    if (now - this.updatedAt >= UPDATE_EVERY_MILLISECONDS) {
+    const { estimator, loads, previousTailLatencies } = this;
+    updateEstimates(
+      table,
+      estimator,
+      loads,
+      previousTailLatencies,
+      report.running,
+      now,
+    );
+    if (now - this.updatedAt >= UPDATE_INTERVAL_MILLISECONDS) {
       this.updatedAt = now;
-      learner.update();
+      estimator.update();
     }
-    const before = this.told.get(session) ?? NOTHING_TOLD;
-    const told = this.tellLoads(table, session, report, before, now);
-    this.told.set(session, this.tellImages(session, told, now));
+    const previous = this.sent.get(session) ?? NOTHING_SENT;
+    const current = this.sendLoads(table, session, report, previous, now);
+    this.sent.set(session, this.sendImages(session, current, now));
   }
 
-  /** Takes over what an earlier leader learned. */
+  /** Adopts the estimates of an earlier leader. */
   public adopt({ harms, lowestTails }: ImageStatistics): void {
     harms.forEach(row => {
-      this.learner.adopt(row);
+      this.estimator.adopt(row);
     });
     this.loads.adopt(lowestTails);
   }
 
-  /** Tells what has changed since the last time. */
-  private tellImages(session: AgentSession, told: Told, now: number): Told {
-    if (now - told.imagesAt < IMAGES_EVERY_MILLISECONDS) {
-      return told;
+  /** Sends what has changed since the last time, at most once per interval. */
+  private sendImages(
+    session: AgentSession,
+    previous: SentState,
+    now: number,
+  ): SentState {
+    if (now - previous.imagesSentAt < IMAGES_INTERVAL_MILLISECONDS) {
+      return previous;
     }
-    const { harms, loads } = this;
-    loads.evictIdle(now, KEEP_MILLISECONDS);
+    const { interference, loads } = this;
+    loads.evictIdle(now, LOAD_RETENTION_MILLISECONDS);
     const images: ImageStatistics = {
-      harms: harms.rowsSince(told.harmVersion),
-      lowestTails: loads.lowestTailLatenciesSince(told.tailVersion),
+      harms: interference.rowsSince(previous.interferenceVersion),
+      lowestTails: loads.lowestTailLatenciesSince(previous.tailLatencyVersion),
     };
     if (images.harms.length + images.lowestTails.length > 0) {
       session.send({ kind: 'images', images });
     }
     return {
-      ...told,
-      imagesAt: now,
-      harmVersion: harms.version,
-      tailVersion: loads.version,
+      ...previous,
+      imagesSentAt: now,
+      interferenceVersion: interference.version,
+      tailLatencyVersion: loads.version,
     };
   }
 
-  private tellLoads(
+  private sendLoads(
     table: JobTable,
     session: AgentSession,
     report: AgentReport,
-    told: Told,
+    previous: SentState,
     now: number,
-  ): Told {
-    if (now - told.loadsAt < LOADS_EVERY_MILLISECONDS) {
-      return told;
+  ): SentState {
+    if (now - previous.loadsSentAt < LOADS_INTERVAL_MILLISECONDS) {
+      return previous;
     }
     const jobs = new Set(
       report.running
@@ -121,14 +140,21 @@
         .map(entry => entry?.jobIdentifier ?? ''),
     );
     const loads = [...jobs].map(job => {
-      const floor = this.loads.unloadedTailLatency(job);
-      const ahead = this.loads.predictedIsolatedTailLatency(job, now);
-      return { job, floor, load: loadOf(ahead, floor) };
+      const unloadedTailLatency = this.loads.unloadedTailLatency(job);
+      const predictedTailLatency = this.loads.predictedIsolatedTailLatency(
+        job,
+        now,
+      );
+      return {
+        job,
+        floor: unloadedTailLatency,
+        load: loadOf(predictedTailLatency, unloadedTailLatency),
+      };
     });
-    const known = loads.filter(({ floor }) => floor > 0);
-    if (known.length > 0) {
-      session.send({ kind: 'loads', loads: known });
+    const measuredLoads = loads.filter(({ floor }) => floor > 0);
+    if (measuredLoads.length > 0) {
+      session.send({ kind: 'loads', loads: measuredLoads });
     }
-    return { ...told, loadsAt: now };
+    return { ...previous, loadsSentAt: now };
   }
 }
--- a/packages/job-nodes/src/leader/job-answer.ts
+++ b/packages/job-nodes/src/leader/job-answer.ts
@@ -1,6 +1,6 @@
 import type { JobStatus } from '@basilcourse/jobs/model/job-status';
 
-/** What the leader answers to an entry's call. */
+/** The leader's answer to an entry's call. */
 export type JobAnswer =
   | { readonly kind: 'accepted' }
   | {
@@ -12,7 +12,7 @@
   | { readonly kind: 'cancelled' }
   | { readonly kind: 'no-such-job' }
   | { readonly kind: 'pending'; readonly count: number }
-  /** This process does not lead; nothing was done. */
+  /** This process is not the leader; nothing was done. */
   | { readonly kind: 'not-leading' }
-  /** It lost the lead before it knew whether what it did is stored. */
+  /** Leadership was lost before the change was confirmed as stored. */
   | { readonly kind: 'unknown' };
--- a/packages/job-nodes/src/leader/job-call.ts
+++ b/packages/job-nodes/src/leader/job-call.ts
@@ -1,7 +1,7 @@
 import type { JobSpecification } from '@basilcourse/jobs/model/job-specification';
 import type { QueueSettings } from '@basilcourse/jobs/model/queue-settings';
 
-/** What an entry asks of the leader for a caller. */
+/** A call that an entry makes to the leader on behalf of a caller. */
 export type JobCall =
   | {
       readonly kind: 'submit';
--- a/packages/job-nodes/src/leader/leader-context.ts
+++ b/packages/job-nodes/src/leader/leader-context.ts
@@ -2,11 +2,11 @@
 import type { LeaderState } from './leader-state.js';
 import type { StoreWriter } from './store-writer.js';
 
-/** What the parts of a leader share. */
+/** Options and state that the components of a leader share. */
 export interface LeaderContext {
   readonly options: LeaderOptions;
   readonly state: LeaderState;
   readonly writer: StoreWriter;
-  /** This process may decide, and knows the state. */
+  /** The state is loaded, and this process still is the leader. */
   readonly isReady: () => boolean;
 }
--- a/packages/job-nodes/src/leader/leader-options.ts
+++ b/packages/job-nodes/src/leader/leader-options.ts
@@ -4,18 +4,18 @@
 import type { JobStore } from '../store/job-store.js';
 import type { TimeSource } from '../time/time-source.js';
 
-/** What a leader needs. */
+/** Epoch, dependencies and callbacks of a leader. */
 export interface LeaderOptions {
   readonly epoch: number;
   readonly store: JobStore;
   readonly time: TimeSource;
   readonly logger: PartLogger;
-  /** Longest lease of an agent's minion. */
+  /** Maximum duration of the lease of an agent's minion. */
   readonly leaseMilliseconds: number;
-  /** The own right to lead is not over. */
+  /** Tells whether this process's leadership lease is still valid. */
   readonly isValid: () => boolean;
   readonly onFenced: () => void;
   readonly observe: StepObserver;
-  /** Addresses of the entries that live. */
+  /** Returns the addresses of the running entries. */
   readonly entries: () => readonly string[];
 }
--- a/packages/job-nodes/src/leader/leader-state.ts
+++ b/packages/job-nodes/src/leader/leader-state.ts
@@ -12,13 +12,13 @@
 import { InterferenceWatch } from './interference-watch.js';
 import { JOB_KEY_PREFIX, PROGRESS_KEY_PREFIX } from './record-keys.js';
 
-/** Fencing tokens that one epoch can give. */
+/** Number of fencing tokens that one epoch can issue. */
 const TOKENS_PER_EPOCH = 1_000_000;
 
-/** Ended jobs are kept for so long. */
-const KEEP_ENDED_MILLISECONDS = 150_000;
+/** Time for which ended jobs are kept. */
+const ENDED_JOB_RETENTION_MILLISECONDS = 150_000;
 
-/** What a leader knows and what it has yet to store. */
+/** The leader's state, and the changes to it that are not stored yet. */
 export class LeaderState {
   public readonly table = new JobTable();
 
@@ -34,19 +34,19 @@
 
   private queues: ReadonlyMap<string, QueueSettings> = new Map();
 
-  private tokensGiven = 0;
+  private issuedTokens = 0;
 
   public constructor(epoch: number) {
     this.epoch = epoch;
   }
 
-  /** Returns a token that is higher than all before, in all epochs. */
+  /** Returns a token that is higher than all earlier ones, across epochs. */
   public nextFencingToken(): number {
-    this.tokensGiven += 1;
-    return this.epoch * TOKENS_PER_EPOCH + this.tokensGiven;
+    this.issuedTokens += 1;
+    return this.epoch * TOKENS_PER_EPOCH + this.issuedTokens;
   }
 
-  /** Takes in a newer configuration. */
+  /** Applies a newer configuration. */
   public configure(configuration: QueueConfiguration): void {
     this.queues = new Map(
       configuration.queues.map(({ settings }) => [settings.name, settings]),
@@ -54,20 +54,20 @@
     this.configureJobs();
   }
 
-  /** Gives jobs the settings of their queues; those of a dropped one stay. */
+  /** Updates jobs to their queues' settings; a removed queue's settings stay. */
   public configureJobs(): void {
     for (const job of this.table.jobs.values()) {
       job.queue = this.queues.get(job.specification.queue) ?? job.queue;
     }
   }
 
-  /** Adds an accepted job, to be stored. */
+  /** Adds an accepted job, which the next call of `collect` returns. */
   public accept(record: JobRecord): void {
     const { specification, queue, acceptedAt } = record;
     this.newJobs.push(this.table.add(specification, queue, acceptedAt));
   }
 
-  /** Returns what has to be stored, and counts it as handed over. */
+  /** Returns the values to store, and clears the list of changes. */
   public collect(): readonly StoredValue[] {
     const values: StoredValue[] = [];
     for (const job of this.newJobs.splice(0)) {
@@ -88,7 +88,7 @@
     return values;
   }
 
-  /** Puts tasks on the minions chosen for them. */
+  /** Assigns tasks to the minions planned for them; a gang shares a run number. */
   public assign(starts: readonly PlannedStart[], now: number): void {
     const gangRuns = new Map<string, number>();
     for (const { task } of starts) {
@@ -106,7 +106,7 @@
     }
   }
 
-  /** Returns current runs of jobs that are over, not yet told to stop. */
+  /** Returns current runs of ended jobs to which no stop was sent yet. */
   public runsOfEndedJobs(): readonly TaskEntry[] {
     const runs: TaskEntry[] = [];
     for (const minion of this.table.minions.values()) {
@@ -121,12 +121,12 @@
     return runs;
   }
 
-  /** Drops jobs that ended long ago. */
-  public dropOldJobs(now: number): void {
+  /** Drops ended jobs whose retention time has passed. */
+  public dropExpiredJobs(now: number): void {
     for (const [identifier, job] of this.table.jobs) {
       if (
         job.ended !== undefined &&
-        now - job.endedAt > KEEP_ENDED_MILLISECONDS
+        now - job.endedAt > ENDED_JOB_RETENTION_MILLISECONDS
       ) {
         this.table.jobs.delete(identifier);
         this.droppedJobs.push(identifier);
--- a/packages/job-nodes/src/leader/leader.ts
+++ b/packages/job-nodes/src/leader/leader.ts
@@ -7,22 +7,22 @@
 
 import type { QueueConfiguration } from '../configuration/queue-configuration.js';
 import { pause } from '../time/pause.js';
-import { AgentDesk } from './agent-desk.js';
+import { AgentStreamHandler } from './agent-stream-handler.js';
 import { answerCall } from './answer-call.js';
 import type { JobAnswer } from './job-answer.js';
 import type { JobCall } from './job-call.js';
-import type { LeaderFigures } from './leader-figures.js';
 import type { LeaderOptions } from './leader-options.js';
 import { LeaderState } from './leader-state.js';
+import type { LeaderStatistics } from './leader-statistics.js';
 import { loadTable } from './load-table.js';
-import { StartRounds } from './start-rounds.js';
+import { StartPlanner } from './start-planner.js';
 import { StoreWriter } from './store-writer.js';
 
-const TICK_MILLISECONDS = 100;
+const TICK_INTERVAL_MILLISECONDS = 100;
 
-const LOAD_RETRY_MILLISECONDS = 100;
+const LOAD_RETRY_DELAY_MILLISECONDS = 100;
 
-/** Decides about all jobs while this process leads. */
+/** Schedules all jobs while this process is the leader. */
 export class Leader {
   private readonly options: LeaderOptions;
 
@@ -30,10 +30,10 @@
 
   private readonly writer: StoreWriter;
 
-  /** Serves the streams of agents. */
-  public readonly agents: AgentDesk;
+  /** Handles the streams of agents. */
+  public readonly agents: AgentStreamHandler;
 
-  private readonly rounds: StartRounds;
+  private readonly planner: StartPlanner;
 
   private loaded = false;
 
@@ -58,14 +58,14 @@
       writer: this.writer,
       isReady: () => this.isReady(),
     };
-    this.rounds = new StartRounds(context);
-    this.agents = new AgentDesk(context, () => {
+    this.planner = new StartPlanner(context);
+    this.agents = new AgentStreamHandler(context, () => {
       this.stopEndedJobs();
-      this.rounds.planSoon();
+      this.planner.planSoon();
     });
   }
 
-  /** Shuts out earlier leaders, reads the state, and starts deciding. */
+  /** Fences earlier leaders, reads the state, and starts scheduling. */
   public async open(): Promise<void> {
     while (!this.isClosed()) {
       try {
@@ -75,26 +75,26 @@
         this.options.logger.warn('The state could not be read.', {
           reason: messageOf(error),
         });
-        await pause(LOAD_RETRY_MILLISECONDS);
+        await pause(LOAD_RETRY_DELAY_MILLISECONDS);
       }
     }
   }
 
-  /** Stops deciding, and ends all streams. */
+  /** Stops scheduling, and closes all streams. */
   public close(): void {
     this.closed = true;
-    this.rounds.close();
+    this.planner.close();
     clearInterval(this.tickTimer);
     this.writer.close();
     this.state.sessions.closeAll();
   }
 
-  /** This process may decide, and knows the state. */
+  /** Tells whether the state is loaded and this process still is the leader. */
   public isReady(): boolean {
     return this.loaded && !this.closed && this.options.isValid();
   }
 
-  /** Epoch in which this leader decides. */
+  /** Epoch of this leader. */
   public get epoch(): number {
     return this.options.epoch;
   }
@@ -107,23 +107,23 @@
     const answer = await answerCall(call, {
       state: this.state,
       now: this.options.time.now(),
-      blocked: this.rounds.isBlocked(),
+      storeBlocked: this.planner.isBlocked(),
       afterStored: action => {
         this.writer.afterStored(action);
       },
     });
-    this.rounds.planSoon();
+    this.planner.planSoon();
     return answer;
   }
 
-  /** Takes in a newer configuration: jobs follow the settings of their queue. */
+  /** Applies a newer configuration: jobs take on their queue's new settings. */
   public configure(configuration: QueueConfiguration): void {
     this.state.configure(configuration);
-    this.rounds.planSoon();
+    this.planner.planSoon();
   }
 
-  /** Returns what this leader believes, for its metrics. */
-  public figures(): LeaderFigures {
+  /** Returns statistics for the metrics of the process. */
+  public statistics(): LeaderStatistics {
     const { jobs } = this.state.table;
     let waitingJobs = 0;
     for (const job of jobs.values()) {
@@ -133,7 +133,7 @@
       agents: this.state.sessions.count,
       jobs: jobs.size,
       waitingJobs,
-      owedMilliseconds: this.writer.blockedMilliseconds(),
+      pendingAppendMilliseconds: this.writer.blockedMilliseconds(),
     };
   }
 
@@ -153,14 +153,14 @@
     });
     this.tickTimer = setInterval(() => {
       this.tick();
-    }, TICK_MILLISECONDS);
+    }, TICK_INTERVAL_MILLISECONDS);
   }
 
   private tick(): void {
     if (!this.isReady()) {
       return;
     }
-    this.rounds.sendUnsent();
+    this.planner.sendUnsent();
     const now = this.options.time.now();
     const { table } = this.state;
     const { leaseMilliseconds, logger } = this.options;
@@ -174,15 +174,15 @@
         freed: freed.length,
       });
     }
-    this.state.sessions.closeSilent(now);
+    this.state.sessions.closeUnresponsive(now);
     for (const job of table.jobs.values()) {
       addDueOccurrences(job, now);
     }
     this.stop(findStuckRuns(table, now), 'no progress');
     this.stop(tasksToMove(table, now), 'the minion drains');
     this.stopEndedJobs();
-    this.state.dropOldJobs(now);
-    this.rounds.planSoon();
+    this.state.dropExpiredJobs(now);
+    this.planner.planSoon();
   }
 
   private stopEndedJobs(): void {
@@ -194,7 +194,9 @@
       task.stopping = true;
       const stop = { task: task.name, run: task.run };
       this.options.logger.info('A run is stopped.', { ...stop, reason });
-      this.state.sessions.of(task)?.send({ kind: 'stops', stops: [stop] });
+      this.state.sessions
+        .sessionFor(task)
+        ?.send({ kind: 'stops', stops: [stop] });
     }
   }
 
--- a/packages/job-nodes/src/leader/record-keys.ts
+++ b/packages/job-nodes/src/leader/record-keys.ts
@@ -1,5 +1,5 @@
-/** Before the identifier in the key of an accepted job. */
+/** Precedes the identifier in the key of an accepted job. */
 export const JOB_KEY_PREFIX = 'job/';
 
-/** Before the identifier in the key of a job's progress. */
+/** Precedes the identifier in the key of a job's progress. */
 export const PROGRESS_KEY_PREFIX = 'progress/';
--- a/packages/job-nodes/src/leader/send-starts.ts
+++ b/packages/job-nodes/src/leader/send-starts.ts
@@ -7,13 +7,13 @@
 import type { AgentSession } from './agent-session.js';
 import type { LeaderState } from './leader-state.js';
 
-/** Hundredths are told of a bound. */
-const PRECISION = 100;
+/** Logged values are rounded to hundredths. */
+const ROUNDING_FACTOR = 100;
 
 /**
- * Sends the orders for starts that are stored. A start whose job is over by
- * now is taken back; one whose agent has another stream by now is left to the
- * agent's next report.
+ * Sends the orders for starts that are stored. A start whose job has since
+ * ended is reverted. A start whose agent has since opened another stream is not
+ * sent; the agent's next report resolves it.
  */
 export function sendStarts(
   state: LeaderState,
@@ -23,7 +23,7 @@
   const orders = new Map<AgentSession, StartOrder[]>();
   for (const { task, minion, endangeredBounds } of starts) {
     const job = state.table.jobs.get(task.jobIdentifier);
-    const session = state.sessions.of(task);
+    const session = state.sessions.sessionFor(task);
     if (task.phase !== 'assigned' || job === undefined) {
       continue;
     }
@@ -33,7 +33,7 @@
       state.table.markChanged(task);
     } else if (session?.fencingToken === task.orderToken) {
       const list = orders.get(session) ?? [];
-      list.push(orderFor(task, job.specification.payload));
+      list.push(createStartOrder(task, job.specification.payload));
       orders.set(session, list);
       logger.info('A run is started.', {
         task: task.name,
@@ -41,17 +41,18 @@
         agent: session.agent,
         token: session.fencingToken,
         image: task.specification.image,
-        endangeredBounds: Math.round(endangeredBounds * PRECISION) / PRECISION,
+        endangeredBounds:
+          Math.round(endangeredBounds * ROUNDING_FACTOR) / ROUNDING_FACTOR,
       });
     }
   }
-  for (const [session, list] of orders) {
+  for (const [session, sessionOrders] of orders) {
     const { incarnation } = session;
-    session.send({ kind: 'starts', incarnation, starts: list });
+    session.send({ kind: 'starts', incarnation, starts: sessionOrders });
   }
 }
 
-function orderFor(task: TaskEntry, payload: string): StartOrder {
+function createStartOrder(task: TaskEntry, payload: string): StartOrder {
   return {
     task: task.name,
     run: task.run,
--- a/packages/job-nodes/src/leader/start-rounds.ts
+++ b/packages/job-nodes/src/leader/start-planner.ts
@@ -4,18 +4,18 @@
 import type { LeaderContext } from './leader-context.js';
 import { sendStarts } from './send-starts.js';
 
-/** Changes are gathered for so long before a round of starts is planned. */
+/** Time for which changes are collected before starts are planned. */
 const PLAN_DELAY_MILLISECONDS = 8;
 
-/** Nothing new is planned while the store has owed an answer for longer. */
+/** While an append has gone unanswered for longer, no starts are planned. */
 const BLOCKED_MILLISECONDS = 600;
 
-/** Plans starts in rounds; each is stored before its orders are sent. */
-export class StartRounds {
+/** Plans starts; they are stored before their orders are sent. */
+export class StartPlanner {
   private readonly context: LeaderContext;
 
-  /** Starts that are stored and not sent yet. */
-  private readonly unsent: PlannedStart[] = [];
+  /** Starts that are stored but not sent yet. */
+  private readonly unsentStarts: PlannedStart[] = [];
 
   private timer: NodeJS.Timeout | undefined;
 
@@ -25,7 +25,7 @@
     this.context = context;
   }
 
-  /** Plans a round shortly. */
+  /** Plans starts after a short delay, once for all calls until then. */
   public planSoon(): void {
     if (this.timer === undefined && !this.closed) {
       this.timer = setTimeout(() => {
@@ -35,20 +35,20 @@
     }
   }
 
-  /** Sends stored starts; they wait while the right to lead is in doubt. */
+  /** Sends stored starts; while leadership is in doubt, they stay unsent. */
   public sendUnsent(): void {
     const { state, options, isReady } = this.context;
-    if (this.unsent.length > 0 && isReady()) {
-      sendStarts(state, this.unsent.splice(0), options.logger);
+    if (this.unsentStarts.length > 0 && isReady()) {
+      sendStarts(state, this.unsentStarts.splice(0), options.logger);
     }
   }
 
-  /** The store has owed an answer for too long to build upon it. */
+  /** Tells whether an append has gone unanswered for too long to plan starts. */
   public isBlocked(): boolean {
     return this.context.writer.blockedMilliseconds() > BLOCKED_MILLISECONDS;
   }
 
-  /** Plans no more. */
+  /** Stops planning. */
   public close(): void {
     this.closed = true;
     clearTimeout(this.timer);
@@ -61,8 +61,8 @@
     }
     if (!this.isBlocked()) {
       const now = options.time.now();
-      const estimate = state.interference.estimate(now);
-      this.assign(planStarts(state.table, estimate, now), now);
+      const predictor = state.interference.predictor(now);
+      this.assign(planStarts(state.table, predictor, now), now);
     }
     writer.wake();
   }
@@ -74,7 +74,7 @@
     this.context.state.assign(starts, now);
     this.context.writer.afterStored(stored => {
       if (stored) {
-        this.unsent.push(...starts);
+        this.unsentStarts.push(...starts);
         this.sendUnsent();
       }
     });
--- a/packages/job-nodes/src/leader/store-writer-options.ts
+++ b/packages/job-nodes/src/leader/store-writer-options.ts
@@ -4,7 +4,7 @@
 import type { StoredValue } from '../store/stored-value.js';
 import type { TimeSource } from '../time/time-source.js';
 
-/** What a writer needs. */
+/** Dependencies and callbacks of a store writer. */
 export interface StoreWriterOptions {
   readonly store: JobStore;
   readonly epoch: number;
@@ -12,6 +12,6 @@
   readonly logger: PartLogger;
   /** Returns the values that have changed since the last call. */
   readonly collect: () => readonly StoredValue[];
-  /** A leader with a higher epoch writes now. */
+  /** Called when a leader with a higher epoch has fenced this writer. */
   readonly onFenced: () => void;
 }
--- a/packages/job-nodes/src/leader/store-writer.ts
+++ b/packages/job-nodes/src/leader/store-writer.ts
@@ -4,23 +4,23 @@
 import { pause } from '../time/pause.js';
 import type { StoreWriterOptions } from './store-writer-options.js';
 
-/** Changes are gathered for so long before they are stored together. */
-const GATHER_MILLISECONDS = 12;
+/** Time for which changes are collected before they are stored together. */
+const GATHER_DELAY_MILLISECONDS = 12;
 
-const RETRY_MILLISECONDS = 60;
+const RETRY_DELAY_MILLISECONDS = 60;
 
 /**
- * Stores changes in order, one call at a time, and then does what had to wait
- * for them. A call without an answer is repeated under its number until it has
- * one.
+ * Stores changes in order, one append at a time, and then runs the actions that
+ * wait for them. An append without an answer is retried under the same sequence
+ * number until it is answered.
  */
 export class StoreWriter {
   private readonly options: StoreWriterOptions;
 
   private actions: ((stored: boolean) => void)[] = [];
 
-  /** Actions that wait for the call under way. */
-  private underWay: ((stored: boolean) => void)[] = [];
+  /** Actions that wait for the append in progress. */
+  private actionsInProgress: ((stored: boolean) => void)[] = [];
 
   private running = false;
 
@@ -28,15 +28,15 @@
 
   private sequence = 0;
 
-  private callBeganAt = 0;
+  private callStartedAt = 0;
 
   public constructor(options: StoreWriterOptions) {
     this.options = options;
   }
 
   /**
-   * Runs an action once all changes so far are stored, or once it is clear
-   * that this writer can't tell whether they are.
+   * Runs an action with `true` once all changes so far are stored, or with
+   * `false` once this writer can no longer determine whether they are.
    */
   public afterStored(action: (stored: boolean) => void): void {
     if (this.closed) {
@@ -47,7 +47,7 @@
     this.wake();
   }
 
-  /** Stores what has changed. */
+  /** Starts storing changes, unless that is in progress. */
   public wake(): void {
     if (!this.running && !this.closed) {
       this.running = true;
@@ -55,30 +55,33 @@
     }
   }
 
-  /** Stops; actions that still wait are told that nothing is sure. */
+  /** Stops; actions that still wait run with `false`. */
   public close(): void {
     this.closed = true;
-    const waiting = [...this.underWay.splice(0), ...this.actions.splice(0)];
+    const waiting = [
+      ...this.actionsInProgress.splice(0),
+      ...this.actions.splice(0),
+    ];
     waiting.forEach(action => {
       action(false);
     });
   }
 
-  /** Time for which the store has owed an answer; 0 if it owes none. */
+  /** Time since the append that is not yet answered; 0 if there is none. */
   public blockedMilliseconds(): number {
-    return this.callBeganAt === 0
+    return this.callStartedAt === 0
       ? 0
-      : this.options.time.steady() - this.callBeganAt;
+      : this.options.time.steady() - this.callStartedAt;
   }
 
   private async run(): Promise<void> {
     while (!this.closed) {
-      await pause(GATHER_MILLISECONDS);
-      this.underWay = this.actions;
+      await pause(GATHER_DELAY_MILLISECONDS);
+      this.actionsInProgress = this.actions;
       this.actions = [];
       const values = this.options.collect();
       const stored = values.length === 0 || (await this.store(values));
-      this.underWay.splice(0).forEach(action => {
+      this.actionsInProgress.splice(0).forEach(action => {
         action(stored);
       });
       if (!stored) {
@@ -93,11 +96,11 @@
 
   private async store(values: readonly StoredValue[]): Promise<boolean> {
     const { store, epoch, logger, time, onFenced } = this.options;
-    this.callBeganAt = time.steady();
+    this.callStartedAt = time.steady();
     for (let tries = 1; !this.isClosed(); tries += 1) {
       try {
         const stored = await store.append(epoch, this.sequence, values);
-        this.callBeganAt = 0;
+        this.callStartedAt = 0;
         this.sequence += 1;
         if (!stored) {
           this.close();
@@ -110,7 +113,7 @@
           tries,
           sequence: this.sequence,
         });
-        await pause(RETRY_MILLISECONDS);
+        await pause(RETRY_DELAY_MILLISECONDS);
       }
     }
     return false;
--- a/packages/job-nodes/src/leadership/decide-claim.ts
+++ b/packages/job-nodes/src/leadership/decide-claim.ts
@@ -1,39 +1,43 @@
 import type { LeaderRecord } from './leader-record.js';
 
-/** Silence after which a leader counts as gone. */
-export const CLAIM_AFTER_MILLISECONDS = 2000;
+/** Time without a new record after which a leader counts as failed. */
+export const LEADER_TIMEOUT_MILLISECONDS = 2000;
 
-/** What a candidate knows. */
+/** What a candidate bases its decision on. */
 export interface ClaimView {
   readonly record: LeaderRecord | undefined;
   /** Time since the newest record was read. */
-  readonly silentMilliseconds: number;
+  readonly sinceRecordMilliseconds: number;
   readonly ownName: string;
-  readonly ownLife: string;
-  /** The leader's process surely lives no more. */
-  readonly provenGone: boolean;
-  /** Time that this candidate leaves to better placed ones. */
-  readonly courtesyMilliseconds: number;
+  readonly ownIncarnation: string;
+  /** The leader's process is known to have terminated. */
+  readonly leaderTerminated: boolean;
+  /** Additional wait that lets candidates nearer to the log claim first. */
+  readonly claimDelayMilliseconds: number;
 }
 
 /**
- * Decides whether to claim the lead: at once where the leader surely is gone,
- * otherwise after a silence that is longer than its own lease.
+ * Decides whether to claim leadership: right after the claim delay if there
+ * surely is no leader, otherwise only after a timeout that is longer than a
+ * leader's lease. A restarted leader process claims at once.
  */
 export function shouldClaim(view: ClaimView): boolean {
-  const { record, silentMilliseconds, courtesyMilliseconds } = view;
-  if (record !== undefined && isOwnEarlierLife(record, view)) {
+  const { record, sinceRecordMilliseconds, claimDelayMilliseconds } = view;
+  if (record !== undefined && isOwnEarlierIncarnation(record, view)) {
     return true;
   }
-  const free =
+  const vacant =
     record === undefined ||
     record.resigned ||
-    record.life === view.ownLife ||
-    view.provenGone;
-  const wait = free ? 0 : CLAIM_AFTER_MILLISECONDS;
-  return silentMilliseconds >= wait + courtesyMilliseconds;
+    record.life === view.ownIncarnation ||
+    view.leaderTerminated;
+  const timeout = vacant ? 0 : LEADER_TIMEOUT_MILLISECONDS;
+  return sinceRecordMilliseconds >= timeout + claimDelayMilliseconds;
 }
 
-function isOwnEarlierLife(record: LeaderRecord, view: ClaimView): boolean {
-  return record.name === view.ownName && record.life !== view.ownLife;
+function isOwnEarlierIncarnation(
+  record: LeaderRecord,
+  view: ClaimView,
+): boolean {
+  return record.name === view.ownName && record.life !== view.ownIncarnation;
 }
--- a/packages/job-nodes/src/leadership/leader-record.ts
+++ b/packages/job-nodes/src/leadership/leader-record.ts
@@ -1,12 +1,12 @@
-/** Record of who leads; the newest one counts. */
+/** Record of the current leader; the newest one counts. */
 export interface LeaderRecord {
-  /** Offset that follows the claim; no two claims share one, and it rises. */
+  /** Offset that follows the claim; it is unique to the claim and increases. */
   readonly epoch: number;
   readonly name: string;
-  /** Drawn at each start of a process. */
+  /** Random identifier of the process incarnation. */
   readonly life: string;
-  /** Address for other processes of the system. */
+  /** Address at which other processes of the system reach the leader. */
   readonly address: string;
-  /** The leader has given up its office. */
+  /** The leader has resigned. */
   readonly resigned: boolean;
 }
--- a/packages/job-nodes/src/leadership/leadership.ts
+++ b/packages/job-nodes/src/leadership/leadership.ts
@@ -5,36 +5,37 @@
 import type { LeaderRecord } from './leader-record.js';
 import type { LeadershipOptions } from './leadership-options.js';
 
-const RENEW_EVERY_MILLISECONDS = 500;
+const RENEWAL_INTERVAL_MILLISECONDS = 500;
 
-/** A leader acts on its lease for so long after it sent a renewal. */
+/** Duration of a leader's lease, counted from when it sent the renewal. */
 const LEASE_MILLISECONDS = 1500;
 
-const FOLLOW_MILLISECONDS = 400;
+const FOLLOW_TIMEOUT_MILLISECONDS = 400;
 
-/** While the lead is free, so that a claim is not late. */
-const CANDIDATE_FOLLOW_MILLISECONDS = 50;
+/** Follow timeout without a leader; shorter, so that a claim is not delayed. */
+const VACANCY_TIMEOUT_MILLISECONDS = 50;
 
-const RETRY_MILLISECONDS = 200;
+const RETRY_DELAY_MILLISECONDS = 200;
 
-/** A candidate leaves others this many times its own way to the log and back. */
-const COURTESY_FACTOR = 3;
+/** A candidate delays its claim by this multiple of its round trip to the log. */
+const CLAIM_DELAY_FACTOR = 3;
 
-const MOST_COURTESY_MILLISECONDS = 400;
+const MAXIMUM_CLAIM_DELAY_MILLISECONDS = 400;
 
-/** Follows who leads, claims the lead, and renews it. */
+/** Follows the leadership log, claims leadership, and renews the lease. */
 export class Leadership {
-  /** Newest record known. */
+  /** Newest record read or received. */
   public record: LeaderRecord | undefined;
 
-  /** Time that candidates nearer to the log are left. */
-  private courtesyMilliseconds = 0;
+  /** Time by which candidates nearer to the log may claim earlier. */
+  private claimDelayMilliseconds = 0;
 
   private readonly options: LeadershipOptions;
 
+  /** Offset that follows the newest record read. */
   private end = 0;
 
-  private readAt = 0;
+  private recordReadAt = 0;
 
   private sequence = 0;
 
@@ -42,55 +43,55 @@
 
   private leading = false;
 
-  private stopping = false;
+  private resigning = false;
 
-  private ended = false;
+  private stopped = false;
 
-  private goneLife = '';
+  private terminatedIncarnation = '';
 
-  private known = false;
+  private newestRead = false;
 
   public constructor(options: LeadershipOptions) {
     this.options = options;
   }
 
-  /** This process leads, and its lease is not over. */
+  /** Tells whether this process is the leader and its lease has not expired. */
   public isValid(): boolean {
     const { time } = this.options;
     return this.leading && time.steady() - this.renewedAt < LEASE_MILLISECONDS;
   }
 
-  /** Notes that a process that leads or led surely is gone. */
-  public noteGone(life: string): void {
-    this.goneLife = life;
+  /** Records that the process of a current or former leader has terminated. */
+  public recordTermination(incarnation: string): void {
+    this.terminatedIncarnation = incarnation;
   }
 
-  /** Learns of a leader from another process. */
-  public learn(record: LeaderRecord): void {
+  /** Applies a leader record received from another process, if it is newer. */
+  public observeLeader(record: LeaderRecord): void {
     if (!this.leading && record.epoch > (this.record?.epoch ?? 0)) {
-      this.take(record);
+      this.applyRecord(record);
     }
   }
 
-  /** Gives up leading, without a word to others. */
-  public lose(reason: string): void {
+  /** Stops acting as the leader, without a record to the log. */
+  public relinquish(reason: string): void {
     if (!this.leading) {
       return;
     }
     this.leading = false;
-    this.known = false;
+    this.newestRead = false;
     this.options.logger.warn('This process leads no more.', { reason });
     this.options.onLost(reason);
   }
 
-  /** Ends the following. */
+  /** Stops the loop of `run`. */
   public stop(): void {
-    this.ended = true;
+    this.stopped = true;
   }
 
-  /** Follows, claims and renews until it is stopped. */
+  /** Follows, claims and renews until stopped. */
   public async run(): Promise<void> {
-    while (!this.isEnded()) {
+    while (!this.isStopped()) {
       try {
         await this.step();
       } catch (error) {
@@ -98,20 +99,20 @@
           reason: messageOf(error),
           leading: this.leading,
         });
-        this.loseIfOver();
-        await pause(RETRY_MILLISECONDS);
+        this.relinquishAfterOutage();
+        await pause(RETRY_DELAY_MILLISECONDS);
       }
     }
   }
 
-  /** Gives up the lead, and claims it no more. */
+  /** Resigns if this process is the leader, and never claims again. */
   public async resign(): Promise<void> {
-    this.stopping = true;
+    this.resigning = true;
     if (!this.leading || this.record === undefined) {
       return;
     }
     const record = { ...this.record, resigned: true };
-    this.lose('this process stops');
+    this.relinquish('this process stops');
     this.sequence += 1;
     try {
       await this.options.log.renew(record, this.sequence);
@@ -122,8 +123,8 @@
     }
   }
 
-  private isEnded(): boolean {
-    return this.ended;
+  private isStopped(): boolean {
+    return this.stopped;
   }
 
   private async step(): Promise<void> {
@@ -131,74 +132,74 @@
       await this.renew();
       return;
     }
-    if (!this.known) {
+    if (!this.newestRead) {
       await this.readNewest();
     } else {
-      this.takePage(await this.options.log.follow(this.end, this.followFor()));
+      this.applyPage(await this.options.log.follow(this.end, this.followFor()));
     }
-    if (!this.stopping && this.mayClaim()) {
+    if (!this.resigning && this.shouldClaimNow()) {
       await this.claim();
     }
   }
 
   private async readNewest(): Promise<void> {
     const { log, time } = this.options;
-    const askedAt = time.steady();
+    const sentAt = time.steady();
     const page = await log.newest();
-    const way = time.steady() - askedAt;
-    this.courtesyMilliseconds = Math.min(
-      MOST_COURTESY_MILLISECONDS,
-      way * COURTESY_FACTOR,
+    const roundTripMilliseconds = time.steady() - sentAt;
+    this.claimDelayMilliseconds = Math.min(
+      MAXIMUM_CLAIM_DELAY_MILLISECONDS,
+      roundTripMilliseconds * CLAIM_DELAY_FACTOR,
     );
-    this.takePage(page);
-    this.known = true;
+    this.applyPage(page);
+    this.newestRead = true;
   }
 
   private followFor(): number {
-    const free = this.record?.resigned !== false || this.isProvenGone();
-    return free ? CANDIDATE_FOLLOW_MILLISECONDS : FOLLOW_MILLISECONDS;
+    const vacant = this.record?.resigned !== false || this.isLeaderTerminated();
+    return vacant ? VACANCY_TIMEOUT_MILLISECONDS : FOLLOW_TIMEOUT_MILLISECONDS;
   }
 
-  private isProvenGone(): boolean {
-    return this.record?.life === this.goneLife;
+  private isLeaderTerminated(): boolean {
+    return this.record?.life === this.terminatedIncarnation;
   }
 
-  private mayClaim(): boolean {
-    const { name, life, time } = this.options;
+  private shouldClaimNow(): boolean {
+    const { name, incarnation, time } = this.options;
     return shouldClaim({
       record: this.record,
-      silentMilliseconds: time.steady() - this.readAt,
+      sinceRecordMilliseconds: time.steady() - this.recordReadAt,
       ownName: name,
-      ownLife: life,
-      provenGone: this.isProvenGone(),
-      courtesyMilliseconds: this.courtesyMilliseconds,
+      ownIncarnation: incarnation,
+      leaderTerminated: this.isLeaderTerminated(),
+      claimDelayMilliseconds: this.claimDelayMilliseconds,
     });
   }
 
   private async claim(): Promise<void> {
-    const { name, life, address, log, time } = this.options;
-    // The place of the claim is its alone, and after all that was claimed
-    // before; a late renewal of an earlier leader may hide the newest claim.
+    const { name, incarnation: life, address, log, time } = this.options;
+    // The claim's offset is unique and higher than that of any earlier claim; the
+    // newest record may be a late renewal that hides the newest claim.
     const epoch = this.end + 1;
     const record = { epoch, name, life, address, resigned: false };
     const sentAt = time.steady();
-    const won = await log.claim(record, this.end);
-    if (!won) {
-      this.known = false;
+    const claimed = await log.claim(record, this.end);
+    if (!claimed) {
+      this.newestRead = false;
       return;
     }
     this.leading = true;
     this.sequence = 0;
     this.renewedAt = sentAt;
-    this.take(record);
+    this.applyRecord(record);
     this.options.logger.info('This process leads.', { epoch });
-    this.options.onWon(epoch);
+    this.options.onAcquired(epoch);
   }
 
   private async renew(): Promise<void> {
     const { log, time } = this.options;
     if (this.sequence > 0) {
-      await pause(RENEW_EVERY_MILLISECONDS);
+      await pause(RENEWAL_INTERVAL_MILLISECONDS);
     }
     const { record } = this;
     if (!this.leading || record === undefined) {
@@ -211,39 +212,39 @@
       this.sequence = sequence;
       this.renewedAt = sentAt;
     } else {
-      this.lose('another process leads');
+      this.relinquish('another process leads');
     }
   }
 
-  private loseIfOver(): void {
+  private relinquishAfterOutage(): void {
     const { time } = this.options;
-    const silent = time.steady() - this.renewedAt;
-    if (this.leading && silent > 20 * LEASE_MILLISECONDS) {
-      this.lose('the log was away for too long');
+    const sinceRenewal = time.steady() - this.renewedAt;
+    if (this.leading && sinceRenewal > 20 * LEASE_MILLISECONDS) {
+      this.relinquish('the log was away for too long');
     }
   }
 
-  private takePage(page: {
+  private applyPage(page: {
     readonly record: LeaderRecord | undefined;
     readonly end: number;
   }): void {
     if (page.record !== undefined) {
-      this.take(page.record);
-    } else if (!this.known) {
-      this.readAt = this.options.time.steady();
+      this.applyRecord(page.record);
+    } else if (!this.newestRead) {
+      this.recordReadAt = this.options.time.steady();
     }
     this.end = page.end;
   }
 
-  private take(record: LeaderRecord): void {
+  private applyRecord(record: LeaderRecord): void {
     if (record.epoch < (this.record?.epoch ?? 0)) {
       return;
     }
     const changed = record.epoch !== this.record?.epoch;
     this.record = record;
-    this.readAt = this.options.time.steady();
+    this.recordReadAt = this.options.time.steady();
     if (changed) {
-      this.options.onLeader(record);
+      this.options.onLeaderChange(record);
     }
   }
 }
--- a/packages/job-nodes/src/lines/agent-message.ts
+++ b/packages/job-nodes/src/lines/agent-message.ts
@@ -1,18 +1,18 @@
 import type { ImageStatistics } from '@basilcourse/jobs/interference/image-statistics';
 import type { AgentReport } from '@basilcourse/jobs/model/agent-report';
 
-/** What an agent sends to the leader, one message a line. */
+/** Message from an agent to the leader, sent as one line of JSON. */
 export type AgentMessage =
   | { readonly kind: 'beat'; readonly sentAt: number }
   | {
-      /** Given back to a new leader, as the last one told it. */
+      /** Returns to a new leader the statistics that the last one sent. */
       readonly kind: 'images';
       readonly sentAt: number;
       readonly images: ImageStatistics;
     }
   | {
       readonly kind: 'report';
-      /** The agent's steady clock when it sent this. */
+      /** The agent's monotonic clock at the time of sending. */
       readonly sentAt: number;
       readonly report: AgentReport;
     };
--- a/packages/job-nodes/src/lines/call-message.ts
+++ b/packages/job-nodes/src/lines/call-message.ts
@@ -1,8 +1,8 @@
 import type { JobCall } from '../leader/job-call.js';
 
-/** A call that an entry passes to the leader. */
+/** A call that an entry forwards to the leader. */
 export interface CallMessage {
-  /** Epoch of the leader that the call is for; no other acts on it. */
+  /** Epoch of the addressed leader; any other leader rejects the call. */
   readonly epoch: number;
   readonly call: JobCall;
 }
--- a/packages/job-nodes/src/lines/leader-message.ts
+++ b/packages/job-nodes/src/lines/leader-message.ts
@@ -4,33 +4,33 @@
 import type { StopOrder } from '@basilcourse/jobs/model/stop-order';
 import type { TaskTraits } from '@basilcourse/jobs/model/task-traits';
 
-/** What the leader sends to an agent, one message a line. */
+/** Message from the leader to an agent, sent as one line of JSON. */
 export type LeaderMessage =
   | {
       readonly kind: 'welcome';
       readonly epoch: number;
-      /** To be used in every call to the minion. */
+      /** The agent passes it in every call to the minion. */
       readonly fencingToken: number;
       readonly leaseMilliseconds: number;
     }
   | {
       readonly kind: 'grant';
-      /** `sentAt` of the message from which the lease counts. */
+      /** `sentAt` of the agent's message, from which the lease counts. */
       readonly sentAt: number;
-      /** Addresses of the entries that live. */
+      /** Addresses of the running entries. */
       readonly entries: readonly string[];
     }
   | {
       readonly kind: 'traits';
-      /** Of runs that the agent listed. */
-      readonly tasks: readonly KnownTask[];
+      /** Traits of the runs that the agent reported. */
+      readonly tasks: readonly TaskWithTraits[];
     }
   | { readonly kind: 'images'; readonly images: ImageStatistics }
-  /** Loads of the jobs that serve on the agent's minion. */
+  /** Loads of the latency-critical jobs on the agent's minion. */
   | { readonly kind: 'loads'; readonly loads: readonly ServingLoad[] }
   | {
       readonly kind: 'starts';
-      /** The life of the minion that the starts are for. */
+      /** The minion incarnation that the starts are for. */
       readonly incarnation: string;
       readonly starts: readonly StartOrder[];
     }
@@ -40,11 +40,11 @@
       readonly incarnation: string;
       /** Ends up to this number are stored. */
       readonly endsThrough: number;
-      /** Refusals that were taken in, by task and run. */
+      /** Refusals that are stored, as `task/run`. */
       readonly refusals: readonly string[];
     };
 
-interface KnownTask {
+interface TaskWithTraits {
   readonly task: string;
   readonly traits: TaskTraits;
 }
--- a/packages/job-nodes/src/lines/line-reader.ts
+++ b/packages/job-nodes/src/lines/read-lines.ts
@@ -1,32 +1,35 @@
 import type { Readable } from 'node:stream';
 
-const LONGEST_LINE_CHARACTERS = 4 * 1024 * 1024;
+const MAXIMUM_LINE_CHARACTERS = 4 * 1024 * 1024;
 
-/** Calls back with each line of a stream, parsed as JSON. */
+/**
+ * Calls back with each line of a stream, parsed as JSON, and once when the stream
+ * has ended or a line is invalid.
+ */
 export function readLines(
   stream: Readable,
   onLine: (message: unknown) => void,
   onEnd: (reason: string) => void,
 ): void {
-  let rest = '';
-  let over = false;
+  let remainder = '';
+  let ended = false;
   const end = (reason: string): void => {
-    if (!over) {
-      over = true;
+    if (!ended) {
+      ended = true;
       onEnd(reason);
     }
   };
   stream.setEncoding('utf8');
   stream.on('data', (chunk: string) => {
-    const parts = (rest + chunk).split('\n');
-    rest = parts.pop() ?? '';
-    if (rest.length > LONGEST_LINE_CHARACTERS) {
+    const parts = (remainder + chunk).split('\n');
+    remainder = parts.pop() ?? '';
+    if (remainder.length > MAXIMUM_LINE_CHARACTERS) {
       end('a line is too long');
       stream.destroy();
       return;
     }
     for (const part of parts) {
-      if (over || part === '') {
+      if (ended || part === '') {
         continue;
       }
       try {
--- a/packages/job-nodes/src/metrics/watch-figures.ts
+++ b/packages/job-nodes/src/metrics/watch-figures.ts
@@ -38,7 +38,8 @@
   {
     name: 'store_answer_owed_seconds',
     help: 'Time for which the store has owed an answer to an append.',
-    read: ({ owedMilliseconds }) => owedMilliseconds / MILLISECONDS_PER_SECOND,
+    read: ({ pendingAppendMilliseconds }) =>
+      pendingAppendMilliseconds / MILLISECONDS_PER_SECOND,
   },
 ];
 
--- a/packages/job-nodes/src/store/job-store.ts
+++ b/packages/job-nodes/src/store/job-store.ts
@@ -1,16 +1,16 @@
 import type { StoredValue } from './stored-value.js';
 
-/** Where jobs and their progress are kept, by key. */
+/** Key-value store of jobs and their progress. */
 export interface JobStore {
-  /** Shuts out every writer with a lower epoch. */
+  /** Fences every writer with a lower epoch; false if a higher one was seen. */
   readonly open: (epoch: number) => Promise<boolean>;
   /** Returns the newest value of each key. */
   readonly readAll: () => Promise<readonly StoredValue[]>;
   /**
    * Stores all values or none; false if a higher epoch was seen.
    *
-   * @param sequence - Number of the call in the epoch, from 0; a call that is
-   * repeated under its number is stored once.
+   * @param sequence - Number of the append in the epoch, from 0; an append that
+   * is repeated under the same number is stored once.
    */
   readonly append: (
     epoch: number,
--- a/packages/job-nodes/src/store/leadership-log.ts
+++ b/packages/job-nodes/src/store/leadership-log.ts
@@ -1,17 +1,20 @@
 import type { LeaderRecord } from '../leadership/leader-record.js';
 
-/** Where the leader's records are kept, in one order for all. */
+/** Totally ordered log of leader records. */
 export interface LeadershipLog {
   /** Returns the newest record, and the offset that follows it. */
   readonly newest: () => Promise<LeadershipPage>;
-  /** Waits for records from an offset on, for a while. */
+  /** Waits up to the given time for records from an offset on. */
   readonly follow: (
-    from: number,
+    fromOffset: number,
     waitMilliseconds: number,
   ) => Promise<LeadershipPage>;
-  /** Appends if nothing was appended since the offset; true if it was. */
-  readonly claim: (record: LeaderRecord, at: number) => Promise<boolean>;
-  /** Appends unless a higher epoch was seen; false if one was. */
+  /** Appends only if the log still ends at the offset; true if appended. */
+  readonly claim: (
+    record: LeaderRecord,
+    expectedEnd: number,
+  ) => Promise<boolean>;
+  /** Appends unless a higher epoch was seen; true if appended. */
   readonly renew: (record: LeaderRecord, sequence: number) => Promise<boolean>;
 }
 
--- a/packages/job-nodes/src/store/stored-value.ts
+++ b/packages/job-nodes/src/store/stored-value.ts
@@ -1,4 +1,4 @@
-/** A key and its value; a key without a value is dropped. */
+/** A key and its value; without a value, the key is deleted. */
 export interface StoredValue {
   readonly key: string;
   readonly value: string | undefined;
--- a/packages/job-nodes/src/time/anchored-time.ts
+++ b/packages/job-nodes/src/time/anchored-time.ts
@@ -1,6 +1,6 @@
 import type { TimeSource } from './time-source.js';
 
-/** The time of day at the start, carried on by the steady clock. */
+/** Returns a wall clock that is read once and then advanced monotonically. */
 export function anchoredTime(): TimeSource {
   const anchor = Date.now() - performance.now();
   return {
--- a/packages/job-nodes/src/time/time-source.ts
+++ b/packages/job-nodes/src/time/time-source.ts
@@ -1,7 +1,7 @@
-/** The two clocks of a process. */
+/** Wall clock and monotonic clock of a process. */
 export interface TimeSource {
-  /** Unix milliseconds; does not jump while the process lives. */
+  /** Unix milliseconds; does not jump during the process lifetime. */
   readonly now: () => number;
-  /** Milliseconds on the steady clock. */
+  /** Milliseconds of the monotonic clock. */
   readonly steady: () => number;
 }
--- a/packages/job-nodes/tests/leader/agent-sessions.test.ts
+++ b/packages/job-nodes/tests/leader/agent-sessions.test.ts
@@ -47,7 +47,7 @@
     const sessions = new AgentSessions(table);
     const first = makeSession(1);
     sessions.attach(first);
-    sessions.takeReport(first, makeReport(1), 0);
+    sessions.updateMinion(first, makeReport(1), 0);
     const second = makeSession(2);
     sessions.attach(second);
     sessions.detach(first);
@@ -57,31 +57,31 @@
   },
 );
 
-t.test('a closed stream reports nothing any more', t => {
+t.test('reports on a closed stream are ignored', t => {
   const table = new JobTable();
   const sessions = new AgentSessions(table);
   const session = makeSession(1);
   sessions.attach(session);
-  sessions.takeReport(session, makeReport(1), 0);
-  sessions.closeSilent(10_000);
-  t.equal(sessions.takeReport(session, makeReport(1), 10_000), undefined);
+  sessions.updateMinion(session, makeReport(1), 0);
+  sessions.closeUnresponsive(10_000);
+  t.equal(sessions.updateMinion(session, makeReport(1), 10_000), undefined);
   t.equal(table.getOrAddMinion(INCARNATION, 0).connected, false);
   t.end();
 });
 
-t.test('an agent without a minion leaves the earlier one unconnected', t => {
+t.test('a report without a minion disconnects the earlier one', t => {
   const table = new JobTable();
   const sessions = new AgentSessions(table);
   const session = makeSession(1);
   sessions.attach(session);
-  sessions.takeReport(session, makeReport(1), 0);
-  sessions.takeReport(session, makeReport(1, { minion: null }), 0);
+  sessions.updateMinion(session, makeReport(1), 0);
+  sessions.updateMinion(session, makeReport(1, { minion: null }), 0);
   t.equal(table.getOrAddMinion(INCARNATION, 0).connected, false);
   t.end();
 });
 
 t.test(
-  'a lease that is given before the first report counts for its minion',
+  'a lease renewed before the first report counts for the minion on its VM',
   t => {
     const table = new JobTable();
     const sessions = new AgentSessions(table);
@@ -89,7 +89,7 @@
     table.getOrAddMinion('other|minion|1', 0);
     const session = makeSession(2);
     sessions.attach(session);
-    sessions.hear(session, 5900);
+    sessions.recordContact(session, 5900);
     t.equal(table.getOrAddMinion(INCARNATION, 0).lastContactAt, 5900);
     t.equal(table.getOrAddMinion('other|minion|1', 0).lastContactAt, 0);
     t.end();
--- a/packages/job-nodes/tests/leader/interference-watch.test.ts
+++ b/packages/job-nodes/tests/leader/interference-watch.test.ts
@@ -18,11 +18,16 @@
   gone: [],
 };
 
-const PAIR = { serving: 's', filling: 'f', harm: 0.2, observations: 30 };
+const INTERFERENCE_ROW = {
+  serving: 's',
+  filling: 'f',
+  harm: 0.2,
+  observations: 30,
+};
 
-const LOWEST = { image: 's', milliseconds: 30 };
+const LOWEST_TAIL_LATENCY = { image: 's', milliseconds: 30 };
 
-/** Reads the message of images that was sent last, if any. */
+/** Reads the image statistics that were sent last, if any. */
 function readImages(output: PassThrough): ImageStatistics | undefined {
   const line = output.read() as string | null;
   const message =
@@ -30,26 +35,36 @@
   return message?.kind === 'images' ? message.images : undefined;
 }
 
-t.test('an agent is told once, and again on its next stream', t => {
-  const watch = new InterferenceWatch();
+t.test('statistics are sent once to each stream of an agent', t => {
+  const monitor = new InterferenceWatch();
   const table = new JobTable();
   const output = new PassThrough();
   output.setEncoding('utf8');
   const session = new AgentSession('agent', 1, output, 0);
-  watch.adopt({ harms: [PAIR], lowestTails: [LOWEST] });
-  watch.learn(table, session, REPORT, 0);
+  monitor.adopt({
+    harms: [INTERFERENCE_ROW],
+    lowestTails: [LOWEST_TAIL_LATENCY],
+  });
+  monitor.applyReport(table, session, REPORT, 0);
   const first = readImages(output);
-  t.same(first?.lowestTails, [LOWEST]);
+  t.same(first?.lowestTails, [LOWEST_TAIL_LATENCY]);
   t.match(first?.harms, [{ serving: 's', filling: 'f', observations: 30 }]);
-  watch.learn(table, session, REPORT, 2000);
+  monitor.applyReport(table, session, REPORT, 2000);
   t.equal(readImages(output), undefined, 'nothing has changed');
-  watch.adopt({ harms: [{ ...PAIR, filling: 'g' }], lowestTails: [] });
-  watch.learn(table, session, REPORT, 4000);
+  monitor.adopt({
+    harms: [{ ...INTERFERENCE_ROW, filling: 'g' }],
+    lowestTails: [],
+  });
+  monitor.applyReport(table, session, REPORT, 4000);
   const later = readImages(output);
-  t.match(later?.harms, [{ filling: 'g' }], 'only what is new');
+  t.match(later?.harms, [{ filling: 'g' }], 'only rows that have changed');
   t.equal(later?.harms.length, 1);
   const next = new AgentSession('agent', 2, output, 0);
-  watch.learn(table, next, REPORT, 4100);
-  t.equal(readImages(output)?.harms.length, 2, 'it may have started anew');
+  monitor.applyReport(table, next, REPORT, 4100);
+  t.equal(
+    readImages(output)?.harms.length,
+    2,
+    'all rows, as the agent may have restarted',
+  );
   t.end();
 });
--- a/packages/job-nodes/tests/leader/leader.test.ts
+++ b/packages/job-nodes/tests/leader/leader.test.ts
@@ -1,49 +1,49 @@
 import t from 'tap';
 
 import { pause } from '../../src/time/pause.js';
-import { QUEUE } from '../support/job-world.js';
-import { openBench, SPECIFICATION } from '../support/leader-bench.js';
+import { QUEUE } from '../support/job-simulation.js';
+import { openLeaderHarness, SPECIFICATION } from '../support/leader-harness.js';
 
-t.test('a start goes out only once it is stored', async t => {
-  const bench = await openBench(t);
-  await bench.submit();
-  bench.store.down = true;
-  bench.report({});
+t.test('a start is sent only after it is stored', async t => {
+  const harness = await openLeaderHarness(t);
+  await harness.submit();
+  harness.store.unavailable = true;
+  harness.report({});
   await pause(150);
-  t.same(bench.startedTasks(), []);
-  bench.store.down = false;
+  t.same(harness.startedTasks(), []);
+  harness.store.unavailable = false;
   await pause(250);
-  t.same(bench.startedTasks(), ['job.0.0.0', 'job.0.0.1']);
+  t.same(harness.startedTasks(), ['job.0.0.0', 'job.0.0.1']);
 });
 
-t.test('a stored start outlasts a doubt about the lead', async t => {
-  const bench = await openBench(t);
-  await bench.submit();
-  bench.store.down = true;
-  bench.report({});
+t.test('a stored start is sent once leadership is certain again', async t => {
+  const harness = await openLeaderHarness(t);
+  await harness.submit();
+  harness.store.unavailable = true;
+  harness.report({});
   await pause(60);
-  bench.store.down = false;
-  bench.valid = false;
+  harness.store.unavailable = false;
+  harness.valid = false;
   await pause(250);
-  t.same(bench.startedTasks(), [], 'none while the lead is in doubt');
-  bench.valid = true;
+  t.same(harness.startedTasks(), [], 'none while leadership is in doubt');
+  harness.valid = true;
   await pause(250);
-  t.same(bench.startedTasks(), ['job.0.0.0', 'job.0.0.1']);
+  t.same(harness.startedTasks(), ['job.0.0.0', 'job.0.0.1']);
 });
 
 t.test('a run that was stopped resumes from its checkpoint', async t => {
-  const bench = await openBench(t);
-  await bench.submit();
-  bench.report({});
+  const harness = await openLeaderHarness(t);
+  await harness.submit();
+  harness.report({});
   await pause(150);
   const task = 'job.0.0.0';
   const other = { task: 'job.0.0.1', run: 1, checkpoint: '', percent: 1 };
-  bench.report({
+  harness.report({
     running: [{ ...other, gauge: 0 }],
     ends: [{ number: 1, task, run: 1, reason: 'stopped', checkpoint: 'half' }],
   });
   await pause(250);
-  const orders = bench.messages.flatMap(message =>
+  const orders = harness.messages.flatMap(message =>
     message.kind === 'starts' ? message.starts : [],
   );
   t.same(
@@ -57,74 +57,77 @@
   );
 });
 
-t.test('a job that was refused never starts', async t => {
-  const bench = await openBench(t);
-  bench.report({});
-  bench.store.down = true;
-  void bench.leader.answer({
+t.test('a refused job never starts', async t => {
+  const harness = await openLeaderHarness(t);
+  harness.report({});
+  harness.store.unavailable = true;
+  void harness.leader.answer({
     kind: 'submit',
     specification: { ...SPECIFICATION, identifier: 'earlier' },
     queue: QUEUE,
   });
   await pause(800);
-  const answer = await bench.submit();
+  const answer = await harness.submit();
   t.equal(answer.kind, 'refused');
-  bench.store.down = false;
+  harness.store.unavailable = false;
   await pause(300);
   const call = { identifier: 'job', queue: 'queue' };
-  t.same(await bench.leader.answer({ kind: 'status', ...call }), {
+  t.same(await harness.leader.answer({ kind: 'status', ...call }), {
     kind: 'no-such-job',
   });
   t.same(
-    bench.startedTasks().filter(task => task.startsWith('job.')),
+    harness.startedTasks().filter(task => task.startsWith('job.')),
     [],
   );
-  t.ok(bench.startedTasks().length > 0, 'the accepted one starts');
+  t.ok(harness.startedTasks().length > 0, 'the accepted one starts');
 });
 
-t.test('the same job handed in again stays one job', async t => {
-  const bench = await openBench(t);
-  const answers = await Promise.all([bench.submit(), bench.submit()]);
+t.test('a job that is submitted twice is accepted as one job', async t => {
+  const harness = await openLeaderHarness(t);
+  const answers = await Promise.all([harness.submit(), harness.submit()]);
   t.same(answers, [{ kind: 'accepted' }, { kind: 'accepted' }]);
-  bench.report({});
+  harness.report({});
   await pause(150);
-  t.equal(bench.startedTasks().length, 2);
+  t.equal(harness.startedTasks().length, 2);
 });
 
-t.test('a successor knows jobs, states and cancellations', async t => {
-  const first = await openBench(t);
-  await first.submit();
-  const call = { identifier: 'job', queue: 'queue' };
-  t.same(await first.leader.answer({ kind: 'cancel', ...call }), {
-    kind: 'cancelled',
-  });
-  const second = await openBench(t, 2, first.store);
-  t.same(await second.leader.answer({ kind: 'status', ...call }), {
-    kind: 'status',
-    status: 'cancelled',
-  });
-  t.same(
-    await second.leader.answer({
+t.test(
+  'a new leader reads jobs, states and cancellations from the store',
+  async t => {
+    const first = await openLeaderHarness(t);
+    await first.submit();
+    const call = { identifier: 'job', queue: 'queue' };
+    t.same(await first.leader.answer({ kind: 'cancel', ...call }), {
+      kind: 'cancelled',
+    });
+    const second = await openLeaderHarness(t, 2, first.store);
+    t.same(await second.leader.answer({ kind: 'status', ...call }), {
       kind: 'status',
-      identifier: 'other',
-      queue: 'queue',
-    }),
-    { kind: 'no-such-job' },
-  );
-  const again = await first.leader.answer({
-    kind: 'submit',
-    specification: { ...SPECIFICATION, identifier: 'later' },
-    queue: QUEUE,
-  });
-  t.same(again, { kind: 'unknown' }, 'the earlier leader accepts nothing');
-});
+      status: 'cancelled',
+    });
+    t.same(
+      await second.leader.answer({
+        kind: 'status',
+        identifier: 'other',
+        queue: 'queue',
+      }),
+      { kind: 'no-such-job' },
+    );
+    const again = await first.leader.answer({
+      kind: 'submit',
+      specification: { ...SPECIFICATION, identifier: 'later' },
+      queue: QUEUE,
+    });
+    t.same(again, { kind: 'unknown' }, 'the earlier leader accepts nothing');
+  },
+);
 
 t.test(
-  'nobody is told that a job is unknown while the lead is in doubt',
+  'no job is reported as missing while leadership is in doubt',
   async t => {
-    const bench = await openBench(t);
-    bench.valid = false;
+    const harness = await openLeaderHarness(t);
+    harness.valid = false;
     const call = { kind: 'status', identifier: 'x', queue: 'queue' } as const;
-    t.same(await bench.leader.answer(call), { kind: 'not-leading' });
+    t.same(await harness.leader.answer(call), { kind: 'not-leading' });
   },
 );
--- a/packages/job-nodes/tests/leader/store-writer.test.ts
+++ b/packages/job-nodes/tests/leader/store-writer.test.ts
@@ -33,37 +33,43 @@
   });
 }
 
-t.test('an append without an answer is repeated under its number', async t => {
-  const calls: number[] = [];
-  const append: Append = (_epoch, sequence) => {
-    calls.push(sequence);
-    return calls.length < 3
-      ? Promise.reject(new Error('no answer'))
-      : Promise.resolve(true);
-  };
-  const pending = [{ key: 'a', value: '1' }];
-  const writer = createWriter(append, pending);
-  t.equal(await stored(writer), true);
-  pending.push({ key: 'a', value: '2' });
-  t.equal(await stored(writer), true);
-  t.same(calls, [0, 0, 0, 1]);
-});
+t.test(
+  'an append without an answer is retried under its sequence number',
+  async t => {
+    const calls: number[] = [];
+    const append: Append = (_epoch, sequence) => {
+      calls.push(sequence);
+      return calls.length < 3
+        ? Promise.reject(new Error('no answer'))
+        : Promise.resolve(true);
+    };
+    const pending = [{ key: 'a', value: '1' }];
+    const writer = createWriter(append, pending);
+    t.equal(await stored(writer), true);
+    pending.push({ key: 'a', value: '2' });
+    t.equal(await stored(writer), true);
+    t.same(calls, [0, 0, 0, 1]);
+  },
+);
 
-t.test('nothing that waited is done once a later leader writes', async t => {
-  let fenced = 0;
-  const writer = createWriter(
-    () => Promise.resolve(false),
-    [{ key: 'a', value: '1' }],
-    () => {
-      fenced += 1;
-    },
-  );
-  t.equal(await stored(writer), false);
-  t.equal(fenced, 1);
-  t.equal(await stored(writer), false, 'nor what comes afterwards');
-});
+t.test(
+  'waiting actions fail once a later leader has fenced the writer',
+  async t => {
+    let fenced = 0;
+    const writer = createWriter(
+      () => Promise.resolve(false),
+      [{ key: 'a', value: '1' }],
+      () => {
+        fenced += 1;
+      },
+    );
+    t.equal(await stored(writer), false);
+    t.equal(fenced, 1);
+    t.equal(await stored(writer), false, 'later actions fail, too');
+  },
+);
 
-t.test('a closed writer lets nobody wait', async t => {
+t.test('closing the writer fails all waiting actions', async t => {
   const never: Append = () => new Promise(() => undefined);
   const writer = createWriter(never, [{ key: 'a', value: '1' }]);
   const waiting = stored(writer);
--- a/packages/job-nodes/tests/leadership/decide-claim.test.ts
+++ b/packages/job-nodes/tests/leadership/decide-claim.test.ts
@@ -13,38 +13,50 @@
 
 const view: ClaimView = {
   record,
-  silentMilliseconds: 0,
+  sinceRecordMilliseconds: 0,
   ownName: 'me',
-  ownLife: 'mine',
-  provenGone: false,
-  courtesyMilliseconds: 100,
+  ownIncarnation: 'mine',
+  leaderTerminated: false,
+  claimDelayMilliseconds: 100,
 };
 
 const CASES: readonly [string, Partial<ClaimView>, boolean][] = [
-  ['a leader that was just heard', {}, false],
-  ['a leader silent for too short a time', { silentMilliseconds: 2099 }, false],
-  ['a silent leader', { silentMilliseconds: 2100 }, true],
-  ['nobody ever led, courtesy', { record: undefined }, false],
-  ['nobody ever led', { record: undefined, silentMilliseconds: 100 }, true],
+  ['a leader whose record was just read', {}, false],
   [
-    'a leader that resigned',
-    { record: { ...record, resigned: true }, silentMilliseconds: 100 },
+    'a leader shortly before the timeout',
+    { sinceRecordMilliseconds: 2099 },
+    false,
+  ],
+  ['a leader after the timeout', { sinceRecordMilliseconds: 2100 }, true],
+  ['no leader so far, within the claim delay', { record: undefined }, false],
+  [
+    'no leader so far',
+    { record: undefined, sinceRecordMilliseconds: 100 },
+    true,
+  ],
+  [
+    'a leader that has resigned',
+    { record: { ...record, resigned: true }, sinceRecordMilliseconds: 100 },
+    true,
+  ],
+  [
+    'a leader that has terminated',
+    { leaderTerminated: true, sinceRecordMilliseconds: 100 },
     true,
   ],
-  ['a leader proven gone', { provenGone: true, silentMilliseconds: 100 }, true],
   [
-    'an earlier life of this process',
+    'an earlier incarnation of this process',
     { record: { ...record, name: 'me' } },
     true,
   ],
   [
-    'an own claim of which the answer was lost',
-    { record: { ...record, life: 'mine' }, silentMilliseconds: 100 },
+    'an own claim whose answer was lost',
+    { record: { ...record, life: 'mine' }, sinceRecordMilliseconds: 100 },
     true,
   ],
 ];
 
-t.test('when to claim the lead', t => {
+t.test('when to claim leadership', t => {
   for (const [title, fields, claims] of CASES) {
     t.equal(shouldClaim({ ...view, ...fields }), claims, title);
   }
--- a/packages/job-nodes/tests/leadership/leadership.test.ts
+++ b/packages/job-nodes/tests/leadership/leadership.test.ts
@@ -8,32 +8,32 @@
 import { MemoryStore } from '../support/memory-store.js';
 import { quietLogger } from '../support/quiet-logger.js';
 
-function candidate(
+function createCandidate(
   name: string,
   log: MemoryStore,
   epochs: number[],
 ): Leadership {
   return new Leadership({
     name,
-    life: `life of ${name}`,
+    incarnation: `life of ${name}`,
     address: '127.0.0.1:1',
     log,
     time: anchoredTime(),
     logger: quietLogger,
-    onWon: epoch => epochs.push(epoch),
+    onAcquired: epoch => epochs.push(epoch),
     onLost: () => undefined,
-    onLeader: () => undefined,
+    onLeaderChange: () => undefined,
   });
 }
 
-async function until(holds: () => boolean): Promise<void> {
-  while (!holds()) {
+async function waitUntil(condition: () => boolean): Promise<void> {
+  while (!condition()) {
     await pause(5);
   }
 }
 
 t.test(
-  'no two claims have the same epoch, though a late renewal hides one',
+  'no two claims have the same epoch, even if a late renewal hides one',
   async t => {
     const log = new MemoryStore(seededRandom(1));
     const earlier: LeaderRecord = {
@@ -45,13 +45,13 @@
     };
     await log.claim(earlier, 0);
     const epochs: number[] = [];
-    const first = candidate('a', log, epochs);
+    const first = createCandidate('a', log, epochs);
     void first.run();
-    await until(() => epochs.length > 0);
+    await waitUntil(() => epochs.length > 0);
     t.equal(epochs.length, 1, 'the first has claimed');
-    // The renewal that the earlier life had under way is carried out only now.
+    // A renewal that the earlier leader had sent is executed only now.
     await log.claim(earlier, (await log.newest()).end);
-    const second = candidate('b', log, epochs);
+    const second = createCandidate('b', log, epochs);
     void second.run();
     await pause(700);
     t.equal(epochs.length, 2, 'the second has claimed');
@@ -75,11 +75,11 @@
   const near: number[] = [];
   const distant: number[] = [];
   const candidates = [
-    candidate('far', far, distant),
-    candidate('near', log, near),
+    createCandidate('far', far, distant),
+    createCandidate('near', log, near),
   ];
   candidates.forEach(each => void each.run());
-  await until(() => near.length + distant.length > 0);
+  await waitUntil(() => near.length + distant.length > 0);
   await pause(300);
   t.same([near.length, distant.length], [1, 0]);
   candidates.forEach(each => {
--- a/packages/job-nodes/tests/live/invariants.test.ts
+++ b/packages/job-nodes/tests/live/invariants.test.ts
@@ -2,14 +2,14 @@
 import t from 'tap';
 
 import { pause } from '../../src/time/pause.js';
-import { JobWorld } from '../support/job-world.js';
+import { JobSimulation } from '../support/job-simulation.js';
 import { makeSpecification, makeStep } from '../support/make-specification.js';
 
 const SEEDS = [1, 2, 3, 4, 5, 6];
 
-const FAULTS_FOR_MILLISECONDS = 6000;
+const FAULT_PHASE_MILLISECONDS = 6000;
 
-const FINISH_MILLISECONDS = 15_000;
+const FINISH_TIMEOUT_MILLISECONDS = 15_000;
 
 function makeJob(seed: number, number: number): JobSpecification {
   const step = makeStep(2 + (number % 4), 400 + 150 * (number % 5));
@@ -19,43 +19,49 @@
   ]);
 }
 
-/** One drawn fault. */
-async function doFault(world: JobWorld): Promise<void> {
-  const place =
-    world.agents[Math.floor(world.random.next() * world.agents.length)];
-  if (place === undefined) {
+/** Injects one fault, chosen at random. */
+async function injectFault(simulation: JobSimulation): Promise<void> {
+  const vm =
+    simulation.vms[
+      Math.floor(simulation.random.next() * simulation.vms.length)
+    ];
+  if (vm === undefined) {
     return;
   }
   const faults: readonly (() => Promise<void> | void)[] = [
     () => {
-      world.changeLeader();
+      simulation.changeLeader();
     },
     () => {
-      world.restartAgent(place);
+      simulation.restartAgent(vm);
     },
     () => {
-      world.crashMinion(place);
+      simulation.crashMinion(vm);
     },
     () => {
-      world.cutAgent(place, 200 + world.random.next() * 2500);
+      simulation.disconnectAgent(vm, 200 + simulation.random.next() * 2500);
     },
     () => {
-      world.lateShare = world.random.next() < 0.5 ? 0.2 : 0;
+      simulation.lateShare = simulation.random.next() < 0.5 ? 0.2 : 0;
     },
     () => {
-      world.store.lostShare = world.random.next() < 0.5 ? 0.3 : 0;
+      simulation.store.lostAnswerShare =
+        simulation.random.next() < 0.5 ? 0.3 : 0;
     },
     async () => {
-      world.store.down = true;
-      await pause(world.random.next() * 1200);
-      world.store.down = false;
+      simulation.store.unavailable = true;
+      await pause(simulation.random.next() * 1200);
+      simulation.store.unavailable = false;
     },
   ];
-  await faults[Math.floor(world.random.next() * faults.length)]?.();
+  await faults[Math.floor(simulation.random.next() * faults.length)]?.();
 }
 
-async function isCompleted(world: JobWorld, job: string): Promise<boolean> {
-  const answer = await world.ask({
+async function isCompleted(
+  simulation: JobSimulation,
+  job: string,
+): Promise<boolean> {
+  const answer = await simulation.callLeader({
     kind: 'status',
     identifier: job,
     queue: 'queue',
@@ -64,37 +70,45 @@
 }
 
 for (const seed of SEEDS) {
-  t.test(`jobs run once, in order and in their room: seed ${seed}`, async t => {
-    const world = new JobWorld(seed, 4);
-    t.teardown(() => {
-      world.close();
-    });
-    const jobs = Array.from({ length: 16 }, (_, index) => makeJob(seed, index));
-    const submitted = jobs.map(async (job, index) => {
-      await pause(index * 300);
-      await world.submit(job);
-    });
-    const until = performance.now() + FAULTS_FOR_MILLISECONDS;
-    while (performance.now() < until) {
-      await pause(100 + world.random.next() * 500);
-      await doFault(world);
-    }
-    world.lateShare = 0;
-    world.store.lostShare = 0;
-    await Promise.all(submitted);
-    const finishBy = performance.now() + FINISH_MILLISECONDS;
-    const open = new Set(jobs.map(({ identifier }) => identifier));
-    while (open.size > 0 && performance.now() < finishBy) {
-      for (const job of open) {
-        if (await isCompleted(world, job)) {
-          open.delete(job);
+  t.test(
+    `each task runs once, in order and within capacity: seed ${seed}`,
+    async t => {
+      const simulation = new JobSimulation(seed, 4);
+      t.teardown(() => {
+        simulation.close();
+      });
+      const jobs = Array.from({ length: 16 }, (_, index) =>
+        makeJob(seed, index),
+      );
+      const submitted = jobs.map(async (job, index) => {
+        await pause(index * 300);
+        await simulation.submit(job);
+      });
+      const until = performance.now() + FAULT_PHASE_MILLISECONDS;
+      while (performance.now() < until) {
+        await pause(100 + simulation.random.next() * 500);
+        await injectFault(simulation);
+      }
+      simulation.lateShare = 0;
+      simulation.store.lostAnswerShare = 0;
+      await Promise.all(submitted);
+      const finishBy = performance.now() + FINISH_TIMEOUT_MILLISECONDS;
+      const open = new Set(jobs.map(({ identifier }) => identifier));
+      while (open.size > 0 && performance.now() < finishBy) {
+        for (const job of open) {
+          if (await isCompleted(simulation, job)) {
+            open.delete(job);
+          }
         }
+        await pause(50);
       }
-      await pause(50);
-    }
-    t.same([...open], [], 'every job was completed');
-    t.same(world.witness.wrongs, [], 'nothing wrong was seen');
-    t.ok(world.witness.starts >= 100, `${world.witness.starts} starts`);
-  });
+      t.same([...open], [], 'every job was completed');
+      t.same(simulation.runChecker.violations, [], 'no invariant was violated');
+      t.ok(
+        simulation.runChecker.starts >= 100,
+        `${simulation.runChecker.starts} starts`,
+      );
+    },
+  );
 }
 t.jobs = SEEDS.length;
--- a/packages/job-nodes/tests/metrics/watch-figures.test.ts
+++ b/packages/job-nodes/tests/metrics/watch-figures.test.ts
@@ -11,7 +11,7 @@
   agents: 3,
   jobs: 20,
   waitingJobs: 4,
-  owedMilliseconds: 250,
+  pendingAppendMilliseconds: 250,
 };
 
 t.test('figures are shown, and each metric is in the manual', async t => {
--- a/packages/job-nodes/tests/support/fake-minion.ts
+++ b/packages/job-nodes/tests/support/fake-minion.ts
@@ -9,8 +9,8 @@
 import { pause } from '../../src/time/pause.js';
 import type { FakeMinionFaults } from './fake-minion-faults.js';
 import { makeLife } from './make-life.js';
-import type { Witness } from './witness.js';
-import type { WitnessedRun } from './witnessed-run.js';
+import type { ObservedRun } from './observed-run.js';
+import type { RunChecker } from './run-checker.js';
 
 const STOP_MILLISECONDS = 40;
 
@@ -28,7 +28,7 @@
 export class FakeMinion implements MinionClient {
   public life: MinionLife;
 
-  private readonly witness: Witness;
+  private readonly witness: RunChecker;
 
   private readonly faults: FakeMinionFaults;
 
@@ -50,7 +50,7 @@
 
   public constructor(
     name: string,
-    witness: Witness,
+    witness: RunChecker,
     faults: FakeMinionFaults,
     capacity: number,
   ) {
@@ -65,7 +65,7 @@
   /** Ends this life with all that runs, and begins another. */
   public crash(): void {
     for (const run of this.runs.values()) {
-      this.witness.ended(this.seen(run), false);
+      this.witness.recordEnd(this.seen(run), false);
     }
     this.runs.clear();
     this.highestRuns.clear();
@@ -103,7 +103,7 @@
     this.checkLife(life);
     this.checkToken('minion.stop', token);
     this.raiseRun(task, run);
-    this.witness.note(this.seen({ task, run }), `is stopped by ${token}`);
+    this.witness.record(this.seen({ task, run }), `is stopped by ${token}`);
     if (this.runs.get(task)?.run === run) {
       await pause(STOP_MILLISECONDS);
       this.end(task, run, 'stopped');
@@ -173,8 +173,8 @@
     this.runs.set(task, { task, run, endsAt });
     const seen = this.seen({ task, run });
     const left = Math.round(this.leaseUntil - performance.now());
-    this.witness.note(seen, `by ${token}, lease for ${left}`);
-    this.witness.started(seen);
+    this.witness.record(seen, `by ${token}, lease for ${left}`);
+    this.witness.recordStart(seen);
     return { kind: 'started' };
   }
 
@@ -194,9 +194,9 @@
   private noteEnd({ number, task, run, reason }: RunEnd, token: number): void {
     const stands = !this.lapsedEnds.has(number);
     const seen = this.seen({ task, run });
-    this.witness.note(seen, `is noted by ${token}, stands: ${stands}`);
+    this.witness.record(seen, `is noted by ${token}, stands: ${stands}`);
     if (reason === 'done' && stands) {
-      this.witness.notedDone.add(task);
+      this.witness.recordedDone.add(task);
     }
   }
 
@@ -222,12 +222,12 @@
       return;
     }
     this.runs.delete(task);
-    this.witness.ended(this.seen(known), reason === 'done');
+    this.witness.recordEnd(this.seen(known), reason === 'done');
     this.ends.push({ number: this.nextEnd, task, run, reason, checkpoint: '' });
     this.nextEnd += 1;
   }
 
-  private seen({ task, run }: Omit<Run, 'endsAt'>): WitnessedRun {
+  private seen({ task, run }: Omit<Run, 'endsAt'>): ObservedRun {
     return { task, run, minion: this.life.identifier };
   }
 
--- a/packages/job-nodes/tests/support/job-world.ts
+++ b/packages/job-nodes/tests/support/job-simulation.ts
@@ -14,17 +14,17 @@
 import type { LeaderMessage } from '../../src/lines/leader-message.js';
 import { anchoredTime } from '../../src/time/anchored-time.js';
 import { pause } from '../../src/time/pause.js';
-import { AgentPlace } from './agent-place.js';
 import { FakeMinion } from './fake-minion.js';
 import { MemoryStore } from './memory-store.js';
 import { quietLogger } from './quiet-logger.js';
-import { Witness } from './witness.js';
+import { RunChecker } from './run-checker.js';
+import { SimulatedVm } from './simulated-vm.js';
 
 const LEASE_MILLISECONDS = 1200;
 
-const CAPACITY = 4000;
+const CAPACITY_MILLICORES = 4000;
 
-const BEAT_MILLISECONDS = 100;
+const HEARTBEAT_INTERVAL_MILLISECONDS = 100;
 
 export const QUEUE = {
   name: 'queue',
@@ -35,11 +35,11 @@
   targetLatencyMilliseconds: 500,
 };
 
-/** Real leaders and drivers, over fake minions, a store and links. */
-export class JobWorld {
+/** Real leaders and drivers over fake minions, links and an in-memory store. */
+export class JobSimulation {
   public readonly store: MemoryStore;
 
-  public readonly witness: Witness;
+  public readonly runChecker: RunChecker;
 
   public readonly random: RandomSource;
 
@@ -47,56 +47,62 @@
 
   public leader: Leader;
 
-  public readonly agents: AgentPlace[];
+  public readonly vms: SimulatedVm[];
 
   private readonly time = anchoredTime();
 
   private readonly specifications = new Map<string, JobSpecification>();
 
-  /** All that ever were: replaced ones go on, as if frozen and woken. */
+  /**
+   * All drivers ever created: replaced ones keep running, like processes that
+   * resume after a long pause.
+   */
   private readonly drivers: MinionDriver[] = [];
 
   private epoch = 1;
 
-  private readonly beats: NodeJS.Timeout;
+  private readonly heartbeatTimer: NodeJS.Timeout;
 
   public constructor(seed: number, agentCount: number) {
     this.random = seededRandom(seed);
     this.store = new MemoryStore(this.random);
-    this.witness = new Witness(task => this.stepOf(task), CAPACITY);
+    this.runChecker = new RunChecker(
+      task => this.stepOf(task),
+      CAPACITY_MILLICORES,
+    );
     this.leader = this.createLeader();
-    this.agents = Array.from({ length: agentCount }, (_, index) =>
-      this.createAgent(`agent-${index}`),
+    this.vms = Array.from({ length: agentCount }, (_, index) =>
+      this.createVm(`agent-${index}`),
     );
-    this.beats = setInterval(() => {
-      this.beat();
-    }, BEAT_MILLISECONDS);
+    this.heartbeatTimer = setInterval(() => {
+      this.sendHeartbeats();
+    }, HEARTBEAT_INTERVAL_MILLISECONDS);
   }
 
-  /** Ends the timers that keep the process. */
+  /** Stops the timers and loops that would keep the process running. */
   public close(): void {
-    clearInterval(this.beats);
+    clearInterval(this.heartbeatTimer);
     this.drivers.forEach(driver => {
       driver.stop();
     });
     this.leader.close();
   }
 
-  /** Hands a job in, again at each leader, until it is accepted. */
+  /** Submits a job, repeatedly and to each leader, until it is accepted. */
   public async submit(specification: JobSpecification): Promise<void> {
     this.specifications.set(specification.identifier, specification);
     const call: JobCall = { kind: 'submit', specification, queue: QUEUE };
-    while ((await this.ask(call)).kind !== 'accepted') {
+    while ((await this.callLeader(call)).kind !== 'accepted') {
       await pause(30);
     }
   }
 
-  /** Asks the present leader. */
-  public async ask(call: JobCall): Promise<JobAnswer> {
+  /** Sends a call to the current leader. */
+  public async callLeader(call: JobCall): Promise<JobAnswer> {
     return this.leader.answer(call);
   }
 
-  /** Another leader takes over; the earlier one lives on for a while. */
+  /** Replaces the leader; the earlier one keeps running for up to 400 ms. */
   public changeLeader(): void {
     const earlier = this.leader;
     this.epoch += 1;
@@ -106,30 +112,30 @@
     });
   }
 
-  /** An agent's process is replaced; its minion lives on. */
-  public restartAgent(place: AgentPlace): void {
-    this.disconnect(place);
-    place.driver = this.createDriver(place);
-    place.driver.meet(place.minion.life);
+  /** Replaces an agent's process; its minion keeps running. */
+  public restartAgent(vm: SimulatedVm): void {
+    this.disconnect(vm);
+    vm.driver = this.createDriver(vm);
+    vm.driver.meet(vm.minion.life);
   }
 
-  /** A minion's life ends, and its next one begins. */
-  public crashMinion(place: AgentPlace): void {
-    place.minion.crash();
-    place.driver?.meet(place.minion.life);
+  /** Ends a minion's incarnation and starts the next one. */
+  public crashMinion(vm: SimulatedVm): void {
+    vm.minion.crash();
+    vm.driver?.meet(vm.minion.life);
   }
 
-  /** An agent can't reach the leader for a while. */
-  public cutAgent(place: AgentPlace, milliseconds: number): void {
-    place.cutUntil = performance.now() + milliseconds;
-    this.disconnect(place);
+  /** Makes the leader unreachable for an agent for the given time. */
+  public disconnectAgent(vm: SimulatedVm, milliseconds: number): void {
+    vm.unreachableUntil = performance.now() + milliseconds;
+    this.disconnect(vm);
   }
 
   private stepOf(task: string): StepSpecification {
     const [job = '', , step = ''] = task.split('.');
     const found = this.specifications.get(job)?.steps[Number(step)];
     if (found === undefined) {
-      throw new Error(`nobody handed in ${task}`);
+      throw new Error(`no job was submitted for ${task}`);
     }
     return found;
   }
@@ -153,35 +159,35 @@
     return leader;
   }
 
-  private createAgent(name: string): AgentPlace {
+  private createVm(name: string): SimulatedVm {
     const minion = new FakeMinion(
       name,
-      this.witness,
+      this.runChecker,
       {
         random: this.random,
         lateShare: () => this.lateShare,
         workMilliseconds: () => 50 + this.random.next() * 400,
       },
-      CAPACITY,
+      CAPACITY_MILLICORES,
     );
-    const place = new AgentPlace(name, minion);
-    place.driver = this.createDriver(place);
-    place.driver.meet(minion.life);
-    return place;
+    const vm = new SimulatedVm(name, minion);
+    vm.driver = this.createDriver(vm);
+    vm.driver.meet(minion.life);
+    return vm;
   }
 
-  private createDriver(place: AgentPlace): MinionDriver {
+  private createDriver(vm: SimulatedVm): MinionDriver {
     const driver: MinionDriver = new MinionDriver({
       images: new ImageMemory(),
-      client: place.minion,
+      client: vm.minion,
       time: this.time,
       logger: quietLogger,
       onFenced: () => undefined,
       report: report => {
-        const { session, leader, driver: current } = place;
+        const { session, leader, driver: current } = vm;
         if (session?.open && current === driver) {
-          leader?.agents.report(session, report);
-          leader?.agents.hear(session, this.time.steady());
+          leader?.agents.handleReport(session, report);
+          leader?.agents.renewLease(session, this.time.steady());
         }
       },
     });
@@ -190,43 +196,46 @@
     return driver;
   }
 
-  private beat(): void {
-    for (const place of this.agents) {
-      if (performance.now() < place.cutUntil) {
+  private sendHeartbeats(): void {
+    for (const vm of this.vms) {
+      if (performance.now() < vm.unreachableUntil) {
         continue;
       }
-      if (place.session?.open) {
-        place.leader?.agents.hear(place.session, this.time.steady());
+      if (vm.session?.open) {
+        vm.leader?.agents.renewLease(vm.session, this.time.steady());
       } else if (this.leader.isReady()) {
-        this.connect(place);
+        this.connect(vm);
       }
     }
   }
 
-  private connect(place: AgentPlace): void {
-    const { driver } = place;
+  private connect(vm: SimulatedVm): void {
+    const { driver } = vm;
     const output = new Writable({
       write: (chunk: Buffer, _encoding, callback) => {
         const message = JSON.parse(chunk.toString('utf8')) as LeaderMessage;
         setTimeout(() => {
-          if (place.driver === driver && performance.now() >= place.cutUntil) {
+          if (
+            vm.driver === driver &&
+            performance.now() >= vm.unreachableUntil
+          ) {
             driver?.take(message);
           }
         }, 1);
         callback();
       },
     });
-    place.leader = this.leader;
-    place.session = place.leader.agents.attach(
-      token => new AgentSession(place.name, token, output, this.time.now()),
+    vm.leader = this.leader;
+    vm.session = vm.leader.agents.attach(
+      token => new AgentSession(vm.name, token, output, this.time.now()),
     );
   }
 
-  private disconnect(place: AgentPlace): void {
-    if (place.session !== undefined) {
-      place.leader?.agents.detach(place.session);
-      place.session.close();
-      place.session = undefined;
+  private disconnect(vm: SimulatedVm): void {
+    if (vm.session !== undefined) {
+      vm.leader?.agents.detach(vm.session);
+      vm.session.close();
+      vm.session = undefined;
     }
   }
 }
--- a/packages/job-nodes/tests/support/leader-bench.ts
+++ b/packages/job-nodes/tests/support/leader-harness.ts
@@ -9,7 +9,7 @@
 import { Leader } from '../../src/leader/leader.js';
 import type { LeaderMessage } from '../../src/lines/leader-message.js';
 import { anchoredTime } from '../../src/time/anchored-time.js';
-import { QUEUE } from './job-world.js';
+import { QUEUE } from './job-simulation.js';
 import { makeSpecification, makeStep } from './make-specification.js';
 import { MemoryStore } from './memory-store.js';
 import { quietLogger } from './quiet-logger.js';
@@ -17,8 +17,8 @@
 /** A job of one step of two tasks. */
 export const SPECIFICATION = makeSpecification('job', [makeStep(2, 100)]);
 
-/** A leader over a store in memory, with one agent that the test plays. */
-export class LeaderBench {
+/** A leader over an in-memory store, with one agent simulated by the test. */
+export class LeaderHarness {
   public valid = true;
 
   public readonly store = new MemoryStore(seededRandom(1));
@@ -64,7 +64,7 @@
     if (this.session === undefined) {
       return;
     }
-    this.leader.agents.report(this.session, {
+    this.leader.agents.handleReport(this.session, {
       fencingToken: this.session.fencingToken,
       minion: {
         incarnation: 'agent|minion|1',
@@ -102,16 +102,16 @@
   }
 }
 
-/** Opens a bench, which ends with the test. */
-export async function openBench(
+/** Opens a harness that is closed at the end of the test. */
+export async function openLeaderHarness(
   t: Test,
   epoch = 1,
   store?: MemoryStore,
-): Promise<LeaderBench> {
-  const bench = new LeaderBench(epoch, store);
+): Promise<LeaderHarness> {
+  const harness = new LeaderHarness(epoch, store);
   t.teardown(() => {
-    bench.leader.close();
+    harness.leader.close();
   });
-  await bench.open();
-  return bench;
+  await harness.open();
+  return harness;
 }
--- a/packages/job-nodes/tests/support/make-specification.ts
+++ b/packages/job-nodes/tests/support/make-specification.ts
@@ -1,7 +1,7 @@
 import type { JobSpecification } from '@basilcourse/jobs/model/job-specification';
 import type { StepSpecification } from '@basilcourse/jobs/model/step-specification';
 
-/** A step of plain tasks. */
+/** Creates a step of independent tasks without special requirements. */
 export function makeStep(
   taskCount: number,
   processorMillicores: number,
@@ -28,7 +28,7 @@
   };
 }
 
-/** A job that runs once. */
+/** Creates a job that runs once. */
 export function makeSpecification(
   identifier: string,
   steps: readonly StepSpecification[],
--- a/packages/job-nodes/tests/support/memory-store.ts
+++ b/packages/job-nodes/tests/support/memory-store.ts
@@ -7,12 +7,12 @@
 import type { StoredValue } from '../../src/store/stored-value.js';
 import { pause } from '../../src/time/pause.js';
 
-/** The platform's store, in memory, with answers that get lost. */
+/** In-memory form of the platform's store, whose answers can be lost. */
 export class MemoryStore implements JobStore, LeadershipLog {
-  public down = false;
+  public unavailable = false;
 
-  /** Share of the calls that are carried out and not answered. */
-  public lostShare = 0;
+  /** Share of the calls that are executed but not answered. */
+  public lostAnswerShare = 0;
 
   public appends = 0;
 
@@ -20,7 +20,7 @@
 
   private readonly values = new Map<string, string>();
 
-  private readonly leaders: LeaderRecord[] = [];
+  private readonly leaderRecords: LeaderRecord[] = [];
 
   private epoch = 0;
 
@@ -33,7 +33,7 @@
   }
 
   public open: JobStore['open'] = async epoch => {
-    await this.way();
+    await this.simulateRequest();
     if (epoch < this.epoch) {
       return false;
     }
@@ -43,12 +43,12 @@
   };
 
   public readAll: JobStore['readAll'] = async () => {
-    await this.way();
+    await this.simulateRequest();
     return [...this.values].map(([key, value]) => ({ key, value }));
   };
 
   public append: JobStore['append'] = async (epoch, sequence, values) => {
-    await this.way();
+    await this.simulateRequest();
     if (epoch < this.epoch) {
       return false;
     }
@@ -59,43 +59,55 @@
         this.store(value);
       });
     }
-    await this.wayBack();
+    await this.simulateAnswer();
     return true;
   };
 
   public newest: LeadershipLog['newest'] = async () => {
-    await this.way();
-    return { record: this.leaders.at(-1), end: this.leaders.length };
+    await this.simulateRequest();
+    return {
+      record: this.leaderRecords.at(-1),
+      end: this.leaderRecords.length,
+    };
   };
 
-  public follow: LeadershipLog['follow'] = async (from, waitMilliseconds) => {
-    await this.way();
+  public follow: LeadershipLog['follow'] = async (
+    fromOffset,
+    waitMilliseconds,
+  ) => {
+    await this.simulateRequest();
     const until = performance.now() + waitMilliseconds;
-    while (this.leaders.length <= from && performance.now() < until) {
+    while (
+      this.leaderRecords.length <= fromOffset &&
+      performance.now() < until
+    ) {
       await pause(5);
     }
-    const end = this.leaders.length;
-    return { record: end > from ? this.leaders.at(-1) : undefined, end };
+    const end = this.leaderRecords.length;
+    return {
+      record: end > fromOffset ? this.leaderRecords.at(-1) : undefined,
+      end,
+    };
   };
 
-  public claim: LeadershipLog['claim'] = async (record, at) => {
-    await this.way();
-    if (at !== this.leaders.length) {
+  public claim: LeadershipLog['claim'] = async (record, expectedEnd) => {
+    await this.simulateRequest();
+    if (expectedEnd !== this.leaderRecords.length) {
       return false;
     }
-    this.leaders.push(record);
-    await this.wayBack();
+    this.leaderRecords.push(record);
+    await this.simulateAnswer();
     return true;
   };
 
   public renew: LeadershipLog['renew'] = async record => {
-    await this.way();
+    await this.simulateRequest();
     if (record.epoch < this.leaderEpoch) {
       return false;
     }
     this.leaderEpoch = record.epoch;
-    this.leaders.push(record);
-    await this.wayBack();
+    this.leaderRecords.push(record);
+    await this.simulateAnswer();
     return true;
   };
 
@@ -107,15 +119,15 @@
     }
   }
 
-  private async way(): Promise<void> {
+  private async simulateRequest(): Promise<void> {
     await pause(2);
-    if (this.down) {
+    if (this.unavailable) {
       throw new PeerUnreachableError('store.call', 'memory', 'down');
     }
   }
 
-  private async wayBack(): Promise<void> {
-    if (this.random.next() < this.lostShare) {
+  private async simulateAnswer(): Promise<void> {
+    if (this.random.next() < this.lostAnswerShare) {
       await pause(30);
       throw new PeerUnreachableError('store.call', 'memory', 'no answer');
     }
--- a/packages/job-nodes/tests/support/witnessed-run.ts
+++ b/packages/job-nodes/tests/support/observed-run.ts
@@ -1,5 +1,5 @@
 /** A run on a fake minion. */
-export interface WitnessedRun {
+export interface ObservedRun {
   readonly task: string;
   readonly run: number;
   readonly minion: string;
--- a/packages/job-nodes/tests/support/quiet-logger.ts
+++ b/packages/job-nodes/tests/support/quiet-logger.ts
@@ -1,6 +1,6 @@
 import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
 
-/** Writes nothing. */
+/** Discards all messages. */
 export const quietLogger: PartLogger = {
   info: () => undefined,
   warn: () => undefined,
--- a/packages/job-nodes/tests/support/agent-place.ts
+++ b/packages/job-nodes/tests/support/simulated-vm.ts
@@ -3,17 +3,17 @@
 import type { Leader } from '../../src/leader/leader.js';
 import type { FakeMinion } from './fake-minion.js';
 
-/** A VM of the test world: a minion, and what stands beside it now. */
-export class AgentPlace {
+/** A VM of the simulation: a minion and its agent, which may be replaced. */
+export class SimulatedVm {
   public driver: MinionDriver | undefined;
 
-  /** The leader that the session is with. */
+  /** The leader that serves the session. */
   public leader: Leader | undefined;
 
   public session: AgentSession | undefined;
 
   /** The agent can't reach the leader before this time. */
-  public cutUntil = 0;
+  public unreachableUntil = 0;
 
   public readonly name: string;
 
