--- a/packages/job-nodes/src/leader/agent-sessions.ts
+++ b/packages/job-nodes/src/leader/agent-sessions.ts
@@ -106,7 +106,7 @@
     return session.incarnation === (report.minion?.incarnation ?? '');
   }
 
-  /** Returns the recorded traits of the tasks that a report lists as running. */
+  /** Returns the recorded traits of the running tasks in a report. */
   public traitsFor({ running }: AgentReport): readonly TaskWithTraits[] {
     return running.flatMap(({ task }) => {
       const entry = this.table.task(task);
@@ -117,8 +117,8 @@
   }
 
   /**
-   * Updates the minion from a report; returns nothing if the stream is closed or
-   * the agent has no minion.
+   * Updates the minion from a report; returns nothing if the stream is closed
+   * or the agent has no minion.
    */
   public updateMinion(
     session: AgentSession,
--- a/packages/job-nodes/src/leader/agent-stream-handler.ts
+++ b/packages/job-nodes/src/leader/agent-stream-handler.ts
@@ -44,7 +44,10 @@
     this.context.state.sessions.detach(session);
   }
 
-  /** Renews an agent's lease; the agent counts it from when it sent the message. */
+  /**
+   * Renews an agent's lease, which the agent counts from when it sent the
+   * message.
+   */
   public renewLease(session: AgentSession, sentAt: number): void {
     const { state, options, isReady } = this.context;
     if (isReady()) {
@@ -53,7 +56,7 @@
     }
   }
 
-  /** Adopts the image statistics that an agent received from the last leader. */
+  /** Adopts the image statistics that an agent has from the last leader. */
   public adopt(images: ImageStatistics): void {
     this.context.state.interference.adopt(images);
   }
--- a/packages/job-nodes/src/leader/interference-watch.ts
+++ b/packages/job-nodes/src/leader/interference-watch.ts
@@ -62,8 +62,8 @@
   }
 
   /**
-   * Updates the estimates from a report, and sends the agent the statistics that
-   * it needs for throttling.
+   * Updates the estimates from a report, and sends the agent the statistics
+   * that it needs for throttling.
    */
   public applyReport(
     table: JobTable,
--- a/packages/job-nodes/src/leader/leader-state.ts
+++ b/packages/job-nodes/src/leader/leader-state.ts
@@ -54,7 +54,7 @@
     this.configureJobs();
   }
 
-  /** Updates jobs to their queues' settings; a removed queue's settings stay. */
+  /** Updates jobs to their queues' settings; those of removed queues stay. */
   public configureJobs(): void {
     for (const job of this.table.jobs.values()) {
       job.queue = this.queues.get(job.specification.queue) ?? job.queue;
@@ -88,7 +88,7 @@
     return values;
   }
 
-  /** Assigns tasks to the minions planned for them; a gang shares a run number. */
+  /** Assigns tasks to their planned minions; a gang shares a run number. */
   public assign(starts: readonly PlannedStart[], now: number): void {
     const gangRuns = new Map<string, number>();
     for (const { task } of starts) {
--- a/packages/job-nodes/src/leader/start-planner.ts
+++ b/packages/job-nodes/src/leader/start-planner.ts
@@ -43,7 +43,7 @@
     }
   }
 
-  /** Tells whether an append has gone unanswered for too long to plan starts. */
+  /** Tells whether an append has been unanswered for too long. */
   public isBlocked(): boolean {
     return this.context.writer.blockedMilliseconds() > BLOCKED_MILLISECONDS;
   }
--- a/packages/job-nodes/src/leadership/leadership.ts
+++ b/packages/job-nodes/src/leadership/leadership.ts
@@ -17,7 +17,7 @@
 
 const RETRY_DELAY_MILLISECONDS = 200;
 
-/** A candidate delays its claim by this multiple of its round trip to the log. */
+/** A candidate delays its claim by this many round trips to the log. */
 const CLAIM_DELAY_FACTOR = 3;
 
 const MAXIMUM_CLAIM_DELAY_MILLISECONDS = 400;
@@ -178,8 +178,8 @@
 
   private async claim(): Promise<void> {
     const { name, incarnation: life, address, log, time } = this.options;
-    // The claim's offset is unique and higher than that of any earlier claim; the
-    // newest record may be a late renewal that hides the newest claim.
+    // The claim's offset is unique and higher than that of any earlier claim;
+    // the newest record may be a late renewal that hides the newest claim.
     const epoch = this.end + 1;
     const record = { epoch, name, life, address, resigned: false };
     const sentAt = time.steady();
--- a/packages/job-nodes/src/lines/read-lines.ts
+++ b/packages/job-nodes/src/lines/read-lines.ts
@@ -3,8 +3,8 @@
 const MAXIMUM_LINE_CHARACTERS = 4 * 1024 * 1024;
 
 /**
- * Calls back with each line of a stream, parsed as JSON, and once when the stream
- * has ended or a line is invalid.
+ * Calls back with each line of a stream, parsed as JSON, and once when the
+ * stream has ended or a line is invalid.
  */
 export function readLines(
   stream: Readable,
