--- a/packages/job-nodes/src/agent/agent-process.ts
+++ b/packages/job-nodes/src/agent/agent-process.ts
@@ -3,48 +3,48 @@
 import { LeaderLink } from './leader-link.js';
 import { MinionDriver } from './minion-driver.js';
 
-/** The process beside a minion. */
+/** The process that runs beside a minion and executes the leader's orders. */
 export class AgentProcess {
   public readonly driver: MinionDriver;
 
   private readonly link: LeaderLink;
 
   public constructor(options: AgentOptions) {
-    const images = new ImageMemory();
+    const imageStatistics = new ImageMemory();
     this.link = new LeaderLink({
       agent: options.name,
       time: options.time,
       logger: options.logger('leader-link'),
-      knownEntries: options.knownEntries,
+      configuredEntries: options.configuredEntries,
       findLeader: options.findLeader,
       onMessage: message => {
         if (message.kind === 'welcome') {
           const sentAt = options.time.steady();
-          this.link.tell({
+          this.link.send({
             kind: 'images',
             sentAt,
-            images: images.knowledge(),
+            images: imageStatistics.statistics(),
           });
         }
-        this.driver.take(message);
+        this.driver.handleMessage(message);
       },
     });
     this.driver = new MinionDriver({
-      images,
+      imageStatistics,
       client: options.client,
       time: options.time,
       logger: options.logger('minion-driver'),
       onFenced: () => {
-        this.link.leave('the minion obeys a later leader');
+        this.link.disconnect('the minion accepted a later leader');
       },
       report: report => {
         const sentAt = options.time.steady();
-        this.link.tell({ kind: 'report', sentAt, report });
+        this.link.send({ kind: 'report', sentAt, report });
       },
     });
   }
 
-  /** A stream to the leader is open. */
+  /** Whether a stream to the leader is open. */
   public get connected(): boolean {
     return this.link.connected;
   }
--- a/packages/job-nodes/src/agent/image-memory.ts
+++ b/packages/job-nodes/src/agent/image-memory.ts
@@ -4,29 +4,29 @@
 import { VersionedRows } from '@basilcourse/jobs/interference/versioned-rows';
 
 /**
- * Keeps what leaders told of images, for the own pace and to give it back to
- * the next leader, which starts without.
+ * Keeps the image statistics that leaders sent: the agent throttles by them, and
+ * returns them to the next leader, which starts without any.
  */
 export class ImageMemory {
-  public readonly harms = new InterferenceTable();
+  public readonly interference = new InterferenceTable();
 
-  private readonly lowestTails = new VersionedRows<LowestTailLatency>(
+  private readonly lowestTailLatencies = new VersionedRows<LowestTailLatency>(
     () => true,
   );
 
-  /** Takes in what has changed. */
-  public take({ harms, lowestTails }: ImageStatistics): void {
-    this.harms.applyRows(harms);
+  /** Applies changed rows. */
+  public apply({ harms, lowestTails }: ImageStatistics): void {
+    this.interference.applyRows(harms);
     for (const row of lowestTails) {
-      this.lowestTails.set(row.image, row);
+      this.lowestTailLatencies.set(row.image, row);
     }
   }
 
-  /** Returns all that is known. */
-  public knowledge(): ImageStatistics {
+  /** Returns all recorded rows. */
+  public statistics(): ImageStatistics {
     return {
-      harms: this.harms.rowsSince(0),
-      lowestTails: this.lowestTails.since(0),
+      harms: this.interference.rowsSince(0),
+      lowestTails: this.lowestTailLatencies.since(0),
     };
   }
 }
--- a/packages/job-nodes/src/agent/leader-link.ts
+++ b/packages/job-nodes/src/agent/leader-link.ts
@@ -9,20 +9,20 @@
 import { pause } from '../time/pause.js';
 import type { LeaderLinkOptions } from './leader-link-options.js';
 
-const BEAT_MILLISECONDS = 500;
+const HEARTBEAT_INTERVAL_MILLISECONDS = 500;
 
-/** A leader that sends nothing for so long is left. */
-const SILENT_MILLISECONDS = 1600;
+/** The stream to a leader that sends nothing for this long is closed. */
+const SILENCE_TIMEOUT_MILLISECONDS = 1600;
 
-const RETRY_MILLISECONDS = 100;
+const RETRY_DELAY_MILLISECONDS = 100;
 
-const MISDIRECTED = 421;
+const MISDIRECTED_STATUS = 421;
 
-/** Keeps a stream to the leader, wherever it is. */
+/** Keeps a stream open to the leader, whichever entry it is. */
 export class LeaderLink {
   private readonly options: LeaderLinkOptions;
 
-  private send: ((message: AgentMessage) => void) | undefined;
+  private writeMessage: ((message: AgentMessage) => void) | undefined;
 
   private endStream: (reason: string) => void = () => undefined;
 
@@ -36,47 +36,47 @@
     this.options = options;
   }
 
-  /** A stream to the leader is open. */
+  /** Whether a stream to the leader is open. */
   public get connected(): boolean {
-    return this.send !== undefined;
+    return this.writeMessage !== undefined;
   }
 
   /** Sends a message, if a stream is open. */
-  public tell(message: AgentMessage): void {
-    this.send?.(message);
+  public send(message: AgentMessage): void {
+    this.writeMessage?.(message);
   }
 
-  /** Ends the present stream, and looks for the leader again. */
-  public leave(reason: string): void {
+  /** Ends the current stream and searches for the leader again. */
+  public disconnect(reason: string): void {
     this.endStream(reason);
   }
 
-  /** Finds the leader and follows it until the process ends. */
+  /** Keeps a stream to the current leader until the process ends. */
   public async run(): Promise<void> {
     let next: string | undefined;
     for (;;) {
       const address = next ?? (await this.nextCandidate());
       next = undefined;
       if (address !== undefined) {
-        next = await this.follow(address);
+        next = await this.connect(address);
       }
-      await pause(next === undefined ? RETRY_MILLISECONDS : 1);
+      await pause(next === undefined ? RETRY_DELAY_MILLISECONDS : 1);
     }
   }
 
   private async nextCandidate(): Promise<string | undefined> {
     const entries = [
-      ...new Set([...this.entries, ...this.options.knownEntries()]),
+      ...new Set([...this.entries, ...this.options.configuredEntries()]),
     ];
     this.candidate += 1;
     if (this.failures > entries.length * 2) {
       this.failures = 0;
-      return this.askStore();
+      return this.findLeaderInStore();
     }
     return entries[this.candidate % Math.max(1, entries.length)];
   }
 
-  private async askStore(): Promise<string | undefined> {
+  private async findLeaderInStore(): Promise<string | undefined> {
     try {
       return await this.options.findLeader();
     } catch (error) {
@@ -87,23 +87,26 @@
     }
   }
 
-  /** Follows one process; returns where the leader is instead, if told. */
-  private follow(address: string): Promise<string | undefined> {
+  /**
+   * Keeps a stream to one process until it ends; resolves with the leader's
+   * address if the process reports another leader.
+   */
+  private connect(address: string): Promise<string | undefined> {
     const { host, port } = splitAddress(address);
     const path = `/agent-stream?agent=${encodeURIComponent(this.options.agent)}`;
     return new Promise(resolve => {
       let timer: NodeJS.Timeout | undefined;
-      let beat: NodeJS.Timeout | undefined;
-      let over = false;
+      let heartbeat: NodeJS.Timeout | undefined;
+      let ended = false;
       const call = request({ host, port, path, method: 'POST', agent: false });
       const end = (reason: string, next?: string): void => {
-        if (over) {
+        if (ended) {
           return;
         }
-        over = true;
+        ended = true;
         clearTimeout(timer);
-        clearInterval(beat);
-        this.send = undefined;
+        clearInterval(heartbeat);
+        this.writeMessage = undefined;
         this.failures += 1;
         call.destroy();
         this.options.logger.info('The stream to an entry has ended.', {
@@ -113,41 +116,41 @@
         });
         resolve(next === address ? undefined : next);
       };
-      const expectMore = (): void => {
+      const restartTimeout = (): void => {
         clearTimeout(timer);
         timer = setTimeout(() => {
           end('silence');
-        }, SILENT_MILLISECONDS);
+        }, SILENCE_TIMEOUT_MILLISECONDS);
       };
       this.endStream = end;
-      expectMore();
+      restartTimeout();
       call.on('error', error => {
         end(messageOf(error));
       });
       call.on('response', response => {
-        if (response.statusCode === MISDIRECTED) {
+        if (response.statusCode === MISDIRECTED_STATUS) {
           readLines(
             response,
             line => {
-              end('it does not lead', leaderAddress(line));
+              end('the entry is not the leader', leaderAddress(line));
             },
             end,
           );
           return;
         }
         this.failures = 0;
-        this.send = message => {
+        this.writeMessage = message => {
           call.write(`${JSON.stringify(message)}\n`);
         };
-        beat = setInterval(() => {
+        heartbeat = setInterval(() => {
           const sentAt = this.options.time.steady();
-          this.tell({ kind: 'beat', sentAt });
-        }, BEAT_MILLISECONDS);
+          this.send({ kind: 'beat', sentAt });
+        }, HEARTBEAT_INTERVAL_MILLISECONDS);
         readLines(
           response,
           line => {
-            expectMore();
-            this.take(line as LeaderMessage);
+            restartTimeout();
+            this.handleMessage(line as LeaderMessage);
           },
           end,
         );
@@ -156,7 +159,7 @@
     });
   }
 
-  private take(message: LeaderMessage): void {
+  private handleMessage(message: LeaderMessage): void {
     if (message.kind === 'grant') {
       this.entries = message.entries;
     }
--- a/packages/job-nodes/src/agent/lease-clock.ts
+++ b/packages/job-nodes/src/agent/lease-clock.ts
@@ -1,51 +1,51 @@
-/** A minion's clock may be this many times slower than ours. */
+/** A minion's clock may be slower than the agent's by this factor. */
 const SLOWEST_CLOCK_FACTOR = 1.02;
 
-/** A minion kills what it runs a little after the end of the lease. */
+/** A minion kills its runs at most this long after the lease has expired. */
 const KILL_MARGIN_MILLISECONDS = 400;
 
-/** Turns the end of a lease on our clock into one on the minion's. */
+/** Converts the expiry of a lease from the agent's clock to the minion's. */
 export class LeaseClock {
-  private clock = 0;
+  private minionClock = 0;
 
   private readAt = Number.NaN;
 
-  /** Infinite while a lease from before may be unknown here. */
-  private overAt = Number.POSITIVE_INFINITY;
+  /** Infinite while the minion may hold a lease that this agent did not send. */
+  private latestExpiryAt = Number.POSITIVE_INFINITY;
 
-  /** Notes what the minion's clock showed at the latest at a time of ours. */
-  public note(clock: number, readAt: number): void {
-    this.clock = clock;
+  /** Records a reading of the minion's clock that is not newer than `readAt`. */
+  public recordClock(clock: number, readAt: number): void {
+    this.minionClock = clock;
     this.readAt = readAt;
   }
 
-  /** Forgets what was known of an earlier life of the minion. */
+  /** Clears the state of an earlier incarnation of the minion. */
   public reset(): void {
     this.readAt = Number.NaN;
-    this.overAt = Number.POSITIVE_INFINITY;
+    this.latestExpiryAt = Number.POSITIVE_INFINITY;
   }
 
   /**
-   * Returns the end of a lease on the minion's clock, not later than ours, and
-   * notes that the minion may have it from now on; undefined if there is no
-   * lease to give or the minion's clock is not known.
+   * Returns the expiry of a lease on the minion's clock, not later than on the
+   * agent's, and records that the minion may hold it from now on; undefined if
+   * there is no valid lease or the minion's clock has not been read.
    */
   public expiryFor(grantedUntil: number, now: number): number | undefined {
     if (Number.isNaN(this.readAt) || grantedUntil <= now) {
       return undefined;
     }
-    const longest =
+    const latestExpiryAt =
       now +
       (grantedUntil - now) * SLOWEST_CLOCK_FACTOR +
       KILL_MARGIN_MILLISECONDS;
-    this.overAt = Number.isFinite(this.overAt)
-      ? Math.max(this.overAt, longest)
-      : longest;
-    return Math.floor(this.clock + (grantedUntil - this.readAt));
+    this.latestExpiryAt = Number.isFinite(this.latestExpiryAt)
+      ? Math.max(this.latestExpiryAt, latestExpiryAt)
+      : latestExpiryAt;
+    return Math.floor(this.minionClock + (grantedUntil - this.readAt));
   }
 
-  /** Every lease that the minion may have is over. */
-  public isOver(now: number): boolean {
-    return now > this.overAt;
+  /** Whether every lease that the minion may hold has expired. */
+  public isExpired(now: number): boolean {
+    return now > this.latestExpiryAt;
   }
 }
--- a/packages/job-nodes/src/agent/listed-serving.ts
+++ b/packages/job-nodes/src/agent/listed-serving-task.ts
@@ -1,7 +1,7 @@
 import type { ServingTask } from '@basilcourse/jobs/interference/decide-shares';
 
 /** A serving task that the minion lists. */
-export interface ListedServing extends Omit<
+export interface ListedServingTask extends Omit<
   ServingTask,
   'strainedMilliseconds'
 > {
--- a/packages/job-nodes/src/agent/minion-client.ts
+++ b/packages/job-nodes/src/agent/minion-client.ts
@@ -3,24 +3,24 @@
 import type { StartOrder } from '@basilcourse/jobs/model/start-order';
 import type { StopOrder } from '@basilcourse/jobs/model/stop-order';
 
-import type { MinionLife } from './minion-life.js';
+import type { MinionIncarnation } from './minion-incarnation.js';
 
-/** How an agent calls its minion. Calls without an answer throw. */
+/** Calls of an agent to its minion; a call without an answer rejects. */
 export interface MinionClient {
   readonly start: (
-    life: MinionLife,
+    minion: MinionIncarnation,
     order: StartOrder,
     expiresAt: number,
     fencingToken: number,
   ) => Promise<StartResult>;
   readonly stop: (
-    life: MinionLife,
+    minion: MinionIncarnation,
     order: StopOrder,
     fencingToken: number,
   ) => Promise<void>;
-  readonly look: (life: MinionLife, look: Look) => Promise<LookResult>;
-  readonly pace: (
-    life: MinionLife,
+  readonly poll: (minion: MinionIncarnation, poll: Poll) => Promise<PollResult>;
+  readonly throttle: (
+    minion: MinionIncarnation,
     order: StopOrder,
     percentage: number,
     fencingToken: number,
@@ -31,18 +31,19 @@
   | { readonly kind: 'started' }
   | { readonly kind: 'refused'; readonly reason: string };
 
-/** A call that renews the lease and asks for the lists. */
-interface Look {
+/** A call that renews the lease and reads the lists. */
+interface Poll {
   readonly fencingToken: number;
-  /** End of the lease on the minion's clock; absent to leave it. */
+  /** Expiry of the lease on the minion's clock; undefined leaves it as it is. */
   readonly expiresAt: number | undefined;
+  /** Ends up to this number are stored, and the minion can drop them. */
   readonly endsThrough: number;
-  /** The answer waits so long for an end. */
+  /** Maximum time for which the answer waits for the end of a run. */
   readonly waitMilliseconds: number;
 }
 
-interface LookResult {
-  /** The minion's clock as it answered. */
+interface PollResult {
+  /** The minion's clock at the time of the answer. */
   readonly clock: number;
   readonly running: readonly RunningTask[];
   readonly ends: readonly RunEnd[];
--- a/packages/job-nodes/src/agent/minion-driver-options.ts
+++ b/packages/job-nodes/src/agent/minion-driver-options.ts
@@ -5,13 +5,13 @@
 import type { ImageMemory } from './image-memory.js';
 import type { MinionClient } from './minion-client.js';
 
-/** What a driver needs. */
+/** Dependencies of a `MinionDriver`. */
 export interface MinionDriverOptions {
   readonly client: MinionClient;
-  readonly images: ImageMemory;
+  readonly imageStatistics: ImageMemory;
   readonly time: TimeSource;
   readonly logger: PartLogger;
-  /** The minion obeys the token of the present stream no more. */
+  /** Called when the minion rejects the fencing token of the current stream. */
   readonly onFenced: () => void;
   readonly report: (report: AgentReport) => void;
 }
--- a/packages/job-nodes/src/agent/minion-driver.ts
+++ b/packages/job-nodes/src/agent/minion-driver.ts
@@ -4,17 +4,17 @@
 import { pause } from '../time/pause.js';
 import { FencedError } from './fenced-error.js';
 import { LeaseClock } from './lease-clock.js';
-import { lookWait } from './look-wait.js';
 import type { MinionDriverOptions } from './minion-driver-options.js';
-import type { MinionLife } from './minion-life.js';
+import type { MinionIncarnation } from './minion-incarnation.js';
 import { MinionLists } from './minion-lists.js';
 import { MinionVitals } from './minion-vitals.js';
 import { OrderRunner } from './order-runner.js';
-import { Pacer } from './pacer.js';
+import { pollWait } from './poll-wait.js';
+import { Throttler } from './throttler.js';
 
-const RETRY_MILLISECONDS = 120;
+const RETRY_DELAY_MILLISECONDS = 120;
 
-/** Carries orders to the minion, renews its lease, and reports its lists. */
+/** Sends orders to the minion, renews its lease, and reports its lists. */
 export class MinionDriver {
   private readonly options: MinionDriverOptions;
 
@@ -26,13 +26,13 @@
 
   private readonly orders: OrderRunner;
 
-  private readonly pacer: Pacer;
+  private readonly throttler: Throttler;
 
-  private life: MinionLife | undefined;
+  private minion: MinionIncarnation | undefined;
 
   private fencingToken = 0;
 
-  /** Highest token that the minion refused for a higher one. */
+  /** Highest token that the minion refused in favour of a higher one. */
   private fencedToken = 0;
 
   private leaseMilliseconds = 0;
@@ -43,9 +43,9 @@
 
   public constructor(options: MinionDriverOptions) {
     this.options = options;
-    this.pacer = new Pacer({
+    this.throttler = new Throttler({
       client: options.client,
-      harms: options.images.harms,
+      interference: options.imageStatistics.interference,
       logger: options.logger,
     });
     this.orders = new OrderRunner({
@@ -53,34 +53,34 @@
       time: options.time,
       logger: options.logger,
       expiry: () => this.expiry(),
-      onStarted: (life, order, fencingToken) => {
-        void this.pacer.started(life, order, this.lists.running, fencingToken);
+      onStarted: (minion, order, token) => {
+        void this.throttler.started(minion, order, this.lists.running, token);
       },
       onRefusal: () => {
-        this.tellReport();
+        this.sendReport();
       },
     });
   }
 
-  /** Takes in what the minion says of itself; undefined once it has left. */
-  public meet(life: MinionLife | undefined): void {
-    const before = this.life?.description.incarnation;
-    if (before !== undefined && before !== life?.description.incarnation) {
-      this.forget(before);
+  /** Applies the minion's own description; undefined once it has departed. */
+  public updateMinion(minion: MinionIncarnation | undefined): void {
+    const before = this.minion?.description.incarnation;
+    if (before !== undefined && before !== minion?.description.incarnation) {
+      this.forgetIncarnation(before);
     }
     const changed =
-      life?.description.draining !== this.life?.description.draining;
-    this.life = life;
-    if (life !== undefined) {
-      this.vitals.noteAlive(life.description.incarnation);
+      minion?.description.draining !== this.minion?.description.draining;
+    this.minion = minion;
+    if (minion !== undefined) {
+      this.vitals.recordContact(minion.description.incarnation);
     }
     if (changed) {
-      this.tellReport();
+      this.sendReport();
     }
   }
 
-  /** Takes in a message of the leader. */
-  public take(message: LeaderMessage): void {
+  /** Handles a message of the leader. */
+  public handleMessage(message: LeaderMessage): void {
     switch (message.kind) {
       case 'welcome':
         this.fencingToken = message.fencingToken;
@@ -95,23 +95,23 @@
         return;
       case 'traits':
         message.tasks.forEach(({ task, traits }) => {
-          this.pacer.learn(task, traits);
+          this.throttler.recordTraits(task, traits);
         });
         return;
       case 'images':
-        this.options.images.take(message.images);
+        this.options.imageStatistics.apply(message.images);
         return;
       case 'loads':
-        this.pacer.takeLoads(message.loads);
+        this.throttler.applyLoads(message.loads);
         return;
       case 'starts':
         message.starts.forEach(({ task, traits }) => {
-          this.pacer.learn(task, traits);
+          this.throttler.recordTraits(task, traits);
         });
-        this.orders.start(this.lifeNamed(message.incarnation), message.starts);
+        this.orders.start(this.minionFor(message.incarnation), message.starts);
         return;
       case 'stops':
-        this.orders.stop(this.life, message.stops);
+        this.orders.stop(this.minion, message.stops);
         return;
       case 'settled':
         this.settle(message);
@@ -119,67 +119,72 @@
     }
   }
 
-  /** Ends the looking. */
+  /** Stops polling. */
   public stop(): void {
     this.stopped = true;
   }
 
-  /** Looks at the minion, again and again, until it is stopped. */
+  /** Polls the minion until the driver is stopped. */
   public async run(): Promise<void> {
     while (!this.isStopped()) {
-      const { life } = this;
-      if (life === undefined || !this.hasUsableToken()) {
-        await pause(RETRY_MILLISECONDS / 2);
+      const { minion } = this;
+      if (minion === undefined || !this.hasUsableToken()) {
+        await pause(RETRY_DELAY_MILLISECONDS / 2);
         continue;
       }
       const { fencingToken } = this;
       try {
-        await this.look(life);
-        this.vitals.noteAnswer();
+        await this.poll(minion);
+        this.vitals.recordAnswer();
       } catch (error) {
-        this.noteFailure(life, error);
+        this.handleFailure(minion, error);
         if (error instanceof FencedError) {
           this.fencedToken = fencingToken;
           this.options.onFenced();
         }
-        await pause(RETRY_MILLISECONDS);
+        await pause(RETRY_DELAY_MILLISECONDS);
       }
     }
   }
 
-  private async look(life: MinionLife): Promise<void> {
+  private async poll(peer: MinionIncarnation): Promise<void> {
     const { client, time } = this.options;
     const { fencingToken } = this;
-    const askedAt = time.steady();
-    const result = await client.look(life, {
+    const requestedAt = time.steady();
+    const result = await client.poll(peer, {
       fencingToken,
       expiresAt: this.expiry(),
       endsThrough: this.lists.endsThrough,
-      waitMilliseconds: lookWait({
+      waitMilliseconds: pollWait({
         listsAreCurrent: this.lists.fencingToken === fencingToken,
         leased: this.expiry() !== undefined,
-        pacing: this.pacer.needsFreshFigures(this.lists.running),
+        throttling: this.throttler.needsFreshMeasurements(this.lists.running),
       }),
     });
-    if (this.life?.description.incarnation !== life.description.incarnation) {
+    if (this.minion?.description.incarnation !== peer.description.incarnation) {
       return;
     }
-    this.lease.note(result.clock, time.steady());
-    this.lists.take(result.running, result.ends, fencingToken);
-    this.orders.resolveRevoked(this.lists.listedRuns(), askedAt);
-    this.tellReport();
-    await this.pacer.apply(life, result.running, fencingToken, time.steady());
-    // Until the ends are stored, a look would not wait for new ones.
-    await this.lists.settled();
+    this.lease.recordClock(result.clock, time.steady());
+    this.lists.apply(result.running, result.ends, fencingToken);
+    this.orders.resolveRevoked(this.lists.listedRuns(), requestedAt);
+    this.sendReport();
+    await this.throttler.apply(
+      peer,
+      result.running,
+      fencingToken,
+      time.steady(),
+    );
+    // While ends are not stored, a poll returns at once instead of waiting.
+    await this.lists.waitUntilSettled();
   }
 
-  /** The present life, if it is the one that is meant. */
-  private lifeNamed(incarnation: string): MinionLife | undefined {
-    const same = this.life?.description.incarnation === incarnation;
-    return same ? this.life : undefined;
+  /** Returns the current minion if it is the given incarnation. */
+  private minionFor(incarnation: string): MinionIncarnation | undefined {
+    const same = this.minion?.description.incarnation === incarnation;
+    return same ? this.minion : undefined;
   }
 
-  /** A token that the minion has refused is not used again. */
+  /** Whether the minion has not refused the token; a refused one isn't reused. */
   private hasUsableToken(): boolean {
     return this.fencingToken > this.fencedToken;
   }
@@ -192,54 +197,54 @@
     return this.lease.expiryFor(this.grantedUntil, this.options.time.steady());
   }
 
-  private tellReport(): void {
-    const { life } = this;
-    const read = this.lists.fencingToken === this.fencingToken;
-    if (life !== undefined && !read) {
+  private sendReport(): void {
+    const { minion } = this;
+    const listsAreCurrent = this.lists.fencingToken === this.fencingToken;
+    if (minion !== undefined && !listsAreCurrent) {
       return;
     }
     this.options.report({
       fencingToken: this.fencingToken,
-      minion: life?.description ?? null,
-      running: life === undefined ? [] : this.lists.running,
-      ends: life === undefined ? [] : this.lists.ends,
+      minion: minion?.description ?? null,
+      running: minion === undefined ? [] : this.lists.running,
+      ends: minion === undefined ? [] : this.lists.ends,
       refusals: this.orders.refusals(),
-      gone: this.vitals.gone(),
+      gone: this.vitals.departed(),
     });
   }
 
   private settle(
     message: Extract<LeaderMessage, { readonly kind: 'settled' }>,
   ): void {
-    if (message.incarnation !== this.life?.description.incarnation) {
+    if (message.incarnation !== this.minion?.description.incarnation) {
       return;
     }
     this.orders.settle(message.refusals);
     this.lists.settle(message.endsThrough);
   }
 
-  private noteFailure(life: MinionLife, error: unknown): void {
+  private handleFailure(minion: MinionIncarnation, error: unknown): void {
     this.options.logger.warn('The minion did not answer.', {
-      incarnation: life.description.incarnation,
+      incarnation: minion.description.incarnation,
       reason: messageOf(error),
     });
-    const leaseOver =
+    const leaseExpired =
       this.lists.fencingToken === this.fencingToken &&
-      this.lease.isOver(this.options.time.steady());
+      this.lease.isExpired(this.options.time.steady());
     const same =
-      this.life?.description.incarnation === life.description.incarnation;
-    if (this.vitals.isOver(error, leaseOver) && same) {
-      this.meet(undefined);
+      this.minion?.description.incarnation === minion.description.incarnation;
+    if (this.vitals.hasEnded(error, leaseExpired) && same) {
+      this.updateMinion(undefined);
     }
   }
 
-  private forget(incarnation: string): void {
+  private forgetIncarnation(incarnation: string): void {
     this.fencedToken = 0;
-    this.vitals.noteGone(incarnation);
+    this.vitals.recordDeparture(incarnation);
     this.lease.reset();
     this.lists.reset();
     this.orders.reset(this.fencingToken);
-    this.pacer.reset();
+    this.throttler.reset();
     this.options.logger.warn('A life of the minion is over.', { incarnation });
   }
 }
--- a/packages/job-nodes/src/agent/minion-life.ts
+++ b/packages/job-nodes/src/agent/minion-incarnation.ts
@@ -1,8 +1,8 @@
 import type { MinionDescription } from '@basilcourse/jobs/model/minion-description';
 
-/** A minion that is known to live, and how to call it. */
-export interface MinionLife {
-  /** Identifier that the minion expects to be addressed by. */
+/** One incarnation of a minion, and how to call it. */
+export interface MinionIncarnation {
+  /** Identifier by which the minion expects to be addressed. */
   readonly identifier: string;
   readonly description: MinionDescription;
 }
--- a/packages/job-nodes/src/agent/minion-lists.ts
+++ b/packages/job-nodes/src/agent/minion-lists.ts
@@ -1,10 +1,10 @@
 import type { RunEnd } from '@basilcourse/jobs/model/run-end';
 import type { RunningTask } from '@basilcourse/jobs/model/running-task';
 
-/** Longest wait for ends to be stored. */
-const SETTLE_MILLISECONDS = 200;
+/** Maximum wait until ends are stored. */
+const SETTLE_TIMEOUT_MILLISECONDS = 200;
 
-/** What the minion last listed, less what the leader has stored. */
+/** Lists that the minion last returned, without ends the leader has stored. */
 export class MinionLists {
   public running: readonly RunningTask[] = [];
 
@@ -13,13 +13,13 @@
   /** Ends up to this number are stored. */
   public endsThrough = 0;
 
-  /** Fencing token under which the lists were read; 0 if they were not. */
+  /** Fencing token with which the lists were read; 0 before the first read. */
   public fencingToken = 0;
 
   private onSettled: () => void = () => undefined;
 
-  /** Takes in newly read lists. */
-  public take(
+  /** Applies newly read lists. */
+  public apply(
     running: readonly RunningTask[],
     ends: readonly RunEnd[],
     fencingToken: number,
@@ -29,14 +29,14 @@
     this.fencingToken = fencingToken;
   }
 
-  /** Task and run of everything that runs, or has ended and is not stored. */
+  /** Task and run of everything that runs, or has ended and isn't stored yet. */
   public listedRuns(): ReadonlySet<string> {
     return new Set(
       [...this.running, ...this.ends].map(({ task, run }) => `${task}/${run}`),
     );
   }
 
-  /** Forgets ends that are stored. */
+  /** Removes ends that are stored. */
   public settle(endsThrough: number): void {
     this.endsThrough = Math.max(this.endsThrough, endsThrough);
     this.ends = this.ends.filter(({ number }) => number > this.endsThrough);
@@ -45,13 +45,13 @@
     }
   }
 
-  /** Waits, for a while, until the ends are stored. */
-  public async settled(): Promise<void> {
+  /** Waits until the ends are stored, or until the timeout. */
+  public async waitUntilSettled(): Promise<void> {
     if (this.ends.length === 0) {
       return;
     }
     await new Promise<void>(resolve => {
-      const timer = setTimeout(resolve, SETTLE_MILLISECONDS);
+      const timer = setTimeout(resolve, SETTLE_TIMEOUT_MILLISECONDS);
       this.onSettled = () => {
         clearTimeout(timer);
         resolve();
@@ -59,7 +59,7 @@
     });
   }
 
-  /** Forgets the lists of an earlier life. */
+  /** Clears the lists of an earlier incarnation. */
   public reset(): void {
     this.running = [];
     this.ends = [];
--- a/packages/job-nodes/src/agent/minion-vitals.ts
+++ b/packages/job-nodes/src/agent/minion-vitals.ts
@@ -2,56 +2,58 @@
 
 import { WrongMinionError } from './wrong-minion-error.js';
 
-/** Refused connections in a row that show that the minion's process is gone. */
-const REFUSALS_THAT_PROVE = 3;
+/** Refused connections in a row that show that the minion's process ended. */
+const MINIMUM_CONSECUTIVE_REFUSALS = 3;
 
-/** Earlier lives that are reported as gone. */
-const MOST_GONE = 16;
+/** Earlier incarnations that are reported as departed. */
+const MAXIMUM_REPORTED_DEPARTURES = 16;
 
-/** Tells whether a life of the minion is over, from how calls to it fail. */
+/** Detects the end of a minion's incarnation from how calls to it fail. */
 export class MinionVitals {
   private refusedInRow = 0;
 
-  private readonly goneLives: string[] = [];
+  private readonly departedIncarnations: string[] = [];
 
   /** Incarnations of which nothing runs any more. */
-  public gone(): readonly string[] {
-    return this.goneLives;
+  public departed(): readonly string[] {
+    return this.departedIncarnations;
   }
 
-  /** The minion has answered. */
-  public noteAnswer(): void {
+  /** Records an answer of the minion. */
+  public recordAnswer(): void {
     this.refusedInRow = 0;
   }
 
   /**
-   * Returns whether a failed call shows that the life is over.
+   * Returns whether a failed call shows that the incarnation has ended.
    *
-   * @param leaseOver - Every lease that the minion may have is over.
+   * @param leaseExpired - Every lease that the minion may hold has expired.
    */
-  public isOver(error: unknown, leaseOver: boolean): boolean {
+  public hasEnded(error: unknown, leaseExpired: boolean): boolean {
     if (error instanceof WrongMinionError) {
       return true;
     }
     const refused = connectionRefused(error);
     this.refusedInRow = refused ? this.refusedInRow + 1 : 0;
-    return refused ? this.refusedInRow >= REFUSALS_THAT_PROVE : leaseOver;
+    return refused
+      ? this.refusedInRow >= MINIMUM_CONSECUTIVE_REFUSALS
+      : leaseExpired;
   }
 
-  /** A life is over. */
-  public noteGone(incarnation: string): void {
+  /** Records the end of an incarnation. */
+  public recordDeparture(incarnation: string): void {
     this.refusedInRow = 0;
-    this.goneLives.push(incarnation);
-    if (this.goneLives.length > MOST_GONE) {
-      this.goneLives.shift();
+    this.departedIncarnations.push(incarnation);
+    if (this.departedIncarnations.length > MAXIMUM_REPORTED_DEPARTURES) {
+      this.departedIncarnations.shift();
     }
   }
 
-  /** A life is heard, perhaps after it was held for over. */
-  public noteAlive(incarnation: string): void {
-    const position = this.goneLives.indexOf(incarnation);
+  /** Records contact with an incarnation, even if recorded as departed. */
+  public recordContact(incarnation: string): void {
+    const position = this.departedIncarnations.indexOf(incarnation);
     if (position >= 0) {
-      this.goneLives.splice(position, 1);
+      this.departedIncarnations.splice(position, 1);
     }
   }
 }
--- a/packages/job-nodes/src/agent/order-runner-options.ts
+++ b/packages/job-nodes/src/agent/order-runner-options.ts
@@ -3,18 +3,18 @@
 
 import type { TimeSource } from '../time/time-source.js';
 import type { MinionClient } from './minion-client.js';
-import type { MinionLife } from './minion-life.js';
+import type { MinionIncarnation } from './minion-incarnation.js';
 
-/** What a runner of orders needs. */
+/** Dependencies of an `OrderRunner`. */
 export interface OrderRunnerOptions {
   readonly client: MinionClient;
   readonly time: TimeSource;
   readonly logger: PartLogger;
-  /** End of the lease on the minion's clock. */
+  /** Returns the expiry of the lease on the minion's clock. */
   readonly expiry: () => number | undefined;
   readonly onRefusal: () => void;
   readonly onStarted: (
-    life: MinionLife,
+    minion: MinionIncarnation,
     order: StartOrder,
     fencingToken: number,
   ) => void;
--- a/packages/job-nodes/src/agent/order-runner.ts
+++ b/packages/job-nodes/src/agent/order-runner.ts
@@ -5,15 +5,15 @@
 
 import { pause } from '../time/pause.js';
 import { FencedError } from './fenced-error.js';
-import type { MinionLife } from './minion-life.js';
+import type { MinionIncarnation } from './minion-incarnation.js';
 import type { OrderRunnerOptions } from './order-runner-options.js';
 
-/** A start without an answer is tried so often, and then revoked. */
-const START_TRIES = 2;
+/** A start without an answer is revoked after this many tries. */
+const MAXIMUM_START_TRIES = 2;
 
-const RETRY_MILLISECONDS = 60;
+const RETRY_DELAY_MILLISECONDS = 60;
 
-const LONGEST_RETRY_MILLISECONDS = 500;
+const MAXIMUM_RETRY_DELAY_MILLISECONDS = 500;
 
 interface RevokedStart {
   readonly order: StopOrder;
@@ -21,7 +21,10 @@
   readonly revokedAt: number;
 }
 
-/** Carries out starts and stops; each ends in a list or as a refusal. */
+/**
+ * Carries out starts and stops. Each start ends in the minion's lists or as a
+ * refusal.
+ */
 export class OrderRunner {
   private readonly options: OrderRunnerOptions;
 
@@ -33,19 +36,22 @@
 
   private fencingToken = 0;
 
-  /** Rises with each stream and each life; orders of earlier ones end. */
+  /**
+   * Rises with each stream and each incarnation; orders of earlier ones are
+   * abandoned.
+   */
   private generation = 0;
 
   public constructor(options: OrderRunnerOptions) {
     this.options = options;
   }
 
-  /** Starts that did not happen and are not settled yet. */
+  /** Refused starts that the leader has not stored yet. */
   public refusals(): readonly StartRefusal[] {
     return [...this.refused.values()];
   }
 
-  /** Forgets orders of an earlier stream or an earlier life. */
+  /** Abandons the orders of an earlier stream or incarnation. */
   public reset(fencingToken: number): void {
     this.fencingToken = fencingToken;
     this.generation += 1;
@@ -55,14 +61,17 @@
   }
 
   /**
-   * Counts revoked starts as refused that lists show not to have begun.
+   * Counts revoked starts as refused if the lists show that they did not begin.
    *
-   * @param listed - Task and run of what runs or has ended.
-   * @param askedAt - When the lists were asked for, on the steady clock.
+   * @param listed - Task and run of everything that runs or has ended.
+   * @param requestedAt - When the lists were requested, on the steady clock.
    */
-  public resolveRevoked(listed: ReadonlySet<string>, askedAt: number): void {
+  public resolveRevoked(
+    listed: ReadonlySet<string>,
+    requestedAt: number,
+  ): void {
     for (const [key, { order, token, revokedAt }] of this.revoked) {
-      if (revokedAt < askedAt) {
+      if (revokedAt < requestedAt) {
         this.revoked.delete(key);
         if (!listed.has(key)) {
           this.refuse(order, token, 'no answer, revoked');
@@ -71,7 +80,7 @@
     }
   }
 
-  /** Forgets refusals that the leader has taken in. */
+  /** Removes refusals that the leader has applied. */
   public settle(keys: readonly string[]): void {
     for (const key of keys) {
       this.refused.delete(key);
@@ -80,23 +89,26 @@
 
   /** Carries out starts. */
   public start(
-    life: MinionLife | undefined,
+    minion: MinionIncarnation | undefined,
     starts: readonly StartOrder[],
   ): void {
     const token = this.fencingToken;
     for (const order of starts) {
-      void this.startOne(life, order, token);
+      void this.startOne(minion, order, token);
     }
   }
 
   /** Carries out stops that are not under way already. */
-  public stop(life: MinionLife | undefined, stops: readonly StopOrder[]): void {
+  public stop(
+    minion: MinionIncarnation | undefined,
+    stops: readonly StopOrder[],
+  ): void {
     for (const order of stops) {
       const key = keyOf(order);
-      if (life !== undefined && !this.stopping.has(key)) {
+      if (minion !== undefined && !this.stopping.has(key)) {
         this.stopping.add(key);
         void this.stopOne(
-          life,
+          minion,
           order,
           this.fencingToken,
           this.generation,
@@ -108,41 +120,41 @@
   }
 
   private async startOne(
-    life: MinionLife | undefined,
+    minion: MinionIncarnation | undefined,
     order: StartOrder,
     token: number,
   ): Promise<void> {
-    if (life === undefined || life.description.draining) {
+    if (minion === undefined || minion.description.draining) {
       this.refuse(order, token, 'the minion takes no starts');
       return;
     }
     const { generation } = this;
     let unanswered = false;
-    for (let tries = 1; tries <= START_TRIES; tries += 1) {
+    for (let tries = 1; tries <= MAXIMUM_START_TRIES; tries += 1) {
       const expiresAt = this.options.expiry();
       if (expiresAt === undefined || generation !== this.generation) {
         break;
       }
       try {
         const { client } = this.options;
-        const result = await client.start(life, order, expiresAt, token);
+        const result = await client.start(minion, order, expiresAt, token);
         if (result.kind === 'started') {
-          this.options.onStarted(life, order, token);
+          this.options.onStarted(minion, order, token);
           return;
         }
         if (!unanswered) {
           this.refuse(order, token, result.reason);
           return;
         }
-        // The try without an answer may have begun, or may begin yet.
+        // The try without an answer may have begun the run, or may still begin it.
         break;
       } catch (error) {
         unanswered = true;
         this.warn('A start got no answer.', order, error);
-        await pause(RETRY_MILLISECONDS);
+        await pause(RETRY_DELAY_MILLISECONDS);
       }
     }
-    if (await this.stopOne(life, order, token, generation)) {
+    if (await this.stopOne(minion, order, token, generation)) {
       this.revoked.set(keyOf(order), {
         order,
         token,
@@ -152,27 +164,28 @@
   }
 
   /**
-   * Stops a run, again until the minion answers. Returns true once the run has
-   * ended or can never begin; false if another stream or life follows first.
+   * Stops a run, with retries until the minion answers. Returns true once the
+   * run has ended or can never begin; false if another stream or incarnation
+   * follows first.
    */
   private async stopOne(
-    life: MinionLife,
+    minion: MinionIncarnation,
     order: StopOrder,
     token: number,
     generation: number,
   ): Promise<boolean> {
-    let wait = RETRY_MILLISECONDS;
+    let delay = RETRY_DELAY_MILLISECONDS;
     while (generation === this.generation) {
       try {
-        await this.options.client.stop(life, order, token);
+        await this.options.client.stop(minion, order, token);
         return generation === this.generation;
       } catch (error) {
         this.warn('A stop got no answer.', order, error);
         if (error instanceof FencedError) {
           return false;
         }
-        await pause(wait);
-        wait = Math.min(LONGEST_RETRY_MILLISECONDS, wait * 2);
+        await pause(delay);
+        delay = Math.min(MAXIMUM_RETRY_DELAY_MILLISECONDS, delay * 2);
       }
     }
     return false;
--- a/packages/job-nodes/src/agent/serving-strain.ts
+++ b/packages/job-nodes/src/agent/serving-strain.ts
@@ -1,35 +1,36 @@
 import type { ServingTask } from '@basilcourse/jobs/interference/decide-shares';
 
-import type { ListedServing } from './listed-serving.js';
+import type { ListedServingTask } from './listed-serving-task.js';
 
-/** Part of its bound below which the queue of a serving task is empty. */
-const EMPTY_PART = 0.8;
+/** A tail latency up to this part of its bound shows an empty queue. */
+const EMPTY_QUEUE_BOUND_FRACTION = 0.8;
 
-/** Tells for how long the bounds of serving tasks are broken. */
+/** Tracks for how long serving tasks have violated their bounds. */
 export class ServingStrain {
-  /** Since when the bounds of serving tasks are broken. */
-  private brokenSince: ReadonlyMap<string, number> = new Map();
+  /** Start of the current violation of each serving task. */
+  private violatedSince: ReadonlyMap<string, number> = new Map();
 
   /**
-   * Adds to each task for how long its bound has been broken; a broken one is
-   * kept again only once its queue is empty.
+   * Adds to each task for how long its bound has been violated; a violation
+   * ends only once the queue of the task is empty.
    */
   public add(
-    serving: readonly ListedServing[],
+    serving: readonly ListedServingTask[],
     now: number,
   ): readonly ServingTask[] {
     const since = new Map<string, number>();
-    const found = serving.map(task => {
-      const before = this.brokenSince.get(task.task);
-      const part = before === undefined ? 1 : EMPTY_PART;
-      if (task.tailLatency <= task.target * part) {
+    const withDurations = serving.map(task => {
+      const before = this.violatedSince.get(task.task);
+      const boundFraction =
+        before === undefined ? 1 : EMPTY_QUEUE_BOUND_FRACTION;
+      if (task.tailLatency <= task.target * boundFraction) {
         return { ...task, strainedMilliseconds: 0 };
       }
       const first = before ?? now;
       since.set(task.task, first);
       return { ...task, strainedMilliseconds: now - first };
     });
-    this.brokenSince = since;
-    return found;
+    this.violatedSince = since;
+    return withDurations;
   }
 }
--- a/packages/job-nodes/src/agent/pacer-options.ts
+++ b/packages/job-nodes/src/agent/throttler-options.ts
@@ -3,10 +3,10 @@
 
 import type { MinionClient } from './minion-client.js';
 
-/** What a pacer needs. */
-export interface PacerOptions {
+/** Dependencies of a `Throttler`. */
+export interface ThrottlerOptions {
   readonly client: MinionClient;
-  /** What all minions have shown of images' harm. */
-  readonly harms: InterferenceTable;
+  /** Interference between images, estimated from all minions. */
+  readonly interference: InterferenceTable;
   readonly logger: PartLogger;
 }
--- a/packages/job-nodes/src/configuration/configuration-holder.ts
+++ b/packages/job-nodes/src/configuration/configuration-holder.ts
@@ -1,12 +1,13 @@
 import type { QueueConfiguration } from './queue-configuration.js';
 
-/** Keeps the newest configuration that was heard of; never goes back. */
+/** Keeps the newest configuration received; ignores older ones. */
 export class ConfigurationHolder {
   public current: QueueConfiguration | undefined;
 
-  private readonly listeners: ((known: QueueConfiguration) => void)[] = [];
+  private readonly listeners: ((configuration: QueueConfiguration) => void)[] =
+    [];
 
-  /** Takes a configuration if it is newer; true if it was. */
+  /** Adopts a configuration if it is newer; returns whether it was. */
   public offer(configuration: QueueConfiguration): boolean {
     if (configuration.version <= (this.current?.version ?? -1)) {
       return false;
@@ -19,7 +20,7 @@
   }
 
   /** Calls back with each newer configuration. */
-  public onChange(listener: (known: QueueConfiguration) => void): void {
+  public onChange(listener: (configuration: QueueConfiguration) => void): void {
     this.listeners.push(listener);
   }
 }
--- a/packages/job-nodes/src/configuration/queue-configuration.ts
+++ b/packages/job-nodes/src/configuration/queue-configuration.ts
@@ -1,9 +1,9 @@
-import type { QueueEntrance } from './queue-entrance.js';
+import type { QueueRoute } from './queue-route.js';
 
-/** The operators' configuration, as far as jobs need it. */
+/** The part of the operators' configuration that concerns jobs. */
 export interface QueueConfiguration {
   /** Rises with each change. */
   readonly version: number;
-  readonly queues: readonly QueueEntrance[];
+  readonly queues: readonly QueueRoute[];
   readonly largestBodyBytes: number;
 }
--- a/packages/job-nodes/src/configuration/queue-entrance.ts
+++ b/packages/job-nodes/src/configuration/queue-route.ts
@@ -1,7 +1,7 @@
 import type { QueueSettings } from '@basilcourse/jobs/model/queue-settings';
 
-/** A queue and the way in which callers address it. */
-export interface QueueEntrance {
+/** A queue, with the host and path prefix by which callers address it. */
+export interface QueueRoute {
   readonly host: string;
   readonly pathPrefix: string;
   readonly settings: QueueSettings;
--- a/packages/job-nodes/src/entry/entry-options.ts
+++ b/packages/job-nodes/src/entry/entry-options.ts
@@ -5,7 +5,7 @@
 import type { LeadershipLog } from '../store/leadership-log.js';
 import type { TimeSource } from '../time/time-source.js';
 
-/** What an entry needs from where it runs. */
+/** Dependencies of an `EntryProcess`, which the platform supplies. */
 export interface EntryOptions {
   readonly name: string;
   /** Address for other processes of the system. */
@@ -16,6 +16,6 @@
   readonly logger: (part: string) => PartLogger;
   readonly observe: StepObserver;
   readonly leaseMilliseconds: number;
-  /** Addresses of entries that the settings name. */
-  readonly knownEntries: () => readonly string[];
+  /** Returns the addresses of the entries named in the settings. */
+  readonly configuredEntries: () => readonly string[];
 }
--- a/packages/job-nodes/src/entry/entry-process.ts
+++ b/packages/job-nodes/src/entry/entry-process.ts
@@ -6,20 +6,25 @@
 import { ConfigurationHolder } from '../configuration/configuration-holder.js';
 import { Leader } from '../leader/leader.js';
 import { Leadership } from '../leadership/leadership.js';
-import type { EntryFigures } from './entry-figures.js';
 import type { EntryOptions } from './entry-options.js';
+import type { EntryStatistics } from './entry-statistics.js';
 import { createInternalServer } from './internal-server.js';
 import { JobGateway } from './job-gateway.js';
-import { LeaderWatch } from './leader-watch.js';
+import { LeaderMonitor } from './leader-monitor.js';
 import type { WatchMessage } from './watch-message.js';
 import { WatchStreams } from './watch-streams.js';
 
-/** Figures of a leader where there is none. */
-const NOT_LEADING = { agents: 0, jobs: 0, waitingJobs: 0, owedMilliseconds: 0 };
+/** Leader statistics of an entry that is not the leader. */
+const NO_LEADER_STATISTICS = {
+  agents: 0,
+  jobs: 0,
+  waitingJobs: 0,
+  owedMilliseconds: 0,
+};
 
-const WATCH_BEAT_MILLISECONDS = 500;
+const WATCH_HEARTBEAT_INTERVAL_MILLISECONDS = 500;
 
-/** The process that callers reach; one of all entries leads. */
+/** The process that callers connect to; one of all entries is the leader. */
 export class EntryProcess {
   public readonly configuration = new ConfigurationHolder();
 
@@ -29,9 +34,9 @@
 
   private readonly options: EntryOptions;
 
-  private readonly life = randomUUID();
+  private readonly incarnation = randomUUID();
 
-  private readonly watches: WatchStreams;
+  private readonly watchStreams: WatchStreams;
 
   private readonly internalServer: Server;
 
@@ -42,23 +47,23 @@
     const localLeader = (): Leader | undefined => this.leader;
     this.leadership = new Leadership({
       name: options.name,
-      life: this.life,
+      life: this.incarnation,
       address: options.internalAddress,
       log: options.leadershipLog,
       time: options.time,
       logger: options.logger('leadership'),
       onWon: epoch => {
-        this.lead(epoch);
+        this.startLeader(epoch);
       },
       onLost: () => {
         this.leader?.close();
         this.leader = undefined;
       },
       onLeader: leader => {
-        this.watches.tell({ leader });
+        this.watchStreams.broadcast({ leader });
       },
     });
-    this.watches = new WatchStreams(() => this.greeting());
+    this.watchStreams = new WatchStreams(() => this.initialMessage());
     this.gateway = new JobGateway({
       time: options.time,
       logger: options.logger('gateway'),
@@ -68,58 +73,58 @@
     this.internalServer = createInternalServer({
       time: options.time,
       logger: options.logger('internal-server'),
-      life: this.life,
+      incarnation: this.incarnation,
       localLeader,
       leaderRecord: () => this.leadership.record,
-      watches: this.watches,
+      watchStreams: this.watchStreams,
     });
     this.configuration.onChange(configuration => {
-      this.watches.tell({ configuration });
+      this.watchStreams.broadcast({ configuration });
       this.leader?.configure(configuration);
     });
   }
 
-  /** Starts serving other processes and following who leads. */
+  /** Starts serving other processes and monitoring the leader. */
   public async start(): Promise<void> {
     await listenOn(this.internalServer, this.options.internalAddress);
     setInterval(() => {
-      this.watches.tell({});
-    }, WATCH_BEAT_MILLISECONDS);
+      this.watchStreams.broadcast({});
+    }, WATCH_HEARTBEAT_INTERVAL_MILLISECONDS);
     void this.leadership.run();
-    void this.createWatch().run();
+    void this.createMonitor().run();
   }
 
-  /** What this process believes, for its metrics. */
-  public figures(): EntryFigures {
+  /** Returns the state of this process, for its metrics. */
+  public statistics(): EntryStatistics {
     return {
       leads: this.leadership.isValid(),
       configurationVersion: this.configuration.current?.version ?? 0,
-      ...(this.leader?.figures() ?? NOT_LEADING),
+      ...(this.leader?.figures() ?? NO_LEADER_STATISTICS),
     };
   }
 
-  /** Gives up the lead, if it is here. */
+  /** Releases the leadership if this entry holds it. */
   public async resign(): Promise<void> {
     await this.leadership.resign();
   }
 
-  private createWatch(): LeaderWatch {
-    return new LeaderWatch({
+  private createMonitor(): LeaderMonitor {
+    return new LeaderMonitor({
       logger: this.options.logger('watch'),
       ownAddress: this.options.internalAddress,
-      ownLife: this.life,
+      ownIncarnation: this.incarnation,
       leaderRecord: () => this.leadership.record,
-      otherEntries: () => this.options.knownEntries(),
+      otherEntries: () => this.options.configuredEntries(),
       onMessage: message => {
-        this.takeMessage(message);
+        this.handleMessage(message);
       },
-      onGone: life => {
-        this.leadership.noteGone(life);
+      onDeparted: incarnation => {
+        this.leadership.noteGone(incarnation);
       },
     });
   }
 
-  private takeMessage({ leader, configuration }: WatchMessage): void {
+  private handleMessage({ leader, configuration }: WatchMessage): void {
     if (leader !== undefined) {
       this.leadership.learn(leader);
     }
@@ -128,7 +133,7 @@
     }
   }
 
-  private greeting(): WatchMessage {
+  private initialMessage(): WatchMessage {
     const { record } = this.leadership;
     const { current } = this.configuration;
     return {
@@ -137,7 +142,7 @@
     };
   }
 
-  private lead(epoch: number): void {
+  private startLeader(epoch: number): void {
     const leader = new Leader({
       epoch,
       store: this.options.store,
@@ -151,7 +156,7 @@
       observe: this.options.observe,
       entries: () => [
         this.options.internalAddress,
-        ...this.watches.addresses(),
+        ...this.watchStreams.addresses(),
       ],
     });
     this.leader = leader;
--- a/packages/job-nodes/src/entry/entry-figures.ts
+++ b/packages/job-nodes/src/entry/entry-statistics.ts
@@ -1,7 +1,7 @@
 import type { LeaderFigures } from '../leader/leader-figures.js';
 
-/** What an entry believes at one moment. */
-export interface EntryFigures extends LeaderFigures {
+/** State of an entry at one moment, for its metrics. */
+export interface EntryStatistics extends LeaderFigures {
   readonly leads: boolean;
   readonly configurationVersion: number;
 }
--- a/packages/job-nodes/src/entry/gateway-answer.ts
+++ b/packages/job-nodes/src/entry/gateway-answer.ts
@@ -1,7 +1,7 @@
 import type { JobAnswer } from '../leader/job-answer.js';
 
-/** Answer to a caller's request, or why there is none. */
+/** Answer to a caller's request, or the reason why there is none. */
 export type GatewayAnswer =
   | Exclude<JobAnswer, { readonly kind: 'not-leading' | 'unknown' }>
-  /** No leader answered in time; `sent` tells whether one may have acted. */
+  /** No leader answered in time; with `sent`, one may have acted. */
   | { readonly kind: 'unavailable'; readonly sent: boolean };
--- a/packages/job-nodes/src/entry/internal-server.ts
+++ b/packages/job-nodes/src/entry/internal-server.ts
@@ -16,27 +16,27 @@
 import type { TimeSource } from '../time/time-source.js';
 import type { WatchStreams } from './watch-streams.js';
 
-const LARGEST_CALL_BYTES = 1024 * 1024;
+const MAXIMUM_CALL_BYTES = 1024 * 1024;
 
-const MISDIRECTED = 421;
+const MISDIRECTED_STATUS = 421;
 
-const NOT_FOUND = 404;
+const NOT_FOUND_STATUS = 404;
 
-const INTERNAL_ERROR = 500;
+const INTERNAL_ERROR_STATUS = 500;
 
 const NOT_LEADING: JobAnswer = { kind: 'not-leading' };
 
-/** What the server for other processes of the system needs. */
+/** Dependencies of the server for other processes of the system. */
 export interface InternalServerOptions {
   readonly time: TimeSource;
   readonly logger: PartLogger;
-  readonly life: string;
+  readonly incarnation: string;
   readonly localLeader: () => Leader | undefined;
   readonly leaderRecord: () => LeaderRecord | undefined;
-  readonly watches: WatchStreams;
+  readonly watchStreams: WatchStreams;
 }
 
-/** Creates the server by which other processes of the system call an entry. */
+/** Creates the server of an entry for other processes of the system. */
 export function createInternalServer(options: InternalServerOptions): Server {
   const server = createServer((incoming, response) => {
     handle(options, incoming, response).catch((error: unknown) => {
@@ -45,7 +45,7 @@
         reason: messageOf(error),
       });
       if (!response.headersSent) {
-        sendJson(response, INTERNAL_ERROR, {});
+        sendJson(response, INTERNAL_ERROR_STATUS, {});
       }
     });
   });
@@ -65,7 +65,7 @@
   '/call': answerCall,
   '/agent-stream': openAgentStream,
   '/watch': openWatch,
-  '/leader': tellLeader,
+  '/leader': sendLeader,
 };
 
 async function handle(
@@ -76,7 +76,7 @@
   const url = new URL(incoming.url ?? '/', 'http://entry');
   const handler = HANDLERS[url.pathname];
   if (handler === undefined) {
-    sendJson(response, NOT_FOUND, {});
+    sendJson(response, NOT_FOUND_STATUS, {});
     return;
   }
   await handler(options, url, incoming, response);
@@ -88,12 +88,12 @@
   incoming: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
-  const body = await readBody(incoming, LARGEST_CALL_BYTES);
+  const body = await readBody(incoming, MAXIMUM_CALL_BYTES);
   const leader = options.localLeader();
   const message = JSON.parse(body?.toString('utf8') ?? '') as CallMessage;
   const { epoch, call } = message;
-  const isMeant = leader?.epoch === epoch;
-  const answer = isMeant ? await leader.answer(call) : NOT_LEADING;
+  const isAddressed = leader?.epoch === epoch;
+  const answer = isAddressed ? await leader.answer(call) : NOT_LEADING;
   sendJson(response, 200, answer);
 }
 
@@ -106,7 +106,9 @@
   const leader = options.localLeader();
   if (!leader?.isReady()) {
     incoming.resume();
-    sendJson(response, MISDIRECTED, { leader: options.leaderRecord() ?? null });
+    sendJson(response, MISDIRECTED_STATUS, {
+      leader: options.leaderRecord() ?? null,
+    });
     return;
   }
   const agent = url.searchParams.get('agent') ?? '';
@@ -150,10 +152,10 @@
   incoming.resume();
   response.writeHead(200);
   response.flushHeaders();
-  options.watches.add(url.searchParams.get('address') ?? '', response);
+  options.watchStreams.add(url.searchParams.get('address') ?? '', response);
 }
 
-function tellLeader(
+function sendLeader(
   options: InternalServerOptions,
   _url: URL,
   incoming: IncomingMessage,
@@ -161,7 +163,7 @@
 ): void {
   incoming.resume();
   sendJson(response, 200, {
-    life: options.life,
+    life: options.incarnation,
     leader: options.leaderRecord() ?? null,
   });
 }
--- a/packages/job-nodes/src/entry/job-gateway-options.ts
+++ b/packages/job-nodes/src/entry/job-gateway-options.ts
@@ -4,11 +4,11 @@
 import type { LeaderRecord } from '../leadership/leader-record.js';
 import type { TimeSource } from '../time/time-source.js';
 
-/** What a gateway needs. */
+/** Dependencies of a `JobGateway`. */
 export interface JobGatewayOptions {
   readonly time: TimeSource;
   readonly logger: PartLogger;
-  /** The leader in this process, if it leads. */
+  /** Returns the leader in this process, if this entry is the leader. */
   readonly localLeader: () => Leader | undefined;
   readonly leaderRecord: () => LeaderRecord | undefined;
 }
--- a/packages/job-nodes/src/entry/job-gateway.ts
+++ b/packages/job-nodes/src/entry/job-gateway.ts
@@ -10,20 +10,20 @@
 import type { GatewayAnswer } from './gateway-answer.js';
 import type { JobGatewayOptions } from './job-gateway-options.js';
 
-/** Pause before the leader is asked again. */
-const RETRY_MILLISECONDS = 60;
+/** Delay before the leader is called again. */
+const RETRY_DELAY_MILLISECONDS = 60;
 
 /** A call without an answer is repeated on another connection after this. */
 const CALL_TIMEOUT_MILLISECONDS = 1200;
 
-/** Kept for the way of the answer to the caller. */
-const RESERVE_MILLISECONDS = 120;
+/** Reserved for sending the response to the caller. */
+const RESPONSE_TIME_MILLISECONDS = 120;
 
 type TryAnswer = JobAnswer | { readonly kind: 'not-sent' | 'no-answer' };
 
 type FinalAnswer = Exclude<GatewayAnswer, { readonly kind: 'unavailable' }>;
 
-/** Answers after which the leader is asked again. */
+/** Answers after which the leader is called again. */
 const NOT_FINAL: ReadonlySet<TryAnswer['kind']> = new Set([
   'not-sent',
   'not-leading',
@@ -35,13 +35,13 @@
   return !NOT_FINAL.has(answer.kind);
 }
 
-/** One try, and the epoch of the leader that it went to. */
+/** Answer to one try, and the epoch of the leader that it was sent to. */
 interface Try {
   readonly epoch: number;
   readonly answer: TryAnswer;
 }
 
-/** Passes callers' requests to the leader, wherever it is. */
+/** Forwards callers' requests to the leader, whichever entry it is. */
 export class JobGateway {
   private readonly options: JobGatewayOptions;
 
@@ -50,12 +50,12 @@
   }
 
   /**
-   * Asks the leader, again after a change of the leader, until the deadline.
-   * Every call may be repeated: jobs are told apart by their identifiers.
+   * Calls the leader, with retries after a change of leader, until the
+   * deadline. Calls may be repeated, as a job is recognised by its identifier.
    *
-   * A leader that left a try without an answer may yet act on it, so its
-   * refusal of a later try is not passed on. That of a later leader is: it has
-   * shut out what earlier ones had not stored.
+   * A leader that did not answer a try may still act on it, so its refusal of a
+   * later try is not returned to the caller. The refusal of a later leader is:
+   * it has fenced off everything that earlier leaders had not stored.
    *
    * @param deadlineAt - On the steady clock.
    */
@@ -63,11 +63,11 @@
     const unansweredEpochs = new Set<number>();
     let sent = false;
     for (;;) {
-      const left = this.left(deadlineAt);
-      if (left <= 0) {
+      const remaining = this.remainingMilliseconds(deadlineAt);
+      if (remaining <= 0) {
         return { kind: 'unavailable', sent };
       }
-      const { epoch, answer } = await this.ask(call, left);
+      const { epoch, answer } = await this.askLeader(call, remaining);
       if (answer.kind === 'no-answer') {
         unansweredEpochs.add(epoch);
       }
@@ -76,15 +76,15 @@
       if (isFinal(answer) && !(answer.kind === 'refused' && mayYetAct)) {
         return answer;
       }
-      await pause(Math.min(RETRY_MILLISECONDS, Math.max(1, left)));
+      await pause(Math.min(RETRY_DELAY_MILLISECONDS, Math.max(1, remaining)));
     }
   }
 
-  private left(deadlineAt: number): number {
-    return deadlineAt - RESERVE_MILLISECONDS - this.options.time.steady();
+  private remainingMilliseconds(deadlineAt: number): number {
+    return deadlineAt - RESPONSE_TIME_MILLISECONDS - this.options.time.steady();
   }
 
-  private async ask(call: JobCall, left: number): Promise<Try> {
+  private async askLeader(call: JobCall, remaining: number): Promise<Try> {
     const local = this.options.localLeader();
     if (local !== undefined) {
       return { epoch: local.epoch, answer: await local.answer(call) };
@@ -94,16 +94,16 @@
       ? { epoch: 0, answer: { kind: 'not-sent' } }
       : {
           epoch: record.epoch,
-          answer: await this.askRemote(call, record, left),
+          answer: await this.askRemote(call, record, remaining),
         };
   }
 
   private async askRemote(
     call: JobCall,
     { address, epoch }: LeaderRecord,
-    left: number,
+    remaining: number,
   ): Promise<TryAnswer> {
-    const timeout = Math.min(left, CALL_TIMEOUT_MILLISECONDS);
+    const timeout = Math.min(remaining, CALL_TIMEOUT_MILLISECONDS);
     const message: CallMessage = { epoch, call };
     try {
       return (await callPeer(address, '/call', message, timeout)) as JobAnswer;
--- a/packages/job-nodes/src/entry/leader-watch.ts
+++ b/packages/job-nodes/src/entry/leader-monitor.ts
@@ -8,36 +8,36 @@
 import type { LeaderRecord } from '../leadership/leader-record.js';
 import { readLines } from '../lines/line-reader.js';
 import { pause } from '../time/pause.js';
-import type { LeaderWatchOptions } from './leader-watch-options.js';
+import type { LeaderMonitorOptions } from './leader-monitor-options.js';
 import type { WatchMessage } from './watch-message.js';
 
-/** A watched process that sends nothing for so long is left. */
-const SILENT_MILLISECONDS = 1600;
+/** The stream to a process that sends nothing for this long is closed. */
+const SILENCE_TIMEOUT_MILLISECONDS = 1600;
 
-const RETRY_MILLISECONDS = 150;
+const RETRY_DELAY_MILLISECONDS = 150;
 
 const PROBE_TIMEOUT_MILLISECONDS = 500;
 
 /**
- * Watches the leader's process over an open stream, so that its end is seen at
- * once, and learns of leaders and configurations from other entries while the
- * store can't be reached.
+ * Watches the leader's process over an open stream, so that its end is detected
+ * at once, and receives leaders and configurations from other entries while the
+ * store is unreachable.
  */
-export class LeaderWatch {
-  private readonly options: LeaderWatchOptions;
+export class LeaderMonitor {
+  private readonly options: LeaderMonitorOptions;
 
-  private next = 0;
+  private nextEntry = 0;
 
-  public constructor(options: LeaderWatchOptions) {
+  public constructor(options: LeaderMonitorOptions) {
     this.options = options;
   }
 
-  /** Watches until the process ends. */
+  /** Watches the current leader until this process ends. */
   public async run(): Promise<void> {
     for (;;) {
       const record = this.options.leaderRecord();
-      if (record === undefined || record.life === this.options.ownLife) {
-        await pause(RETRY_MILLISECONDS);
+      if (record === undefined || record.life === this.options.ownIncarnation) {
+        await pause(RETRY_DELAY_MILLISECONDS);
         continue;
       }
       const reason = await this.watch(record.address);
@@ -46,8 +46,8 @@
         reason,
       });
       await this.probe(record);
-      await this.askAnother();
-      await pause(RETRY_MILLISECONDS);
+      await this.askAnotherEntry();
+      await pause(RETRY_DELAY_MILLISECONDS);
     }
   }
 
@@ -62,18 +62,18 @@
         call.destroy();
         resolve(reason);
       };
-      const expectMore = (): void => {
+      const restartTimeout = (): void => {
         clearTimeout(timer);
         timer = setTimeout(() => {
           end('silence');
-        }, SILENT_MILLISECONDS);
+        }, SILENCE_TIMEOUT_MILLISECONDS);
       };
-      expectMore();
+      restartTimeout();
       call.on('response', response => {
         readLines(
           response,
           line => {
-            expectMore();
+            restartTimeout();
             this.options.onMessage(line as WatchMessage);
           },
           end,
@@ -95,21 +95,21 @@
         PROBE_TIMEOUT_MILLISECONDS,
       )) as { readonly life: string };
       if (answer.life !== record.life) {
-        this.options.onGone(record.life);
+        this.options.onDeparted(record.life);
       }
     } catch (error) {
       if (connectionRefused(error)) {
-        this.options.onGone(record.life);
+        this.options.onDeparted(record.life);
       }
     }
   }
 
-  private async askAnother(): Promise<void> {
+  private async askAnotherEntry(): Promise<void> {
     const entries = this.options
       .otherEntries()
       .filter(address => address !== this.options.ownAddress);
-    const address = entries[this.next % Math.max(1, entries.length)];
-    this.next += 1;
+    const address = entries[this.nextEntry % Math.max(1, entries.length)];
+    this.nextEntry += 1;
     if (address === undefined) {
       return;
     }
--- a/packages/job-nodes/src/entry/watch-streams.ts
+++ b/packages/job-nodes/src/entry/watch-streams.ts
@@ -2,17 +2,17 @@
 
 import type { WatchMessage } from './watch-message.js';
 
-/** Entries that watch this one. */
+/** Open streams to the entries that watch this one. */
 export class WatchStreams {
   private readonly streams = new Map<ServerResponse, string>();
 
-  private readonly greeting: () => WatchMessage;
+  private readonly initialMessage: () => WatchMessage;
 
   /**
-   * @param greeting - Returns what a new watcher is told.
+   * @param initialMessage - Returns the first message to a new watcher.
    */
-  public constructor(greeting: () => WatchMessage) {
-    this.greeting = greeting;
+  public constructor(initialMessage: () => WatchMessage) {
+    this.initialMessage = initialMessage;
   }
 
   /** Addresses of the watchers. */
@@ -20,7 +20,7 @@
     return [...new Set(this.streams.values())];
   }
 
-  /** Takes up a watcher. */
+  /** Adds a watcher and sends it the initial message. */
   public add(address: string, response: ServerResponse): void {
     this.streams.set(response, address);
     response.on('close', () => {
@@ -29,11 +29,11 @@
     response.on('error', () => {
       this.streams.delete(response);
     });
-    write(response, this.greeting());
+    write(response, this.initialMessage());
   }
 
-  /** Tells all watchers; an empty message shows that this process lives. */
-  public tell(message: WatchMessage): void {
+  /** Sends a message to all watchers; an empty one serves as a heartbeat. */
+  public broadcast(message: WatchMessage): void {
     for (const response of this.streams.keys()) {
       write(response, message);
     }
--- a/packages/job-nodes/src/http/call-peer.ts
+++ b/packages/job-nodes/src/http/call-peer.ts
@@ -2,10 +2,10 @@
 
 import { callJson } from '@basilcourse/foundation/http/call-json';
 
-/** Connections to other processes of the system are kept and reused. */
+/** Keeps connections to other processes of the system open for reuse. */
 const peerConnections = new Agent({ keepAlive: true, maxSockets: 16 });
 
-/** Posts JSON to another process of the system and returns its answer. */
+/** Posts JSON to another process of the system and returns its response. */
 export function callPeer(
   address: string,
   path: string,
--- a/packages/job-nodes/src/http/read-body.ts
+++ b/packages/job-nodes/src/http/read-body.ts
@@ -1,17 +1,17 @@
 import type { IncomingMessage } from 'node:http';
 
-/** Reads a whole body; undefined if it is longer than allowed. */
+/** Reads a complete body; undefined if it exceeds the maximum. */
 export async function readBody(
   message: IncomingMessage,
-  largestBytes: number,
+  maximumBytes: number,
 ): Promise<Buffer | undefined> {
   const chunks: Buffer[] = [];
   let length = 0;
   for await (const chunk of message as AsyncIterable<Buffer>) {
     length += chunk.length;
-    if (length <= largestBytes) {
+    if (length <= maximumBytes) {
       chunks.push(chunk);
     }
   }
-  return length <= largestBytes ? Buffer.concat(chunks) : undefined;
+  return length <= maximumBytes ? Buffer.concat(chunks) : undefined;
 }
--- a/packages/job-nodes/src/http/send-json.ts
+++ b/packages/job-nodes/src/http/send-json.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from 'node:http';
 
-/** Sends a whole JSON answer. */
+/** Sends a complete JSON response. */
 export function sendJson(
   response: ServerResponse,
   status: number,
--- a/packages/job-nodes/src/http/serve-until-idle.ts
+++ b/packages/job-nodes/src/http/serve-until-idle.ts
@@ -3,19 +3,19 @@
 import { pause } from '../time/pause.js';
 import type { TimeSource } from '../time/time-source.js';
 
-const POLL_MILLISECONDS = 50;
+const POLL_INTERVAL_MILLISECONDS = 50;
 
-/** When a server that stops may do what; on the steady clock. */
+/** Deadlines of a stopping server, on the steady clock. */
 export interface StopTimes {
-  /** Callers are still sent here until then, so idle connections stay open. */
+  /** Callers are routed here until then, so idle connections stay open. */
   readonly closesIdleAt: number;
-  /** The process ends then, whoever is connected. */
+  /** The process ends then, even with open connections. */
   readonly endsAt: number;
 }
 
 /**
- * Serves on while the process stops: resolves once no caller is connected and
- * none is sent here any more, or once the time to stop is over.
+ * Continues to serve while the process stops: resolves once no caller is
+ * connected and none is routed here any more, or at the end of the stop time.
  */
 export async function serveUntilIdle(
   server: Server,
@@ -29,7 +29,7 @@
         return;
       }
     }
-    await pause(POLL_MILLISECONDS);
+    await pause(POLL_INTERVAL_MILLISECONDS);
   }
 }
 
--- a/packages/job-nodes/src/metrics/create-metrics-server.ts
+++ b/packages/job-nodes/src/metrics/create-metrics-server.ts
@@ -6,11 +6,11 @@
 
 import type { ProcessMetrics } from './process-metrics.js';
 
-const CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8';
+const TEXT_CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8';
 
-const FAILED = 500;
+const INTERNAL_ERROR_STATUS = 500;
 
-/** Creates the server that shows the metrics of the process, at any path. */
+/** Creates the server that serves the metrics of the process at any path. */
 export function createMetricsServer(
   metrics: ProcessMetrics,
   logger: PartLogger,
@@ -19,14 +19,14 @@
     incoming.resume();
     metrics.text().then(
       text => {
-        response.setHeader('content-type', CONTENT_TYPE);
+        response.setHeader('content-type', TEXT_CONTENT_TYPE);
         response.end(text);
       },
       (error: unknown) => {
         logger.error('The metrics could not be read.', {
           reason: messageOf(error),
         });
-        response.statusCode = FAILED;
+        response.statusCode = INTERNAL_ERROR_STATUS;
         response.end();
       },
     );
--- a/packages/job-nodes/src/metrics/observed-job-store.ts
+++ b/packages/job-nodes/src/metrics/observed-job-store.ts
@@ -3,7 +3,7 @@
 import type { StepObserver } from './step-observer.js';
 import { timed } from './timed.js';
 
-/** Returns the same store, with its calls observed. */
+/** Wraps a store so that the duration of its calls is observed. */
 export function observedJobStore(
   store: JobStore,
   observe: StepObserver,
--- a/packages/job-nodes/src/metrics/observed-minion-client.ts
+++ b/packages/job-nodes/src/metrics/observed-minion-client.ts
@@ -3,25 +3,28 @@
 import type { StepObserver } from './step-observer.js';
 import { timed } from './timed.js';
 
-/** Returns the same client, with its orders observed; looks wait on purpose. */
+/**
+ * Wraps a client so that the duration of its orders is observed. Polls are not
+ * observed, as they wait on purpose.
+ */
 export function observedMinionClient(
   client: MinionClient,
   observe: StepObserver,
   time: TimeSource,
 ): MinionClient {
   return {
-    start: (life, order, expiresAt, fencingToken) =>
+    start: (minion, order, expiresAt, fencingToken) =>
       timed(observe, time, 'minion-start', () =>
-        client.start(life, order, expiresAt, fencingToken),
+        client.start(minion, order, expiresAt, fencingToken),
       ),
-    stop: (life, order, fencingToken) =>
+    stop: (minion, order, fencingToken) =>
       timed(observe, time, 'minion-stop', () =>
-        client.stop(life, order, fencingToken),
+        client.stop(minion, order, fencingToken),
       ),
-    look: (life, look) => client.look(life, look),
-    pace: (life, order, percentage, fencingToken) =>
+    poll: (minion, poll) => client.poll(minion, poll),
+    throttle: (minion, order, percentage, fencingToken) =>
       timed(observe, time, 'minion-pace', () =>
-        client.pace(life, order, percentage, fencingToken),
+        client.throttle(minion, order, percentage, fencingToken),
       ),
   };
 }
--- a/packages/job-nodes/src/metrics/observed-step.ts
+++ b/packages/job-nodes/src/metrics/observed-step.ts
@@ -1,4 +1,4 @@
-/** A step of the way of a job that is timed. */
+/** A timed step in the processing of a job. */
 export type ObservedStep =
   /** A caller's request, until its answer. */
   | 'call'
--- a/packages/job-nodes/src/metrics/process-metrics.ts
+++ b/packages/job-nodes/src/metrics/process-metrics.ts
@@ -9,7 +9,7 @@
   0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30,
 ];
 
-/** Metrics of one process: counts of decisions, times of steps, beliefs. */
+/** Metrics of one process: log messages, durations of steps, and gauges. */
 export class ProcessMetrics {
   private readonly registry = new Registry();
 
@@ -28,12 +28,12 @@
     registers: [this.registry],
   });
 
-  /** Counts a sentence of the log: each decision writes one. */
+  /** Counts a log message by its text; each decision writes one. */
   public readonly countSentence = (sentence: string): void => {
     this.sentences.inc({ sentence });
   };
 
-  /** Takes in how a step ended, and how long it took. */
+  /** Records the outcome and the duration of a step. */
   public readonly observe = (
     step: ObservedStep,
     outcome: string,
@@ -43,8 +43,8 @@
     this.steps.observe({ step, outcome }, seconds);
   };
 
-  /** Adds a gauge that is read when it is asked for. */
-  public watch(name: string, help: string, read: () => number): void {
+  /** Adds a gauge whose value is read at each scrape. */
+  public addGauge(name: string, help: string, read: () => number): void {
     registerGauge(this.registry, name, help, read);
   }
 
--- a/packages/job-nodes/src/metrics/watch-figures.ts
+++ b/packages/job-nodes/src/metrics/register-entry-gauges.ts
@@ -1,15 +1,15 @@
-import type { EntryFigures } from '../entry/entry-figures.js';
+import type { EntryStatistics } from '../entry/entry-statistics.js';
 import type { ProcessMetrics } from './process-metrics.js';
 
 const MILLISECONDS_PER_SECOND = 1000;
 
-interface WatchedFigure {
+interface EntryGauge {
   readonly name: string;
   readonly help: string;
-  readonly read: (figures: EntryFigures) => number;
+  readonly read: (statistics: EntryStatistics) => number;
 }
 
-const FIGURES: readonly WatchedFigure[] = [
+const GAUGES: readonly EntryGauge[] = [
   {
     name: 'leads',
     help: '1 while this entry has the right to decide.',
@@ -42,12 +42,12 @@
   },
 ];
 
-/** Shows what an entry believes among the metrics of its process. */
-export function watchFigures(
+/** Registers the state of an entry as gauges of its process. */
+export function registerEntryGauges(
   metrics: ProcessMetrics,
-  figures: () => EntryFigures,
+  statistics: () => EntryStatistics,
 ): void {
-  for (const { name, help, read } of FIGURES) {
-    metrics.watch(name, help, () => read(figures()));
+  for (const { name, help, read } of GAUGES) {
+    metrics.addGauge(name, help, () => read(statistics()));
   }
 }
--- a/packages/job-nodes/src/metrics/step-observer.ts
+++ b/packages/job-nodes/src/metrics/step-observer.ts
@@ -1,6 +1,6 @@
 import type { ObservedStep } from './observed-step.js';
 
-/** Takes in how a step ended, and how long it took. */
+/** Records the outcome and the duration of a step. */
 export type StepObserver = (
   step: ObservedStep,
   outcome: string,
--- a/packages/job-nodes/tests/agent/image-memory.test.ts
+++ b/packages/job-nodes/tests/agent/image-memory.test.ts
@@ -4,25 +4,25 @@
 
 const PAIR = { serving: 's', filling: 'f', harm: 0.2, observations: 30 };
 
-t.test('what leaders told adds up to what the next one is given', t => {
+t.test('rows of all leaders are merged and returned to the next one', t => {
   const memory = new ImageMemory();
-  t.same(memory.knowledge(), { harms: [], lowestTails: [] });
-  memory.take({
+  t.same(memory.statistics(), { harms: [], lowestTails: [] });
+  memory.apply({
     harms: [PAIR],
     lowestTails: [{ image: 's', milliseconds: 31 }],
   });
-  memory.take({
+  memory.apply({
     harms: [{ ...PAIR, filling: 'g' }],
     lowestTails: [{ image: 's', milliseconds: 25 }],
   });
-  t.same(memory.knowledge(), {
+  t.same(memory.statistics(), {
     harms: [PAIR, { ...PAIR, filling: 'g' }],
     lowestTails: [{ image: 's', milliseconds: 25 }],
   });
   t.equal(
-    memory.harms.reliableSlowdownPerCore('s', 'f'),
+    memory.interference.reliableSlowdownPerCore('s', 'f'),
     0.2,
-    'the pace goes by the same',
+    'throttling uses the same rows',
   );
   t.end();
 });
--- a/packages/job-nodes/tests/agent/minion-driver.test.ts
+++ b/packages/job-nodes/tests/agent/minion-driver.test.ts
@@ -5,16 +5,16 @@
 import { ImageMemory } from '../../src/agent/image-memory.js';
 import type { MinionClient } from '../../src/agent/minion-client.js';
 import { MinionDriver } from '../../src/agent/minion-driver.js';
-import type { MinionLife } from '../../src/agent/minion-life.js';
+import type { MinionIncarnation } from '../../src/agent/minion-incarnation.js';
 import { anchoredTime } from '../../src/time/anchored-time.js';
 import { pause } from '../../src/time/pause.js';
 import { quietLogger } from '../support/quiet-logger.js';
 
-function makeLife(birth: number): MinionLife {
+function makeMinion(number: number): MinionIncarnation {
   return {
-    identifier: `minion-${birth}`,
+    identifier: `minion-${number}`,
     description: {
-      incarnation: `agent|minion|${birth}`,
+      incarnation: `agent|minion|${number}`,
       service: 's',
       zone: 'z',
       capacity: {
@@ -29,39 +29,39 @@
   };
 }
 
-interface Driven {
+interface DriverHarness {
   readonly driver: MinionDriver;
   readonly reports: AgentReport[];
-  readonly looks: number[];
+  readonly polls: number[];
   readonly starts: string[];
-  readonly fenced: () => number;
+  readonly fencedCount: () => number;
 }
 
-/** A driver over a minion that refuses tokens below one. */
-function drive(lowestToken: number): Driven {
+/** Starts a driver of a minion that refuses tokens below the given one. */
+function startDriver(lowestToken: number): DriverHarness {
   const reports: AgentReport[] = [];
-  const looks: number[] = [];
+  const polls: number[] = [];
   let fenced = 0;
   const starts: string[] = [];
   const client = {
-    start: (life: MinionLife, { task }: { readonly task: string }) => {
-      starts.push(`${task} on ${life.identifier}`);
+    start: (minion: MinionIncarnation, { task }: { readonly task: string }) => {
+      starts.push(`${task} on ${minion.identifier}`);
       return Promise.resolve({ kind: 'started' });
     },
-    look: async (
-      _life: MinionLife,
-      look: { readonly fencingToken: number },
+    poll: async (
+      _minion: MinionIncarnation,
+      poll: { readonly fencingToken: number },
     ) => {
       await pause(10);
-      looks.push(look.fencingToken);
-      if (look.fencingToken < lowestToken) {
+      polls.push(poll.fencingToken);
+      if (poll.fencingToken < lowestToken) {
         throw new FencedError('minion.look', 'm');
       }
       return { clock: 1, running: [], ends: [] };
     },
   } as unknown as MinionClient;
   const driver = new MinionDriver({
-    images: new ImageMemory(),
+    imageStatistics: new ImageMemory(),
     client,
     time: anchoredTime(),
     logger: quietLogger,
@@ -71,11 +71,11 @@
     report: report => reports.push(report),
   });
   void driver.run();
-  return { driver, reports, looks, starts, fenced: () => fenced };
+  return { driver, reports, polls, starts, fencedCount: () => fenced };
 }
 
-function welcome(driver: MinionDriver, fencingToken: number): void {
-  driver.take({
+function sendWelcome(driver: MinionDriver, fencingToken: number): void {
+  driver.handleMessage({
     kind: 'welcome',
     epoch: 1,
     fencingToken,
@@ -83,64 +83,71 @@
   });
 }
 
-t.test('a token that was refused is not used again', async t => {
-  const { driver, looks, fenced } = drive(5);
+t.test('a refused token is not used again', async t => {
+  const { driver, polls, fencedCount } = startDriver(5);
   t.teardown(() => {
     driver.stop();
   });
-  driver.meet(makeLife(1));
-  welcome(driver, 4);
+  driver.updateMinion(makeMinion(1));
+  sendWelcome(driver, 4);
   await pause(600);
-  t.same(looks, [4]);
-  t.equal(fenced(), 1);
-  welcome(driver, 5);
+  t.same(polls, [4]);
+  t.equal(fencedCount(), 1);
+  sendWelcome(driver, 5);
   await pause(200);
-  t.ok(looks.includes(5));
+  t.ok(polls.includes(5));
 });
 
-t.test('a life is reported only once its lists were read', async t => {
-  const { driver, reports } = drive(0);
-  t.teardown(() => {
-    driver.stop();
-  });
-  welcome(driver, 1);
-  driver.meet(makeLife(1));
-  await pause(120);
-  const before = reports.length;
-  t.ok(before > 0);
-  driver.meet(makeLife(2));
-  t.equal(reports.length, before, 'not before a look at it');
-  await pause(200);
-  const last = reports.at(-1);
-  t.equal(last?.minion?.incarnation, 'agent|minion|2');
-  t.same(last?.gone, ['agent|minion|1']);
-});
+t.test(
+  'an incarnation is reported only once its lists have been read',
+  async t => {
+    const { driver, reports } = startDriver(0);
+    t.teardown(() => {
+      driver.stop();
+    });
+    sendWelcome(driver, 1);
+    driver.updateMinion(makeMinion(1));
+    await pause(120);
+    const before = reports.length;
+    t.ok(before > 0);
+    driver.updateMinion(makeMinion(2));
+    t.equal(reports.length, before, 'not before a poll of it');
+    await pause(200);
+    const last = reports.at(-1);
+    t.equal(last?.minion?.incarnation, 'agent|minion|2');
+    t.same(last?.gone, ['agent|minion|1']);
+  },
+);
 
-t.test('a minion that has left is reported at once', async t => {
-  const { driver, reports } = drive(0);
+t.test('a departed minion is reported at once', async t => {
+  const { driver, reports } = startDriver(0);
   t.teardown(() => {
     driver.stop();
   });
-  welcome(driver, 1);
-  driver.meet(makeLife(1));
+  sendWelcome(driver, 1);
+  driver.updateMinion(makeMinion(1));
   await pause(120);
-  driver.meet(undefined);
+  driver.updateMinion(undefined);
   t.equal(reports.at(-1)?.minion, null);
   t.same(reports.at(-1)?.gone, ['agent|minion|1']);
 });
 
 t.test(
-  'an order for an earlier life is not carried out on the next',
+  'an order for an earlier incarnation is not run on the next one',
   async t => {
-    const { driver, starts } = drive(0);
+    const { driver, starts } = startDriver(0);
     t.teardown(() => {
       driver.stop();
     });
-    welcome(driver, 1);
-    driver.take({ kind: 'grant', sentAt: performance.now(), entries: [] });
-    driver.meet(makeLife(1));
+    sendWelcome(driver, 1);
+    driver.handleMessage({
+      kind: 'grant',
+      sentAt: performance.now(),
+      entries: [],
+    });
+    driver.updateMinion(makeMinion(1));
     await pause(150);
-    driver.meet(makeLife(2));
+    driver.updateMinion(makeMinion(2));
     await pause(150);
     const order = {
       task: 'j.0.0.0',
@@ -154,14 +161,14 @@
         processorMillicores: 100,
       },
     };
-    driver.take({
+    driver.handleMessage({
       kind: 'starts',
       incarnation: 'agent|minion|1',
       starts: [order],
     });
     await pause(50);
     t.same(starts, []);
-    driver.take({
+    driver.handleMessage({
       kind: 'starts',
       incarnation: 'agent|minion|2',
       starts: [{ ...order, run: 2 }],
--- a/packages/job-nodes/tests/agent/order-runner.test.ts
+++ b/packages/job-nodes/tests/agent/order-runner.test.ts
@@ -2,7 +2,7 @@
 import t from 'tap';
 
 import type { MinionClient } from '../../src/agent/minion-client.js';
-import type { MinionLife } from '../../src/agent/minion-life.js';
+import type { MinionIncarnation } from '../../src/agent/minion-incarnation.js';
 import { OrderRunner } from '../../src/agent/order-runner.js';
 import { anchoredTime } from '../../src/time/anchored-time.js';
 import { pause } from '../../src/time/pause.js';
@@ -25,7 +25,7 @@
 
 const KEY = 'j.0.0.0/1';
 
-function makeLife(draining = false): MinionLife {
+function makeMinion(draining = false): MinionIncarnation {
   return {
     identifier: 'minion',
     description: {
@@ -47,20 +47,23 @@
 /** `started`, `none` for no answer, or the reason of a refusal. */
 type Answer = string;
 
-interface Scripted {
+interface ScriptedRunner {
   readonly runner: OrderRunner;
   readonly calls: string[];
 }
 
-/** A runner over a minion that answers starts and stops as told. */
-function script(starts: readonly Answer[], stops: readonly Answer[]): Scripted {
+/** Creates a runner whose minion gives the listed answers in order. */
+function createRunner(
+  starts: readonly Answer[],
+  stops: readonly Answer[],
+): ScriptedRunner {
   const calls: string[] = [];
-  const left = { starts: [...starts], stops: [...stops] };
+  const remaining = { starts: [...starts], stops: [...stops] };
   const noAnswer = (): Promise<never> =>
     Promise.reject(new PeerUnreachableError('minion.call', 'm', 'no answer'));
   const client = {
     start: () => {
-      const answer = left.starts.shift() ?? 'started';
+      const answer = remaining.starts.shift() ?? 'started';
       calls.push(`start ${answer}`);
       if (answer === 'none') {
         return noAnswer();
@@ -72,7 +75,7 @@
       );
     },
     stop: () => {
-      const answer = left.stops.shift() ?? 'stopped';
+      const answer = remaining.stops.shift() ?? 'stopped';
       calls.push(`stop ${answer}`);
       return answer === 'none' ? noAnswer() : Promise.resolve();
     },
@@ -89,10 +92,10 @@
   return { runner, calls };
 }
 
-t.test('a refusal after a try without an answer is not believed', async t => {
+t.test('a refusal after a try without an answer is not trusted', async t => {
   for (const reason of ['old', 'room', 'late']) {
-    const { runner, calls } = script(['none', reason], []);
-    runner.start(makeLife(), [ORDER]);
+    const { runner, calls } = createRunner(['none', reason], []);
+    runner.start(makeMinion(), [ORDER]);
     await pause(200);
     t.same(runner.refusals(), [], `${reason}: the first try may have begun`);
     t.equal(calls.at(-1), 'stop stopped', `${reason}: the run is stopped`);
@@ -101,44 +104,40 @@
   }
 });
 
-t.test(
-  'a start that lists show not to have begun counts as refused',
-  async t => {
-    const { runner } = script(['none', 'room'], []);
-    runner.start(makeLife(), [ORDER]);
-    await pause(200);
-    runner.resolveRevoked(new Set(), performance.now() - 1000);
-    t.same(
-      runner.refusals(),
-      [],
-      'lists asked for before the stop prove nothing',
-    );
-    runner.resolveRevoked(new Set(), performance.now());
-    t.equal(runner.refusals().length, 1);
-  },
-);
+t.test('a start that is not in the lists counts as refused', async t => {
+  const { runner } = createRunner(['none', 'room'], []);
+  runner.start(makeMinion(), [ORDER]);
+  await pause(200);
+  runner.resolveRevoked(new Set(), performance.now() - 1000);
+  t.same(runner.refusals(), [], 'lists requested before the stop are ignored');
+  runner.resolveRevoked(new Set(), performance.now());
+  t.equal(runner.refusals().length, 1);
+});
 
-t.test('a refusal of the first try is believed', async t => {
-  const { runner, calls } = script(['room'], []);
-  runner.start(makeLife(), [ORDER]);
+t.test('a refusal of the first try is trusted', async t => {
+  const { runner, calls } = createRunner(['room'], []);
+  runner.start(makeMinion(), [ORDER]);
   await pause(20);
   t.equal(runner.refusals()[0]?.reason, 'room');
   t.same(calls, ['start room']);
 });
 
-t.test('a start is revoked however long the minion is silent', async t => {
-  const silent: Answer[] = Array.from({ length: 6 }, () => 'none');
-  const { runner } = script(['none', 'none'], silent);
-  runner.start(makeLife(), [ORDER]);
-  await pause(2500);
-  runner.resolveRevoked(new Set(), performance.now());
-  t.equal(runner.refusals().length, 1);
-});
+t.test(
+  'a start is revoked however long the minion does not respond',
+  async t => {
+    const unanswered: Answer[] = Array.from({ length: 6 }, () => 'none');
+    const { runner } = createRunner(['none', 'none'], unanswered);
+    runner.start(makeMinion(), [ORDER]);
+    await pause(2500);
+    runner.resolveRevoked(new Set(), performance.now());
+    t.equal(runner.refusals().length, 1);
+  },
+);
 
-t.test('orders of an earlier stream are not carried on', async t => {
-  const silent: Answer[] = Array.from({ length: 50 }, () => 'none');
-  const { runner, calls } = script(['none', 'none'], silent);
-  runner.start(makeLife(), [ORDER]);
+t.test('orders of an earlier stream are abandoned', async t => {
+  const unanswered: Answer[] = Array.from({ length: 50 }, () => 'none');
+  const { runner, calls } = createRunner(['none', 'none'], unanswered);
+  runner.start(makeMinion(), [ORDER]);
   await pause(100);
   runner.reset(TOKEN + 1);
   await pause(300);
@@ -148,10 +147,10 @@
   t.same(runner.refusals(), []);
 });
 
-t.test('a minion that drains, or is not there, takes no start', async t => {
-  for (const life of [makeLife(true), undefined]) {
-    const { runner, calls } = script([], []);
-    runner.start(life, [ORDER]);
+t.test('a draining or absent minion accepts no start', async t => {
+  for (const minion of [makeMinion(true), undefined]) {
+    const { runner, calls } = createRunner([], []);
+    runner.start(minion, [ORDER]);
     await pause(5);
     t.equal(runner.refusals().length, 1);
     t.same(calls, []);
--- a/packages/job-nodes/tests/entry/internal-server.test.ts
+++ b/packages/job-nodes/tests/entry/internal-server.test.ts
@@ -9,7 +9,7 @@
 import { anchoredTime } from '../../src/time/anchored-time.js';
 import { quietLogger } from '../support/quiet-logger.js';
 
-t.test('a call for another epoch is not acted on', async t => {
+t.test('a call for another epoch is rejected', async t => {
   let acted = 0;
   const leader = {
     epoch: 7,
@@ -21,10 +21,10 @@
   const server = createInternalServer({
     time: anchoredTime(),
     logger: quietLogger,
-    life: 'life',
+    incarnation: 'life',
     localLeader: () => leader,
     leaderRecord: () => undefined,
-    watches: new WatchStreams(() => ({})),
+    watchStreams: new WatchStreams(() => ({})),
   });
   await new Promise<void>(resolve => {
     server.listen(0, '127.0.0.1', resolve);
--- a/packages/job-nodes/tests/entry/job-gateway.test.ts
+++ b/packages/job-nodes/tests/entry/job-gateway.test.ts
@@ -28,7 +28,10 @@
 
 const NO_ANSWER = 'no answer';
 
-/** A leader that answers its calls in order; the last answer goes on. */
+/**
+ * Starts a leader that gives the listed answers in order; the last one answers
+ * all further calls.
+ */
 async function startPeer(
   t: Test,
   answers: readonly (JobAnswer | typeof NO_ANSWER)[],
@@ -70,25 +73,25 @@
   return gateway.call(SUBMIT, time.steady() + milliseconds);
 }
 
-t.test('what a call ends with where no leader acts on it', async t => {
+t.test('result of a call that no leader acts on', async t => {
   const closed = createServer().listen(0, '127.0.0.1');
   await new Promise(resolve => closed.once('listening', resolve));
   const { port } = closed.address() as AddressInfo;
   await new Promise(resolve => closed.close(resolve));
   const cases: readonly [string, string | undefined, unknown][] = [
-    ['no leader is known', undefined, { kind: 'unavailable', sent: false }],
+    ['no leader is recorded', undefined, { kind: 'unavailable', sent: false }],
     [
-      'its process is gone',
+      'its process has ended',
       `127.0.0.1:${port}`,
       { kind: 'unavailable', sent: false },
     ],
     [
-      'it does not lead',
+      'it is not the leader',
       await startPeer(t, [{ kind: 'not-leading' }]),
       { kind: 'unavailable', sent: false },
     ],
     [
-      'it lost the lead before it knew',
+      'it lost the leadership before the append was confirmed',
       await startPeer(t, [{ kind: 'unknown' }]),
       { kind: 'unavailable', sent: true },
     ],
@@ -100,13 +103,13 @@
   }
 });
 
-t.test('no refusal is believed after a try without an answer', async t => {
+t.test('no refusal is trusted after a try without an answer', async t => {
   const address = await startPeer(t, [NO_ANSWER, REFUSED]);
   const answer = await ask(() => makeRecord(address, 1), 1800);
   t.same(answer, { kind: 'unavailable', sent: true });
 });
 
-t.test('a later leader knows that an earlier one did not act', async t => {
+t.test('a refusal of a later leader is returned', async t => {
   const earlier = await startPeer(t, [NO_ANSWER]);
   const later = await startPeer(t, [REFUSED]);
   let tries = 0;
--- a/packages/job-nodes/tests/http/serve-until-idle.test.ts
+++ b/packages/job-nodes/tests/http/serve-until-idle.test.ts
@@ -9,15 +9,21 @@
 import { anchoredTime } from '../../src/time/anchored-time.js';
 import { pause } from '../../src/time/pause.js';
 
-interface Served {
+interface RunningServer {
   readonly server: Server;
-  /** Answers that the test has yet to end. */
+  /** Responses that the test has not ended yet. */
   readonly open: ServerResponse[];
-  /** Asks over a connection that is kept; resolves with the whole answer. */
+  /**
+   * Sends a request over a kept-alive connection; resolves with the whole
+   * response body.
+   */
   readonly ask: () => Promise<string>;
 }
 
-async function serve(t: Test, answersAtOnce: boolean): Promise<Served> {
+async function startServer(
+  t: Test,
+  answersAtOnce: boolean,
+): Promise<RunningServer> {
   const open: ServerResponse[] = [];
   const server = createServer((_, response) => {
     if (answersAtOnce) {
@@ -54,34 +60,37 @@
 
 const time = anchoredTime();
 
-async function stopTime(
-  { server }: Served,
+async function measureStop(
+  { server }: RunningServer,
   closesIdleIn: number,
   endsIn: number,
 ): Promise<number> {
-  const beganAt = time.steady();
+  const startedAt = time.steady();
   const times = {
-    closesIdleAt: beganAt + closesIdleIn,
-    endsAt: beganAt + endsIn,
+    closesIdleAt: startedAt + closesIdleIn,
+    endsAt: startedAt + endsIn,
   };
   await serveUntilIdle(server, times, time);
-  return time.steady() - beganAt;
+  return time.steady() - startedAt;
 }
 
-t.test('callers are served while they are still sent here', async t => {
-  const served = await serve(t, true);
+t.test('callers are served while they are still routed here', async t => {
+  const served = await startServer(t, true);
   await served.ask();
-  const stopping = stopTime(served, 400, 3000);
+  const stopping = measureStop(served, 400, 3000);
   await pause(200);
   t.equal(await served.ask(), 'whole', 'over the open connection');
   const took = await stopping;
-  t.ok(took >= 390 && took < 1500, `idle connections end it, ${took} ms`);
+  t.ok(
+    took >= 390 && took < 1500,
+    `ends once idle connections are closed, ${took} ms`,
+  );
 });
 
-t.test('a request under way is answered first', async t => {
-  const served = await serve(t, false);
+t.test('a request in progress is answered first', async t => {
+  const served = await startServer(t, false);
   const answer = served.ask();
-  const stopping = stopTime(served, 100, 5000);
+  const stopping = measureStop(served, 100, 5000);
   await pause(600);
   served.open.forEach(response => response.end('whole'));
   t.equal(await answer, 'whole');
@@ -89,10 +98,10 @@
   t.ok(took >= 590 && took < 3000, `${took} ms`);
 });
 
-t.test('the time to stop is kept, whoever is connected', async t => {
-  const served = await serve(t, false);
+t.test('the stop deadline holds even with open connections', async t => {
+  const served = await startServer(t, false);
   const answer = served.ask().catch(() => 'cut');
-  const took = await stopTime(served, 100, 500);
+  const took = await measureStop(served, 100, 500);
   t.ok(took >= 490 && took < 1500, `${took} ms`);
   served.server.closeAllConnections();
   t.equal(await answer, 'cut');
--- a/packages/job-nodes/tests/metrics/process-metrics.test.ts
+++ b/packages/job-nodes/tests/metrics/process-metrics.test.ts
@@ -9,16 +9,16 @@
 import { ProcessMetrics } from '../../src/metrics/process-metrics.js';
 import type { JobStore } from '../../src/store/job-store.js';
 import { anchoredTime } from '../../src/time/anchored-time.js';
-import { makeLife } from '../support/make-life.js';
+import { makeMinion } from '../support/make-minion.js';
 import { quietLogger } from '../support/quiet-logger.js';
 
-t.test('sentences, steps and figures are served as text', async t => {
+t.test('log messages, steps and gauges are served as text', async t => {
   const metrics = new ProcessMetrics();
   metrics.countSentence('[leader] A run ended.');
   metrics.countSentence('[leader] A run ended.');
   metrics.observe('store-append', 'answered', 30);
   let agents = 1;
-  metrics.watch('agents_connected', 'Agents.', () => agents);
+  metrics.addGauge('agents_connected', 'Agents.', () => agents);
   agents = 4;
   const server = createMetricsServer(metrics, quietLogger);
   await new Promise<void>(resolve => {
@@ -43,35 +43,38 @@
   }
 });
 
-t.test('calls are observed with their outcome, errors go on', async t => {
-  const seen: string[] = [];
-  const observe = (step: string, outcome: string): void => {
-    seen.push(`${step} ${outcome}`);
-  };
-  const time = anchoredTime();
-  const store = observedJobStore(
-    {
-      open: () => Promise.resolve(true),
-      readAll: () => Promise.resolve([]),
-      append: () => Promise.reject(new Error('no answer')),
-    } satisfies JobStore,
-    observe,
-    time,
-  );
-  await store.readAll();
-  await t.rejects(store.append(1, 0, []), /no answer/);
-  const client = observedMinionClient(
-    {
-      stop: () => Promise.resolve(),
-      look: () => Promise.resolve({ clock: 1, running: [], ends: [] }),
-    } as unknown as MinionClient,
-    observe,
-    time,
-  );
-  await client.stop(makeLife('m', 1, 1), { task: 't', run: 1 }, 1);
-  t.same(seen, [
-    'store-read answered',
-    'store-append no-answer',
-    'minion-stop answered',
-  ]);
-});
+t.test(
+  'calls are observed with their outcome, errors are rethrown',
+  async t => {
+    const observations: string[] = [];
+    const observe = (step: string, outcome: string): void => {
+      observations.push(`${step} ${outcome}`);
+    };
+    const time = anchoredTime();
+    const store = observedJobStore(
+      {
+        open: () => Promise.resolve(true),
+        readAll: () => Promise.resolve([]),
+        append: () => Promise.reject(new Error('no answer')),
+      } satisfies JobStore,
+      observe,
+      time,
+    );
+    await store.readAll();
+    await t.rejects(store.append(1, 0, []), /no answer/);
+    const client = observedMinionClient(
+      {
+        stop: () => Promise.resolve(),
+        poll: () => Promise.resolve({ clock: 1, running: [], ends: [] }),
+      } as unknown as MinionClient,
+      observe,
+      time,
+    );
+    await client.stop(makeMinion('m', 1, 1), { task: 't', run: 1 }, 1);
+    t.same(observations, [
+      'store-read answered',
+      'store-append no-answer',
+      'minion-stop answered',
+    ]);
+  },
+);
--- a/packages/job-nodes/tests/metrics/watch-figures.test.ts
+++ b/packages/job-nodes/tests/metrics/register-entry-gauges.test.ts
@@ -3,9 +3,9 @@
 import t from 'tap';
 
 import { ProcessMetrics } from '../../src/metrics/process-metrics.js';
-import { watchFigures } from '../../src/metrics/watch-figures.js';
+import { registerEntryGauges } from '../../src/metrics/register-entry-gauges.js';
 
-const FIGURES = {
+const STATISTICS = {
   leads: true,
   configurationVersion: 7,
   agents: 3,
@@ -14,14 +14,14 @@
   owedMilliseconds: 250,
 };
 
-t.test('figures are shown, and each metric is in the manual', async t => {
+t.test('gauges are served, and each metric is in the manual', async t => {
   const metrics = new ProcessMetrics();
-  watchFigures(metrics, () => FIGURES);
+  registerEntryGauges(metrics, () => STATISTICS);
   const text = await metrics.text();
-  const figures = text
+  const samples = text
     .split('\n')
     .filter(line => /^basilcourse_.* /.test(line));
-  t.same(figures, [
+  t.same(samples, [
     'basilcourse_leads 1',
     'basilcourse_configuration_version 7',
     'basilcourse_agents_connected 3',
--- a/packages/job-nodes/tests/support/fake-minion.ts
+++ b/packages/job-nodes/tests/support/fake-minion.ts
@@ -4,19 +4,19 @@
 
 import { FencedError } from '../../src/agent/fenced-error.js';
 import type { MinionClient } from '../../src/agent/minion-client.js';
-import type { MinionLife } from '../../src/agent/minion-life.js';
+import type { MinionIncarnation } from '../../src/agent/minion-incarnation.js';
 import { WrongMinionError } from '../../src/agent/wrong-minion-error.js';
 import { pause } from '../../src/time/pause.js';
 import type { FakeMinionFaults } from './fake-minion-faults.js';
-import { makeLife } from './make-life.js';
+import { makeMinion } from './make-minion.js';
 import type { Witness } from './witness.js';
 import type { WitnessedRun } from './witnessed-run.js';
 
-const STOP_MILLISECONDS = 40;
+const STOP_DELAY_MILLISECONDS = 40;
 
 const ANSWER_TIMEOUT_MILLISECONDS = 60;
 
-const CHECK_MILLISECONDS = 15;
+const CHECK_INTERVAL_MILLISECONDS = 15;
 
 interface Run {
   readonly task: string;
@@ -24,9 +24,9 @@
   readonly endsAt: number;
 }
 
-/** A minion as its agent calls it: fenced, leased, with listed ends. */
+/** In-memory minion with the fencing, leases and end lists of a real one. */
 export class FakeMinion implements MinionClient {
-  public life: MinionLife;
+  public self: MinionIncarnation;
 
   private readonly witness: Witness;
 
@@ -46,7 +46,7 @@
 
   private nextEnd = 1;
 
-  private births = 0;
+  private restarts = 0;
 
   public constructor(
     name: string,
@@ -56,16 +56,16 @@
   ) {
     this.witness = witness;
     this.faults = faults;
-    this.life = makeLife(name, 0, capacity);
+    this.self = makeMinion(name, 0, capacity);
     setInterval(() => {
       this.check();
-    }, CHECK_MILLISECONDS).unref();
+    }, CHECK_INTERVAL_MILLISECONDS).unref();
   }
 
-  /** Ends this life with all that runs, and begins another. */
+  /** Ends this incarnation with all its runs, and begins another one. */
   public crash(): void {
     for (const run of this.runs.values()) {
-      this.witness.ended(this.seen(run), false);
+      this.witness.ended(this.runOf(run), false);
     }
     this.runs.clear();
     this.highestRuns.clear();
@@ -73,61 +73,61 @@
     this.nextEnd = 1;
     this.lapsedEnds.clear();
     this.fencingToken = 0;
-    this.births += 1;
-    const { capacity } = this.life.description;
-    const [name = ''] = this.life.identifier.split('#');
-    this.life = makeLife(name, this.births, capacity.processorMillicores);
+    this.restarts += 1;
+    const { capacity } = this.self.description;
+    const [name = ''] = this.self.identifier.split('#');
+    this.self = makeMinion(name, this.restarts, capacity.processorMillicores);
   }
 
   public start: MinionClient['start'] = async (
-    life,
+    minion,
     order,
     expiresAt,
     token,
   ) => {
-    const { random, lateShare } = this.faults;
-    if (random.next() < lateShare()) {
+    const { random, lateStartShare } = this.faults;
+    if (random.next() < lateStartShare()) {
       void pause(200 + random.next() * 1500).then(() => {
-        this.begin(life, order, expiresAt, token);
+        this.begin(minion, order, expiresAt, token);
       });
       await pause(ANSWER_TIMEOUT_MILLISECONDS);
       throw new PeerUnreachableError('minion.start', 'fake', 'no answer');
     }
     await pause(1);
-    this.checkLife(life);
-    return this.begin(life, order, expiresAt, token);
+    this.checkIncarnation(minion);
+    return this.begin(minion, order, expiresAt, token);
   };
 
-  public stop: MinionClient['stop'] = async (life, { task, run }, token) => {
+  public stop: MinionClient['stop'] = async (minion, { task, run }, token) => {
     await pause(1);
-    this.checkLife(life);
+    this.checkIncarnation(minion);
     this.checkToken('minion.stop', token);
-    this.raiseRun(task, run);
-    this.witness.note(this.seen({ task, run }), `is stopped by ${token}`);
+    this.raiseHighestRun(task, run);
+    this.witness.note(this.runOf({ task, run }), `is stopped by ${token}`);
     if (this.runs.get(task)?.run === run) {
-      await pause(STOP_MILLISECONDS);
+      await pause(STOP_DELAY_MILLISECONDS);
       this.end(task, run, 'stopped');
     }
   };
 
-  public look: MinionClient['look'] = async (life, look) => {
+  public poll: MinionClient['poll'] = async (minion, poll) => {
     await pause(1);
-    this.checkLife(life);
-    this.checkToken('minion.look', look.fencingToken);
+    this.checkIncarnation(minion);
+    this.checkToken('minion.look', poll.fencingToken);
     this.markLapsed();
     for (const end of this.ends) {
-      if (end.number <= look.endsThrough) {
-        this.noteEnd(end, look.fencingToken);
+      if (end.number <= poll.endsThrough) {
+        this.storeEnd(end, poll.fencingToken);
       }
     }
-    this.ends = this.ends.filter(({ number }) => number > look.endsThrough);
-    if (look.expiresAt !== undefined) {
-      this.extendLease(look.expiresAt);
+    this.ends = this.ends.filter(({ number }) => number > poll.endsThrough);
+    if (poll.expiresAt !== undefined) {
+      this.extendLease(poll.expiresAt);
     }
-    const until = performance.now() + look.waitMilliseconds;
+    const until = performance.now() + poll.waitMilliseconds;
     while (this.ends.length === 0 && performance.now() < until) {
       await pause(5);
-      this.checkLife(life);
+      this.checkIncarnation(minion);
     }
     return {
       clock: performance.now(),
@@ -144,17 +144,17 @@
     };
   };
 
-  public pace: MinionClient['pace'] = async () => {
+  public throttle: MinionClient['throttle'] = async () => {
     await pause(1);
   };
 
   private begin(
-    life: MinionLife,
+    peer: MinionIncarnation,
     { task, run }: { readonly task: string; readonly run: number },
     expiresAt: number,
     token: number,
   ): Awaited<ReturnType<MinionClient['start']>> {
-    if (life.identifier !== this.life.identifier || token < this.fencingToken) {
+    if (peer.identifier !== this.self.identifier || token < this.fencingToken) {
       return { kind: 'refused', reason: 'fence' };
     }
     this.fencingToken = token;
@@ -168,13 +168,13 @@
       return { kind: 'refused', reason: 'late' };
     }
     this.extendLease(expiresAt);
-    this.raiseRun(task, run);
+    this.raiseHighestRun(task, run);
     const endsAt = performance.now() + this.faults.workMilliseconds();
     this.runs.set(task, { task, run, endsAt });
-    const seen = this.seen({ task, run });
-    const left = Math.round(this.leaseUntil - performance.now());
-    this.witness.note(seen, `by ${token}, lease for ${left}`);
-    this.witness.started(seen);
+    const observed = this.runOf({ task, run });
+    const leaseLeft = Math.round(this.leaseUntil - performance.now());
+    this.witness.note(observed, `by ${token}, lease for ${leaseLeft}`);
+    this.witness.started(observed);
     return { kind: 'started' };
   }
 
@@ -184,18 +184,18 @@
     this.leaseUntil = Math.max(before, expiresAt);
   }
 
-  /** Ends that are listed while the lease lapses do not stand. */
+  /** Ends that are listed while the lease expires are not final. */
   private markLapsed(): void {
     if (performance.now() >= this.leaseUntil) {
       this.ends.forEach(({ number }) => this.lapsedEnds.add(number));
     }
   }
 
-  private noteEnd({ number, task, run, reason }: RunEnd, token: number): void {
-    const stands = !this.lapsedEnds.has(number);
-    const seen = this.seen({ task, run });
-    this.witness.note(seen, `is noted by ${token}, stands: ${stands}`);
-    if (reason === 'done' && stands) {
+  private storeEnd({ number, task, run, reason }: RunEnd, token: number): void {
+    const isFinal = !this.lapsedEnds.has(number);
+    const observed = this.runOf({ task, run });
+    this.witness.note(observed, `stored by ${token}, final: ${isFinal}`);
+    if (reason === 'done' && isFinal) {
       this.witness.notedDone.add(task);
     }
   }
@@ -217,33 +217,33 @@
   }
 
   private end(task: string, run: number, reason: EndReason): void {
-    const known = this.runs.get(task);
-    if (known?.run !== run) {
+    const current = this.runs.get(task);
+    if (current?.run !== run) {
       return;
     }
     this.runs.delete(task);
-    this.witness.ended(this.seen(known), reason === 'done');
+    this.witness.ended(this.runOf(current), reason === 'done');
     this.ends.push({ number: this.nextEnd, task, run, reason, checkpoint: '' });
     this.nextEnd += 1;
   }
 
-  private seen({ task, run }: Omit<Run, 'endsAt'>): WitnessedRun {
-    return { task, run, minion: this.life.identifier };
+  private runOf({ task, run }: Omit<Run, 'endsAt'>): WitnessedRun {
+    return { task, run, minion: this.self.identifier };
   }
 
-  private raiseRun(task: string, run: number): void {
+  private raiseHighestRun(task: string, run: number): void {
     this.highestRuns.set(task, Math.max(run, this.highestRuns.get(task) ?? 0));
   }
 
-  private checkLife(life: MinionLife): void {
-    if (life.identifier !== this.life.identifier) {
-      throw new WrongMinionError('minion.call', this.life.identifier);
+  private checkIncarnation(minion: MinionIncarnation): void {
+    if (minion.identifier !== this.self.identifier) {
+      throw new WrongMinionError('minion.call', this.self.identifier);
     }
   }
 
   private checkToken(step: string, token: number): void {
     if (token < this.fencingToken) {
-      throw new FencedError(step, this.life.identifier);
+      throw new FencedError(step, this.self.identifier);
     }
     this.fencingToken = token;
   }
--- a/packages/job-nodes/tests/support/job-world.ts
+++ b/packages/job-nodes/tests/support/job-world.ts
@@ -110,13 +110,13 @@
   public restartAgent(place: AgentPlace): void {
     this.disconnect(place);
     place.driver = this.createDriver(place);
-    place.driver.meet(place.minion.life);
+    place.driver.updateMinion(place.minion.self);
   }
 
   /** A minion's life ends, and its next one begins. */
   public crashMinion(place: AgentPlace): void {
     place.minion.crash();
-    place.driver?.meet(place.minion.life);
+    place.driver?.updateMinion(place.minion.self);
   }
 
   /** An agent can't reach the leader for a while. */
@@ -159,20 +159,20 @@
       this.witness,
       {
         random: this.random,
-        lateShare: () => this.lateShare,
+        lateStartShare: () => this.lateShare,
         workMilliseconds: () => 50 + this.random.next() * 400,
       },
       CAPACITY,
     );
     const place = new AgentPlace(name, minion);
     place.driver = this.createDriver(place);
-    place.driver.meet(minion.life);
+    place.driver.updateMinion(minion.self);
     return place;
   }
 
   private createDriver(place: AgentPlace): MinionDriver {
     const driver: MinionDriver = new MinionDriver({
-      images: new ImageMemory(),
+      imageStatistics: new ImageMemory(),
       client: place.minion,
       time: this.time,
       logger: quietLogger,
@@ -210,7 +210,7 @@
         const message = JSON.parse(chunk.toString('utf8')) as LeaderMessage;
         setTimeout(() => {
           if (place.driver === driver && performance.now() >= place.cutUntil) {
-            driver?.take(message);
+            driver?.handleMessage(message);
           }
         }, 1);
         callback();
