--- a/packages/job-nodes/src/entry/entry-figures.ts
+++ b/packages/job-nodes/src/entry/entry-statistics.ts
@@ -1,7 +1,7 @@
 import type { LeaderStatistics } from '../leader/leader-statistics.js';
 
-/** What an entry believes at one moment. */
-export interface EntryFigures extends LeaderStatistics {
+/** State of an entry at one moment, for its metrics. */
+export interface EntryStatistics extends LeaderStatistics {
   readonly leads: boolean;
   readonly configurationVersion: number;
 }
--- a/packages/job-nodes/tests/support/job-simulation.ts
+++ b/packages/job-nodes/tests/support/job-simulation.ts
@@ -116,13 +116,13 @@
   public restartAgent(vm: SimulatedVm): void {
     this.disconnect(vm);
     vm.driver = this.createDriver(vm);
-    vm.driver.meet(vm.minion.life);
+    vm.driver.updateMinion(vm.minion.self);
   }
 
   /** Ends a minion's incarnation and starts the next one. */
   public crashMinion(vm: SimulatedVm): void {
     vm.minion.crash();
-    vm.driver?.meet(vm.minion.life);
+    vm.driver?.updateMinion(vm.minion.self);
   }
 
   /** Makes the leader unreachable for an agent for the given time. */
@@ -165,20 +165,20 @@
       this.runChecker,
       {
         random: this.random,
-        lateShare: () => this.lateShare,
+        lateStartShare: () => this.lateShare,
         workMilliseconds: () => 50 + this.random.next() * 400,
       },
       CAPACITY_MILLICORES,
     );
     const vm = new SimulatedVm(name, minion);
     vm.driver = this.createDriver(vm);
-    vm.driver.meet(minion.life);
+    vm.driver.updateMinion(minion.self);
     return vm;
   }
 
   private createDriver(vm: SimulatedVm): MinionDriver {
     const driver: MinionDriver = new MinionDriver({
-      images: new ImageMemory(),
+      imageStatistics: new ImageMemory(),
       client: vm.minion,
       time: this.time,
       logger: quietLogger,
@@ -219,7 +219,7 @@
             vm.driver === driver &&
             performance.now() >= vm.unreachableUntil
           ) {
-            driver?.take(message);
+            driver?.handleMessage(message);
           }
         }, 1);
         callback();
