--- a/packages/daemon/src/node/agent-node.ts
+++ b/packages/daemon/src/node/agent-node.ts
@@ -16,18 +16,22 @@
 import { createAgentOperatorRoutes } from '../operators/agent-operator-routes.js';
 import { announcementCheck } from './announcement-check.js';
 import { followLog } from './follow-log.js';
-import { announceNow, heartbeatParts, keepHeartbeats } from './heartbeats.js';
-import { keepLogEnd, noteLogEnd } from './keep-log-end.js';
+import {
+  heartbeatDependencies,
+  sendHeartbeatsForever,
+  sendHeartbeatsNow,
+} from './heartbeats.js';
 import type { Node } from './node.js';
 import type { NodeCore } from './node-core.js';
 import { NodeTasks } from './node-tasks.js';
-import { relievePressure } from './relieve-pressure.js';
+import { recordLogEnd, recordLogEndForever } from './record-log-end.js';
+import { throttleBatchTasks } from './throttle-batch-tasks.js';
 
-const SWEEP_MILLISECONDS = 500;
+const SWEEP_INTERVAL_MILLISECONDS = 500;
 
-const STOP_POLL_MILLISECONDS = 20;
+const STOP_POLL_INTERVAL_MILLISECONDS = 20;
 
-/** The one small process beside an upstream. */
+/** The process that runs on each VM beside its upstreams. */
 export class AgentNode implements Node {
   private readonly registry = new UpstreamRegistry();
 
@@ -37,19 +41,19 @@
 
   private readonly runner: RequestRunner;
 
-  private readonly control: ControlServer;
+  private readonly controlServer: ControlServer;
 
-  private readonly local: JsonServer;
+  private readonly localServer: JsonServer;
 
-  private readonly operators: JsonServer;
+  private readonly operatorsServer: JsonServer;
 
   private readonly tasks: NodeTasks;
 
   private readonly heartbeats: HeartbeatDependencies;
 
-  private readonly gauge = new ServiceTimeWindows();
+  private readonly serviceTimes = new ServiceTimeWindows();
 
-  private boundLocal = '';
+  private boundLocalAddress = '';
 
   public constructor(public readonly core: NodeCore) {
     const { clock, events, instance, settings, state } = core;
@@ -63,10 +67,10 @@
       instance,
       teamWeight: team => state.fold.configuration.teams.get(team)?.weight ?? 1,
       observeDuration: (attempt, milliseconds) => {
-        this.gauge.observe(attempt, milliseconds);
+        this.serviceTimes.observe(attempt, milliseconds);
       },
     });
-    this.control = new ControlServer(
+    this.controlServer = new ControlServer(
       settings.keys,
       agentRoutes({
         runner: this.runner,
@@ -78,68 +82,79 @@
         instance,
       }),
     );
-    this.local = new JsonServer({
-      'POST /upstreams': ({ body }) => this.takeAnnouncement(body),
+    this.localServer = new JsonServer({
+      'POST /upstreams': ({ body }) => this.handleAnnouncement(body),
     });
-    this.operators = new JsonServer(
+    this.operatorsServer = new JsonServer(
       createAgentOperatorRoutes(core, this.registry),
     );
-    this.heartbeats = heartbeatParts(core, () => this.loads());
+    this.heartbeats = heartbeatDependencies(core, () => this.loads());
   }
 
-  /** Where upstreams of the VM announce themselves. */
+  /** Address at which upstreams of the VM announce themselves. */
   public get localAddress(): string {
-    return this.boundLocal;
+    return this.boundLocalAddress;
   }
 
   public async start(): Promise<void> {
     const { core } = this;
     const { settings, own, events, logger } = core;
-    const address = await this.control.listen(settings.controlAddress);
-    this.boundLocal = await this.local.listen(settings.localAddress);
-    const operatorsAddress = await this.operators.listen(
+    const address = await this.controlServer.listen(settings.controlAddress);
+    this.boundLocalAddress = await this.localServer.listen(
+      settings.localAddress,
+    );
+    const operatorsAddress = await this.operatorsServer.listen(
       settings.operatorsAddress,
     );
     own.update({ address, operatorsAddress });
-    // Known before the first announcement, the end lies below any placement here.
-    await Effect.runPromise(noteLogEnd(core, this.register));
+    // Read before the first announcement, so that the recorded end precedes any
+    // placement on this VM.
+    await Effect.runPromise(recordLogEnd(core, this.register));
     events.record('process-started', `Agent ${settings.name} at ${address}.`);
     logger.info('Started.', { address, operatorsAddress });
-    this.tasks.start('heartbeats', keepHeartbeats(core, this.heartbeats));
+    this.tasks.start(
+      'heartbeats',
+      sendHeartbeatsForever(core, this.heartbeats),
+    );
     this.tasks.start(
       'follow',
       followLog(core, () => false),
     );
     this.tasks.start('sweep', this.sweepForever());
-    this.tasks.start('log end', keepLogEnd(core, this.register));
+    this.tasks.start('log end', recordLogEndForever(core, this.register));
     this.tasks.start(
       'pressure',
-      relievePressure(core, this.registry, this.gauge),
+      throttleBatchTasks(core, this.registry, this.serviceTimes),
     );
   }
 
   public async stop(): Promise<void> {
     const { events, own, settings, clock } = this.core;
-    events.record('process-stopping', 'Finishes what is in progress.');
+    events.record('process-stopping', 'Draining work in progress.');
     own.update({ state: 'leaving' });
-    await Effect.runPromise(announceNow(this.core, this.heartbeats));
+    await Effect.runPromise(sendHeartbeatsNow(this.core, this.heartbeats));
     this.registry.close('the agent is stopping');
     const deadline = clock.now() + settings.shutdownSeconds * 1000;
     while (this.registry.running > 0 && clock.now() < deadline) {
-      await new Promise(resolve => setTimeout(resolve, STOP_POLL_MILLISECONDS));
+      await new Promise(resolve =>
+        setTimeout(resolve, STOP_POLL_INTERVAL_MILLISECONDS),
+      );
     }
-    // Answers that are being written leave before their connections are cut.
-    await new Promise(resolve => setTimeout(resolve, STOP_POLL_MILLISECONDS));
-    events.record('process-stopped', 'Nothing is in progress.');
+    // Lets responses that are being written leave before their connections are
+    // closed.
+    await new Promise(resolve =>
+      setTimeout(resolve, STOP_POLL_INTERVAL_MILLISECONDS),
+    );
+    events.record('process-stopped', 'No work is in progress.');
     await this.kill();
   }
 
   public async kill(): Promise<void> {
     await this.tasks.stop();
     await Promise.all([
-      this.control.close(),
-      this.local.close(),
-      this.operators.close(),
+      this.controlServer.close(),
+      this.localServer.close(),
+      this.operatorsServer.close(),
     ]);
     this.runner.close();
   }
@@ -151,7 +166,7 @@
     });
   }
 
-  private takeAnnouncement(body: unknown): {
+  private handleAnnouncement(body: unknown): {
     readonly status: number;
     readonly body: unknown;
   } {
@@ -163,21 +178,21 @@
     const now = this.core.clock.now();
     if (announcement.left === true) {
       this.registry.remove(announcement.attempt);
-      this.tellEntries();
+      this.announceUpstreams();
       return { status: 200, body: {} };
     }
     if (this.registry.applyAnnouncement(announcement, now)) {
-      this.tellEntries();
+      this.announceUpstreams();
     }
     return { status: 200, body: {} };
   }
 
-  private tellEntries(): void {
+  private announceUpstreams(): void {
     const upstreams = this.registry.all
       .filter(({ leaving }) => !leaving)
       .map(({ service, attempt, slots }) => ({ service, attempt, slots }));
     this.core.own.update({ upstreams });
-    Effect.runFork(announceNow(this.core, this.heartbeats));
+    Effect.runFork(sendHeartbeatsNow(this.core, this.heartbeats));
   }
 
   private sweepForever(): Effect.Effect<never> {
@@ -185,16 +200,16 @@
       const { clock, state, members } = this.core;
       const now = clock.now();
       const { limits } = state.fold.configuration;
-      const memory = limits.claimMemorySeconds * 1000;
-      this.ledger.sweep(memory, now);
-      this.register.sweep(memory, now);
+      const retentionMilliseconds = limits.claimMemorySeconds * 1000;
+      this.ledger.sweep(retentionMilliseconds, now);
+      this.register.sweep(retentionMilliseconds, now);
       members.sweep(now);
       if (this.registry.sweep(now)) {
-        this.tellEntries();
+        this.announceUpstreams();
       }
     });
     return sweep.pipe(
-      Effect.zipRight(Effect.sleep(SWEEP_MILLISECONDS)),
+      Effect.zipRight(Effect.sleep(SWEEP_INTERVAL_MILLISECONDS)),
       Effect.forever,
     );
   }
--- a/packages/daemon/src/node/announcement-check.ts
+++ b/packages/daemon/src/node/announcement-check.ts
@@ -16,12 +16,12 @@
   left: Type.Optional(Type.Boolean()),
 });
 
-const compiled = TypeCompiler.Compile(announcementSchema);
+const compiledSchema = TypeCompiler.Compile(announcementSchema);
 
-/** Returns what is wrong with an upstream's announcement; empty when right. */
+/** Returns the first problem of an upstream's announcement; empty if valid. */
 export function announcementCheck(body: unknown): string {
-  if (!compiled.Check(body)) {
-    const first = compiled.Errors(body).First();
+  if (!compiledSchema.Check(body)) {
+    const first = compiledSchema.Errors(body).First();
     return `${first?.path ?? ''} ${first?.message ?? 'malformed'}`;
   }
   return isAddress(body.address) ? '' : '/address must be an IP and port';
--- a/packages/daemon/src/node/create-node.ts
+++ b/packages/daemon/src/node/create-node.ts
@@ -18,7 +18,7 @@
     new AgentNode(createNodeCore(settings, dependencies)),
 };
 
-/** Creates the node that the settings name; it does nothing until started. */
+/** Creates the node of the role in the settings; it is idle until started. */
 export function createNode(
   settings: Settings,
   dependencies: NodeDependencies,
--- a/packages/daemon/src/node/describe-decision.ts
+++ b/packages/daemon/src/node/describe-decision.ts
@@ -2,14 +2,14 @@
 import type { EventSubject } from '@basilcourse/foundation/events/event-subject';
 import type { Decision } from '@basilcourse/shared-state/records/decision';
 
-/** A decision in the words of the time line. */
+/** A decision as an event of the time line. */
 interface DescribedDecision {
   readonly kind: EventKind;
   readonly text: string;
   readonly subject: EventSubject;
 }
 
-const conditionKinds = {
+const eventKindByCondition = {
   ready: 'worker-joined',
   probation: 'worker-probation',
   unreachable: 'worker-unreachable',
@@ -19,7 +19,7 @@
   return attemptId.slice(0, attemptId.lastIndexOf('#'));
 }
 
-/** Describes a decision for the time line; undefined for one without news. */
+/** Describes a decision as an event; undefined for one that has no event. */
 export function describeDecision(
   decision: Decision,
 ): DescribedDecision | undefined {
@@ -55,11 +55,15 @@
     case 'worker-condition': {
       const { worker, condition, reason } = decision;
       const text = `${worker} is ${condition}: ${reason}.`;
-      return { kind: conditionKinds[condition], text, subject: { worker } };
+      return {
+        kind: eventKindByCondition[condition],
+        text,
+        subject: { worker },
+      };
     }
     case 'worker-leave': {
       const { worker, reason } = decision;
-      const text = `${worker} is forgotten: ${reason}.`;
+      const text = `${worker} is removed: ${reason}.`;
       return { kind: 'worker-unreachable', text, subject: { worker } };
     }
     case 'report-unplaceable': {
--- a/packages/daemon/src/node/entry-node.ts
+++ b/packages/daemon/src/node/entry-node.ts
@@ -19,27 +19,31 @@
 import { recordRoutes } from '../relay/record-routes.js';
 import { CellManager } from '../scheduling/cell-manager.js';
 import { followLog } from './follow-log.js';
-import { announceNow, heartbeatParts, keepHeartbeats } from './heartbeats.js';
+import {
+  heartbeatDependencies,
+  sendHeartbeatsForever,
+  sendHeartbeatsNow,
+} from './heartbeats.js';
 import { leaveDeployment } from './leave-deployment.js';
 import type { Node } from './node.js';
 import type { NodeCore } from './node-core.js';
 import { NodeTasks } from './node-tasks.js';
-import { noteOutcomes } from './note-outcomes.js';
+import { recordOutcomes } from './record-outcomes.js';
 
-const SWEEP_MILLISECONDS = 500;
+const SWEEP_INTERVAL_MILLISECONDS = 500;
 
-/** Wait for the first append of a starting entry. */
-const JOIN_PATIENCE_MILLISECONDS = 600_000;
+/** Time limit for the append that registers a starting entry. */
+const JOIN_TIMEOUT_MILLISECONDS = 600_000;
 
-/** A process between the callers and the upstreams. */
+/** The process that routes requests of callers to upstreams. */
 export class EntryNode implements Node {
-  private readonly memory: ClaimMemory;
+  private readonly claimMemory: ClaimMemory;
 
-  private readonly callers: CallerServer;
+  private readonly callerServer: CallerServer;
 
-  private readonly control: ControlServer;
+  private readonly controlServer: ControlServer;
 
-  private readonly operators: JsonServer;
+  private readonly operatorsServer: JsonServer;
 
   private readonly tasks: NodeTasks;
 
@@ -47,17 +51,17 @@
 
   private readonly cells: CellManager;
 
-  private boundCallers = '';
+  private boundCallersAddress = '';
 
   public constructor(public readonly core: NodeCore) {
     const { clock, events, instance, settings, state, metrics } = core;
     const { members, loads, clients, own } = core;
     const { random, identifiers } = core.dependencies;
-    this.memory = new ClaimMemory(clock.now());
+    this.claimMemory = new ClaimMemory(clock.now());
     this.tasks = new NodeTasks(core.logger);
     this.cells = new CellManager(core);
     const history = new DecisionHistory();
-    noteOutcomes(core, history);
+    recordOutcomes(core, history);
     const outliers = new OutlierDetector(random);
     const unreachableAgents = new UnreachableAgents();
     const retryBudget = new RetryBudget();
@@ -79,7 +83,7 @@
     const claimer = new KeyClaimer({
       state,
       members,
-      memory: this.memory,
+      memory: this.claimMemory,
       clients,
       clock,
       events,
@@ -100,7 +104,7 @@
       clock,
       random,
     });
-    this.callers = new CallerServer({
+    this.callerServer = new CallerServer({
       dispatcher,
       services: () => state.fold.configuration.services,
       clock,
@@ -108,59 +112,68 @@
       events,
       observer: metrics.requestObserver,
     });
-    metrics.watchEntry({
-      inFlight: () => this.callers.requestsInFlight,
+    metrics.registerEntryGauges({
+      inFlight: () => this.callerServer.requestsInFlight,
       retries: () => retryBudget.spent,
       crossRegionBytes: () => crossRegionBytes.spent,
     });
-    const exchange = exchangeRoutes({
+    const registerMembership = exchangeRoutes({
       members,
       loads,
       self: own.get,
-      refute: told => own.refute(told),
+      refute: reported => own.refute(reported),
       clock,
     });
-    const recall = entryRoutes({ memory: this.memory, clock, instance });
-    const relay = recordRoutes(core);
-    this.control = new ControlServer(settings.keys, routes => {
-      exchange(routes);
-      recall(routes);
-      relay(routes);
+    const registerClaims = entryRoutes({
+      memory: this.claimMemory,
+      clock,
+      instance,
     });
-    this.operators = new JsonServer(
+    const registerRelay = recordRoutes(core);
+    this.controlServer = new ControlServer(settings.keys, routes => {
+      registerMembership(routes);
+      registerClaims(routes);
+      registerRelay(routes);
+    });
+    this.operatorsServer = new JsonServer(
       createEntryOperatorRoutes(core, {
         history,
         cells: this.cells,
         router,
-        isStopping: () => this.callers.isLeaving,
+        isStopping: () => this.callerServer.isLeaving,
       }),
     );
-    this.heartbeats = heartbeatParts(core, () => []);
+    this.heartbeats = heartbeatDependencies(core, () => []);
   }
 
-  /** Where callers send their requests. */
+  /** Address at which callers send their requests. */
   public get callersAddress(): string {
-    return this.boundCallers;
+    return this.boundCallersAddress;
   }
 
-  /** Bytes exchanged with other processes that called this one. */
+  /** Bytes exchanged over calls that other processes made to this one. */
   public get controlBytes(): number {
-    return this.control.bytes;
+    return this.controlServer.bytes;
   }
 
   public async start(): Promise<void> {
     const { core } = this;
     const { settings, own, events, logger } = core;
-    const address = await this.control.listen(settings.controlAddress);
-    const operatorsAddress = await this.operators.listen(
+    const address = await this.controlServer.listen(settings.controlAddress);
+    const operatorsAddress = await this.operatorsServer.listen(
       settings.operatorsAddress,
     );
     own.update({ address, operatorsAddress });
-    this.boundCallers = await this.callers.listen(settings.callersAddress);
+    this.boundCallersAddress = await this.callerServer.listen(
+      settings.callersAddress,
+    );
     events.record('process-started', `Entry ${settings.name} at ${address}.`);
-    const callersAddress = this.boundCallers;
+    const callersAddress = this.boundCallersAddress;
     logger.info('Started.', { address, operatorsAddress, callersAddress });
-    this.tasks.start('heartbeats', keepHeartbeats(core, this.heartbeats));
+    this.tasks.start(
+      'heartbeats',
+      sendHeartbeatsForever(core, this.heartbeats),
+    );
     this.tasks.start(
       'follow',
       followLog(core, () => this.cells.holdsAny()),
@@ -173,28 +186,30 @@
   public async stop(): Promise<void> {
     const { core } = this;
     const { clock, events, own, settings } = core;
-    events.record('process-stopping', 'Finishes what is in progress.');
-    await this.callers.startLeaving(settings.noticeSeconds * 1000);
+    events.record('process-stopping', 'Draining work in progress.');
+    await this.callerServer.startLeaving(settings.noticeSeconds * 1000);
     own.update({ state: 'leaving' });
-    await Effect.runPromise(announceNow(core, this.heartbeats));
-    const drained = this.callers.drain();
-    const longest = settings.shutdownSeconds * 1000;
+    await Effect.runPromise(sendHeartbeatsNow(core, this.heartbeats));
+    const drained = this.callerServer.drain();
+    const timeoutMilliseconds = settings.shutdownSeconds * 1000;
     await Effect.runPromise(
-      Effect.promise(() => drained).pipe(Effect.timeoutOption(longest)),
+      Effect.promise(() => drained).pipe(
+        Effect.timeoutOption(timeoutMilliseconds),
+      ),
     );
     await Effect.runPromise(
-      leaveDeployment(core, this.cells, this.memory, clock.now()),
+      leaveDeployment(core, this.cells, this.claimMemory, clock.now()),
     );
-    events.record('process-stopped', 'Nothing is in progress.');
+    events.record('process-stopped', 'No work is in progress.');
     await this.kill();
   }
 
   public async kill(): Promise<void> {
     await this.tasks.stop();
     await Promise.all([
-      this.callers.close(),
-      this.control.close(),
-      this.operators.close(),
+      this.callerServer.close(),
+      this.controlServer.close(),
+      this.operatorsServer.close(),
     ]);
   }
 
@@ -205,7 +220,7 @@
         `joined-${instance}`,
         'entry-joined',
         { instance, address },
-        clock.now() + JOIN_PATIENCE_MILLISECONDS,
+        clock.now() + JOIN_TIMEOUT_MILLISECONDS,
       ),
     ).pipe(Effect.zipRight(Effect.never));
   }
@@ -215,12 +230,12 @@
       const { clock, members, state } = this.core;
       const now = clock.now();
       const { limits } = state.fold.configuration;
-      const memory = limits.claimMemorySeconds * 1000;
+      const retentionMilliseconds = limits.claimMemorySeconds * 1000;
       members.sweep(now);
-      this.memory.sweep(memory, now);
+      this.claimMemory.sweep(retentionMilliseconds, now);
     });
     return sweep.pipe(
-      Effect.zipRight(Effect.sleep(SWEEP_MILLISECONDS)),
+      Effect.zipRight(Effect.sleep(SWEEP_INTERVAL_MILLISECONDS)),
       Effect.forever,
     );
   }
--- a/packages/daemon/src/node/follow-log.ts
+++ b/packages/daemon/src/node/follow-log.ts
@@ -6,10 +6,11 @@
 import { followPeer } from '../relay/follow-peer.js';
 import type { NodeCore } from './node-core.js';
 
-/** Pause between reads of the store that found nothing. */
-const POLL_MILLISECONDS = 150;
+/** Delay after a read of the store that returned nothing new. */
+const POLL_INTERVAL_MILLISECONDS = 150;
 
-const CHOOSE_MILLISECONDS = 200;
+/** Delay between two choices of the source. */
+const CHOICE_INTERVAL_MILLISECONDS = 200;
 
 function sourceOf(core: NodeCore, failures: number): RecordSource {
   const entries = core.members.ofRole('entry').map(({ member }) => member);
@@ -21,52 +22,53 @@
 }
 
 /**
- * Follows the log for as long as the node runs: through the source that falls
- * to it, through the next in rank when that fails.
+ * Follows the log for as long as the node runs: from its highest-ranked source,
+ * or from the next one in rank after a failure.
  *
- * @param readsStore - Tells whether the node reads the store in any case.
+ * @param mustReadStore - Returns whether the node must read the store itself.
  */
 export function followLog(
   core: NodeCore,
-  readsStore: () => boolean,
+  mustReadStore: () => boolean,
 ): Effect.Effect<never> {
   const { state, health, clock, transports } = core;
   const { log, random } = core.dependencies;
   let failures = 0;
-  const wanted = (): RecordSource =>
-    readsStore() ? { kind: 'store' } : sourceOf(core, failures);
-  const store = followStore({
+  const chooseCurrentSource = (): RecordSource =>
+    mustReadStore() ? { kind: 'store' } : sourceOf(core, failures);
+  const followingStore = followStore({
     log,
     state,
     health,
     clock,
     random,
-    pollMilliseconds: POLL_MILLISECONDS,
-    enabled: () => wanted().kind === 'store',
+    pollMilliseconds: POLL_INTERVAL_MILLISECONDS,
+    enabled: () => chooseCurrentSource().kind === 'store',
   });
   const isAgent = core.own.get().role === 'agent';
-  const peers = Effect.gen(function* () {
+  const followingPeers = Effect.gen(function* () {
     for (;;) {
-      const source = wanted();
+      const source = chooseCurrentSource();
       if (source.kind === 'store') {
-        yield* Effect.sleep(CHOOSE_MILLISECONDS);
+        yield* Effect.sleep(CHOICE_INTERVAL_MILLISECONDS);
         if (isAgent && failures > 0) {
           failures += 1;
         }
         continue;
       }
-      const stillWanted = (): boolean => isSame(wanted(), source);
+      const isStillChosen = (): boolean =>
+        isSame(chooseCurrentSource(), source);
       const { address } = source;
       const result = yield* followPeer(
         transports,
         state,
         address,
         isAgent,
-        stillWanted,
+        isStillChosen,
       ).pipe(Effect.either);
       failures = result._tag === 'Left' ? failures + 1 : 0;
-      yield* Effect.sleep(CHOOSE_MILLISECONDS);
+      yield* Effect.sleep(CHOICE_INTERVAL_MILLISECONDS);
     }
   });
-  return Effect.raceFirst(store, peers);
+  return Effect.raceFirst(followingStore, followingPeers);
 }
--- a/packages/daemon/src/node/heartbeats.ts
+++ b/packages/daemon/src/node/heartbeats.ts
@@ -9,8 +9,8 @@
 
 import type { NodeCore } from './node-core.js';
 
-/** Creates the parts that a node's heartbeats work on. */
-export function heartbeatParts(
+/** Creates the dependencies of a node's heartbeats. */
+export function heartbeatDependencies(
   core: NodeCore,
   loads: HeartbeatDependencies['loads'],
 ): HeartbeatDependencies {
@@ -19,21 +19,21 @@
   return { transports, members, own, clock, random, loads };
 }
 
-function knownEntries(core: NodeCore): readonly string[] {
+function otherEntries(core: NodeCore): readonly string[] {
   return core.members
     .ofRole('entry')
     .filter(({ member }) => member.id !== core.own.get().id)
     .map(({ member }) => member.address);
 }
 
-/** Addresses that a node sends its heartbeats to. */
+/** Addresses to which a node sends its heartbeats. */
 export function heartbeatPeers(core: NodeCore): readonly string[] {
   const self = core.own.get();
   const seeds = core.settings.entries.filter(
     address => address !== self.address,
   );
-  const known = knownEntries(core);
-  const addresses = known.length > 0 ? known : seeds;
+  const others = otherEntries(core);
+  const addresses = others.length > 0 ? others : seeds;
   const all = [
     ...new Set([...addresses, ...(self.role === 'entry' ? seeds : [])]),
   ];
@@ -41,23 +41,23 @@
 }
 
 /** Sends heartbeats to the peers for as long as the node runs. */
-export function keepHeartbeats(
+export function sendHeartbeatsForever(
   core: NodeCore,
-  parts: HeartbeatDependencies,
+  dependencies: HeartbeatDependencies,
 ): Effect.Effect<never> {
   return runTaskPerPeer(
     () => heartbeatPeers(core),
-    address => exchangeHeartbeatsForever(parts, address),
+    address => exchangeHeartbeatsForever(dependencies, address),
   );
 }
 
-/** Tells all heartbeat peers at once that something has changed. */
-export function announceNow(
+/** Sends a heartbeat to all peers at once, after a change of this node. */
+export function sendHeartbeatsNow(
   core: NodeCore,
-  parts: HeartbeatDependencies,
+  dependencies: HeartbeatDependencies,
 ): Effect.Effect<void> {
   const exchanges = heartbeatPeers(core).map(address =>
-    exchangeHeartbeat(parts, address),
+    exchangeHeartbeat(dependencies, address),
   );
   return Effect.all(exchanges, { concurrency: 'unbounded', discard: true });
 }
--- a/packages/daemon/src/node/leave-deployment.ts
+++ b/packages/daemon/src/node/leave-deployment.ts
@@ -4,28 +4,28 @@
 import type { CellManager } from '../scheduling/cell-manager.js';
 import type { NodeCore } from './node-core.js';
 
-/** Longest wait for each step of leaving. */
-const LEAVE_PATIENCE_MILLISECONDS = 2000;
+/** Time limit for each step of leaving. */
+const LEAVE_TIMEOUT_MILLISECONDS = 2000;
 
 function handOverMemory(
   { members, instance, clients, own }: NodeCore,
   memory: ClaimMemory,
 ): Effect.Effect<void> {
-  const heirs = members
+  const remainingEntries = members
     .ofRole('entry')
     .filter(
       ({ member }) => member.state === 'alive' && member.id !== own.get().id,
     );
-  const calls = heirs.map(({ member }) =>
+  const calls = remainingEntries.map(({ member }) =>
     clients
       .entryAt(member.address)
       .handOver(instance, memory.all, memory.inheritedInstances)
-      .pipe(Effect.timeout(LEAVE_PATIENCE_MILLISECONDS), Effect.ignore),
+      .pipe(Effect.timeout(LEAVE_TIMEOUT_MILLISECONDS), Effect.ignore),
   );
   return Effect.all(calls, { concurrency: 'unbounded', discard: true });
 }
 
-/** Hands the leases and the memory of keys of a stopping entry to others. */
+/** Releases the leases of a stopping entry and hands its key memory over. */
 export function leaveDeployment(
   core: NodeCore,
   cells: CellManager,
@@ -34,14 +34,14 @@
 ): Effect.Effect<void> {
   const { appender, instance, own } = core;
   const { address } = own.get();
-  const deadline = now + LEAVE_PATIENCE_MILLISECONDS;
-  const left = { instance, address };
+  const deadline = now + LEAVE_TIMEOUT_MILLISECONDS;
+  const body = { instance, address };
   return cells
     .release(deadline)
     .pipe(
       Effect.zipRight(handOverMemory(core, memory)),
       Effect.zipRight(
-        appender.append(`left-${instance}`, 'entry-left', left, deadline),
+        appender.append(`left-${instance}`, 'entry-left', body, deadline),
       ),
       Effect.asVoid,
     );
--- a/packages/daemon/src/node/node-core.ts
+++ b/packages/daemon/src/node/node-core.ts
@@ -17,7 +17,7 @@
 import type { Settings } from '../settings/settings.js';
 import type { NodeDependencies } from './node-dependencies.js';
 
-/** Parts that every role has. */
+/** Components that every role has. */
 export interface NodeCore {
   readonly settings: Settings;
   readonly dependencies: NodeDependencies;
@@ -46,7 +46,7 @@
   return {
     id: settings.name,
     instance,
-    // Later runs of a process outbid its earlier ones.
+    // A restarted process has a higher incarnation than its predecessor.
     incarnation: now,
     role: settings.role,
     address: settings.controlAddress,
@@ -65,7 +65,7 @@
   };
 }
 
-/** Creates the parts that every role has. */
+/** Creates the components that every role has. */
 export function createNodeCore(
   settings: Settings,
   dependencies: NodeDependencies,
--- a/packages/daemon/src/node/node-dependencies.ts
+++ b/packages/daemon/src/node/node-dependencies.ts
@@ -6,7 +6,7 @@
 import type { PlatformWorker } from '@basilcourse/scheduler/platform/platform-worker';
 import type { PlatformLog } from '@basilcourse/shared-state/log/platform-log';
 
-/** What a node takes from outside; replaced by fakes in tests. */
+/** External dependencies of a node; replaced by fakes in tests. */
 export interface NodeDependencies {
   readonly clock: Clock;
   readonly random: RandomSource;
--- a/packages/daemon/src/node/node-tasks.ts
+++ b/packages/daemon/src/node/node-tasks.ts
@@ -3,15 +3,15 @@
 import * as Effect from 'effect/Effect';
 import * as Fiber from 'effect/Fiber';
 
-/** The tasks of one node. */
+/** Background tasks of one node. */
 export class NodeTasks {
   private readonly fibers: Fiber.RuntimeFiber<never>[] = [];
 
   public constructor(private readonly logger: PartLogger) {}
 
-  /** Runs a task until the node stops; a defect is logged and ends it. */
+  /** Runs a task until the node stops; a defect ends it and is logged. */
   public start(name: string, task: Effect.Effect<never>): void {
-    const guarded = task.pipe(
+    const logged = task.pipe(
       Effect.tapErrorCause(cause =>
         Effect.sync(() => {
           if (!Cause.isInterruptedOnly(cause)) {
@@ -21,7 +21,7 @@
         }),
       ),
     );
-    this.fibers.push(Effect.runFork(guarded));
+    this.fibers.push(Effect.runFork(logged));
   }
 
   public async stop(): Promise<void> {
--- a/packages/daemon/src/node/node.ts
+++ b/packages/daemon/src/node/node.ts
@@ -4,8 +4,8 @@
 export interface Node {
   readonly core: NodeCore;
   readonly start: () => Promise<void>;
-  /** Finishes what is in progress, then ends. */
+  /** Finishes the work in progress, then stops. */
   readonly stop: () => Promise<void>;
-  /** Ends at once, as when the process is killed. */
+  /** Stops at once without a handover, as if the process were killed. */
   readonly kill: () => Promise<void>;
 }
--- a/packages/daemon/src/node/keep-log-end.ts
+++ b/packages/daemon/src/node/record-log-end.ts
@@ -3,16 +3,17 @@
 
 import type { NodeCore } from './node-core.js';
 
-const CHECK_MILLISECONDS = 500;
+const CHECK_INTERVAL_MILLISECONDS = 500;
 
-/** Longest wait for one read. */
+/** Time limit for one read. */
 const READ_TIMEOUT_MILLISECONDS = 1000;
 
 /**
- * Reads the end of the log unless it is known since the start of the memory of
- * keys. Reads the store itself: what a peer knows may be older than the start.
+ * Records the end of the log unless it was recorded since the start of the
+ * register's memory of keys. Reads the store itself, as the state of a peer may
+ * be older than that start.
  */
-export function noteLogEnd(
+export function recordLogEnd(
   core: NodeCore,
   register: ClaimRegister,
 ): Effect.Effect<void> {
@@ -33,15 +34,15 @@
 }
 
 /**
- * Keeps the end of the log known after each start of the memory of keys, so
- * that entries can tell whom to ask about the time before.
+ * Records the end of the log after each start of the register's memory of
+ * keys. Entries derive from it which processes to ask about earlier requests.
  */
-export function keepLogEnd(
+export function recordLogEndForever(
   core: NodeCore,
   register: ClaimRegister,
 ): Effect.Effect<never> {
-  return noteLogEnd(core, register).pipe(
-    Effect.zipRight(Effect.sleep(CHECK_MILLISECONDS)),
+  return recordLogEnd(core, register).pipe(
+    Effect.zipRight(Effect.sleep(CHECK_INTERVAL_MILLISECONDS)),
     Effect.forever,
   );
 }
--- a/packages/daemon/src/node/note-outcomes.ts
+++ b/packages/daemon/src/node/record-outcomes.ts
@@ -5,7 +5,7 @@
 import { describeDecision } from './describe-decision.js';
 import type { NodeCore } from './node-core.js';
 
-function noteVerdict(core: NodeCore, outcome: FoldOutcome): void {
+function recordVerdict(core: NodeCore, outcome: FoldOutcome): void {
   const { id, kind } = outcome.record.envelope;
   const verdict = core.state.fold.configuration.verdicts.get(id);
   if (kind !== 'release-note' || verdict === undefined || !outcome.applied) {
@@ -20,22 +20,23 @@
   }
 }
 
-function noteDecision(core: NodeCore, decision: Decision): void {
+function recordDecision(core: NodeCore, decision: Decision): void {
   const described = describeDecision(decision);
   if (described !== undefined) {
     core.events.record(described.kind, described.text, described.subject);
   }
 }
 
-/** Turns what the log says into events and reasons. */
-export function noteOutcomes(core: NodeCore, history: DecisionHistory): void {
+/** Records outcomes of the log as events and in the decision history. */
+export function recordOutcomes(core: NodeCore, history: DecisionHistory): void {
   core.state.onOutcome(outcome => {
-    noteVerdict(core, outcome);
-    history.note(outcome);
-    // Each decision stands on the time line once, with the one who made it.
+    recordVerdict(core, outcome);
+    history.record(outcome);
+    // Only the process that decided records the event, so that the time line
+    // shows each decision once.
     if (outcome.record.envelope.writer === core.instance) {
       for (const decision of outcome.decisions) {
-        noteDecision(core, decision);
+        recordDecision(core, decision);
       }
     }
   });
--- a/packages/daemon/src/node/system-dependencies.ts
+++ b/packages/daemon/src/node/system-dependencies.ts
@@ -11,13 +11,13 @@
 import type { Settings } from '../settings/settings.js';
 import type { NodeDependencies } from './node-dependencies.js';
 
-const LARGEST_SEED = 2 ** 31;
+const MAXIMUM_SEED = 2 ** 31;
 
-/** The real clock, log and workers. */
+/** Creates the dependencies of a node in production. */
 export function systemDependencies(settings: Settings): NodeDependencies {
   return {
     clock: systemClock,
-    random: seededRandom(randomInt(LARGEST_SEED)),
+    random: seededRandom(randomInt(MAXIMUM_SEED)),
     identifiers: randomIdentifiers,
     log: new HttpPlatformLog(settings.logAddress),
     openSocket: connect,
--- a/packages/daemon/src/node/relieve-pressure.ts
+++ b/packages/daemon/src/node/throttle-batch-tasks.ts
@@ -11,10 +11,10 @@
 
 import type { NodeCore } from './node-core.js';
 
-const STEP_MILLISECONDS = 500;
+const STEP_INTERVAL_MILLISECONDS = 500;
 
-/** Steps between two looks at the tasks while nothing presses. */
-const CALM_STEPS = 4;
+/** Steps between two increases of shares while all targets are met. */
+const STEPS_PER_INCREASE = 4;
 
 async function adjustThrottles(
   core: NodeCore,
@@ -44,7 +44,7 @@
 function directionOf(
   core: NodeCore,
   registry: UpstreamRegistry,
-  gauge: ServiceTimeWindows,
+  serviceTimes: ServiceTimeWindows,
 ): ThrottleDirection {
   const { configuration } = core.state.fold;
   return decideThrottle({
@@ -55,26 +55,27 @@
         configuration.services.get(service)?.targetMilliseconds ??
         Number.POSITIVE_INFINITY,
     })),
-    serviceTimes: gauge,
+    serviceTimes,
   });
 }
 
 /**
- * Throttles the batch tasks of the VM while a service beside them is slower
- * than its target, and gives back step by step.
+ * Throttles the batch tasks of the VM while a service on it is slower than its
+ * target, and increases their shares step by step afterwards.
  */
-export function relievePressure(
+export function throttleBatchTasks(
   core: NodeCore,
   registry: UpstreamRegistry,
-  gauge: ServiceTimeWindows,
+  serviceTimes: ServiceTimeWindows,
 ): Effect.Effect<never> {
-  let calmSteps = 0;
+  let increaseSteps = 0;
   const step = Effect.suspend(() => {
-    const direction = directionOf(core, registry, gauge);
-    calmSteps = direction === 'increase' ? calmSteps + 1 : 0;
-    const isIdle = direction === 'increase' && calmSteps % CALM_STEPS !== 0;
+    const direction = directionOf(core, registry, serviceTimes);
+    increaseSteps = direction === 'increase' ? increaseSteps + 1 : 0;
+    const isSkipped =
+      direction === 'increase' && increaseSteps % STEPS_PER_INCREASE !== 0;
     const address = core.settings.worker?.address;
-    if (address === undefined || direction === 'keep' || isIdle) {
+    if (address === undefined || direction === 'keep' || isSkipped) {
       return Effect.void;
     }
     const worker = core.dependencies.workerAt(address);
@@ -84,7 +85,7 @@
       Effect.match({
         onSuccess: changed => {
           if (changed) {
-            gauge.reset();
+            serviceTimes.reset();
           }
         },
         onFailure: error => {
@@ -95,7 +96,7 @@
     );
   });
   return step.pipe(
-    Effect.zipRight(Effect.sleep(STEP_MILLISECONDS)),
+    Effect.zipRight(Effect.sleep(STEP_INTERVAL_MILLISECONDS)),
     Effect.forever,
   );
 }
--- a/packages/daemon/src/operators/agent-operator-routes.ts
+++ b/packages/daemon/src/operators/agent-operator-routes.ts
@@ -4,18 +4,20 @@
 import type { NodeCore } from '../node/node-core.js';
 import { createCommonOperatorRoutes } from './common-operator-routes.js';
 
-/** Routes of an agent's operators' side. */
+/** Creates the HTTP routes that an agent serves to operators. */
 export function createAgentOperatorRoutes(
   core: NodeCore,
   registry: UpstreamRegistry,
 ): JsonRoutes {
-  core.metrics.watch(
+  core.metrics.registerGauge(
     'agent_running',
     'Requests that run at the upstreams of the VM.',
     () => registry.running,
   );
-  core.metrics.watch('agent_queued', 'Requests that wait for a slot.', () =>
-    registry.all.reduce((sum, { gate }) => sum + gate.queued, 0),
+  core.metrics.registerGauge(
+    'agent_queued',
+    'Requests that wait for a slot.',
+    () => registry.all.reduce((sum, { gate }) => sum + gate.queued, 0),
   );
   return createCommonOperatorRoutes(core, () =>
     core.members.ofRole('entry').length > 0 ? '' : 'no entry is known',
--- a/packages/daemon/src/operators/common-operator-routes.ts
+++ b/packages/daemon/src/operators/common-operator-routes.ts
@@ -8,40 +8,44 @@
 
 const HTTP_UNAVAILABLE = 503;
 
-function watchCore(core: NodeCore): void {
+function registerCoreGauges(core: NodeCore): void {
   const { metrics, state, health, appender, members } = core;
-  metrics.watch(
+  metrics.registerGauge(
     'revision',
     'Revision of the configuration in force.',
     () => state.fold.configuration.revision,
   );
-  metrics.watch(
+  metrics.registerGauge(
     'log_next_offset',
     'First offset not yet applied.',
     () => state.fold.next,
   );
-  metrics.watch(
+  metrics.registerGauge(
     'log_lag_records',
     'Records known and not applied.',
     () => state.lag,
   );
-  metrics.watch('store_reachable', '1 while the log answers.', () =>
+  metrics.registerGauge('store_reachable', '1 while the log answers.', () =>
     health.reachable ? 1 : 0,
   );
-  metrics.watch('appends', 'Appends sent so far.', () => appender.sent);
-  metrics.watch(
+  metrics.registerGauge('appends', 'Appends sent so far.', () => appender.sent);
+  metrics.registerGauge(
     'members',
     'Processes known that are not dead.',
     () => members.all.filter(({ member }) => member.state !== 'dead').length,
   );
 }
 
-/** Routes of the operators' side that every role has. */
+/**
+ * Creates the HTTP routes that every role serves to operators.
+ *
+ * @param unreadyReason - Returns why the process is not ready; empty if it is.
+ */
 export function createCommonOperatorRoutes(
   core: NodeCore,
-  isReady: () => string,
+  unreadyReason: () => string,
 ): JsonRoutes {
-  watchCore(core);
+  registerCoreGauges(core);
   const { metrics, events, state, settings, instance } = core;
   return {
     'GET /metrics': async () => ({
@@ -51,7 +55,7 @@
     }),
     'GET /healthz': () => ({ status: 200, body: { status: 'alive' } }),
     'GET /readyz': () => {
-      const reason = isReady();
+      const reason = unreadyReason();
       return reason === ''
         ? { status: 200, body: { status: 'ready' } }
         : { status: HTTP_UNAVAILABLE, body: { error: reason } };
--- a/packages/daemon/src/operators/decision-history.ts
+++ b/packages/daemon/src/operators/decision-history.ts
@@ -4,10 +4,10 @@
 
 import type { ExplainedDecision } from './explained-decision.js';
 
-/** Subjects whose decisions are remembered. */
+/** Maximum number of subjects whose decisions are kept. */
 const MAXIMUM_SUBJECTS = 5000;
 
-/** Decisions remembered of one subject. */
+/** Maximum number of decisions kept for one subject. */
 const DECISIONS_PER_SUBJECT = 12;
 
 function subjectsOf(decision: Decision): readonly string[] {
@@ -30,13 +30,13 @@
   }
 }
 
-/** The most recent decisions on each task and worker, with their reasons. */
+/** The most recent decisions about each task and worker, with their reasons. */
 export class DecisionHistory {
   private readonly bySubject = new BoundedMap<readonly ExplainedDecision[]>(
     MAXIMUM_SUBJECTS,
   );
 
-  public note(outcome: FoldOutcome): void {
+  public record(outcome: FoldOutcome): void {
     for (const decision of outcome.decisions) {
       this.add(outcome, decision, '');
     }
@@ -45,7 +45,7 @@
     }
   }
 
-  /** Decisions on a subject, the oldest first. */
+  /** Decisions about a subject, oldest first. */
   public of(subject: string): readonly ExplainedDecision[] {
     return this.bySubject.get(subject) ?? [];
   }
@@ -63,8 +63,8 @@
       voidBecause,
     };
     for (const subject of subjectsOf(decision)) {
-      const known = this.of(subject);
-      const kept = [...known, explained].slice(-DECISIONS_PER_SUBJECT);
+      const recorded = this.of(subject);
+      const kept = [...recorded, explained].slice(-DECISIONS_PER_SUBJECT);
       this.bySubject.set(subject, kept);
     }
   }
--- a/packages/daemon/src/operators/entry-operator-routes.ts
+++ b/packages/daemon/src/operators/entry-operator-routes.ts
@@ -10,8 +10,8 @@
 import { publishNote } from './publish-note.js';
 import { statusOf } from './status-of.js';
 
-/** Parts that the operators' routes read. */
-interface EntryOperatorParts {
+/** Dependencies of the routes of an entry. */
+interface EntryOperatorDependencies {
   readonly history: DecisionHistory;
   readonly cells: CellManager;
   readonly router: UpstreamRouter;
@@ -32,7 +32,7 @@
 
 function explain(
   core: NodeCore,
-  { history }: EntryOperatorParts,
+  { history }: EntryOperatorDependencies,
   subject: string,
 ): JsonResponse {
   const { scheduling, configuration } = core.state.fold;
@@ -44,17 +44,17 @@
   );
   const attempts = [...scheduling.attempts.values()].filter(
     ({ task, worker }) =>
-      worker === subject || tasks.some(known => known.task === task),
+      worker === subject || tasks.some(progress => progress.task === task),
   );
   const subjects = new Set([subject, ...tasks.map(({ task }) => task)]);
   const decisions = [...subjects].flatMap(name => history.of(name));
-  const isKnown =
+  const isRecorded =
     decisions.length > 0 ||
     tasks.length > 0 ||
     configuration.services.has(subject) ||
     configuration.jobs.has(subject) ||
     scheduling.workers.has(subject);
-  return isKnown
+  return isRecorded
     ? {
         status: 200,
         body: {
@@ -68,22 +68,22 @@
     : { status: 404, body: { error: `nothing is known of ${subject}` } };
 }
 
-function readiness(core: NodeCore, isStopping: boolean): string {
+function unreadyReason(core: NodeCore, isStopping: boolean): string {
   if (isStopping) {
     return 'the entry is stopping';
   }
   return core.state.fold.next > 0 ? '' : 'no record of the log was read yet';
 }
 
-/** Routes of an entry's operators' side. */
+/** Creates the HTTP routes that an entry serves to operators. */
 export function createEntryOperatorRoutes(
   core: NodeCore,
-  parts: EntryOperatorParts,
+  dependencies: EntryOperatorDependencies,
 ): JsonRoutes {
   const { state, members } = core;
   return {
     ...createCommonOperatorRoutes(core, () =>
-      readiness(core, parts.isStopping()),
+      unreadyReason(core, dependencies.isStopping()),
     ),
     'GET /configuration': () => ({
       status: 200,
@@ -97,9 +97,9 @@
       status: 200,
       body: [core.own.get(), ...members.all.map(({ member }) => member)],
     }),
-    'GET /status': () => ({ status: 200, body: statusOf(core, parts) }),
+    'GET /status': () => ({ status: 200, body: statusOf(core, dependencies) }),
     'GET /explain': ({ query }) =>
-      explain(core, parts, query.get('subject') ?? ''),
+      explain(core, dependencies, query.get('subject') ?? ''),
     'POST /release-notes': ({ body }) => publishNote(core, body),
   };
 }
--- a/packages/daemon/src/operators/node-metrics.ts
+++ b/packages/daemon/src/operators/node-metrics.ts
@@ -10,8 +10,8 @@
   0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10,
 ];
 
-/** Figures of an entry that are read when they are asked for. */
-interface EntryFigures {
+/** Values of an entry that are read on each scrape. */
+interface EntryGauges {
   readonly inFlight: () => number;
   readonly retries: () => number;
   readonly crossRegionBytes: () => number;
@@ -59,22 +59,22 @@
     };
   }
 
-  /** Adds a gauge that is read when it is asked for. */
-  public watch(name: string, help: string, read: () => number): void {
+  /** Registers a gauge whose value is read on each scrape. */
+  public registerGauge(name: string, help: string, read: () => number): void {
     registerGauge(this.registry, name, help, read);
   }
 
-  public watchEntry(figures: EntryFigures): void {
-    this.watch(
+  public registerEntryGauges(gauges: EntryGauges): void {
+    this.registerGauge(
       'requests_in_flight',
       'Requests that wait for their answer.',
-      figures.inFlight,
+      gauges.inFlight,
     );
-    this.watch('retries', 'Retries sent so far.', figures.retries);
-    this.watch(
+    this.registerGauge('retries', 'Retries sent so far.', gauges.retries);
+    this.registerGauge(
       'cross_region_bytes',
       'Bytes of requests and answers to other regions so far.',
-      figures.crossRegionBytes,
+      gauges.crossRegionBytes,
     );
   }
 }
--- a/packages/daemon/src/operators/publish-note.ts
+++ b/packages/daemon/src/operators/publish-note.ts
@@ -9,14 +9,14 @@
 
 import type { NodeCore } from '../node/node-core.js';
 
-/** Wait for a note to be read back in force. */
-const PUBLISH_PATIENCE_MILLISECONDS = 10_000;
+/** Time limit for a note to be read back from the log. */
+const PUBLISH_TIMEOUT_MILLISECONDS = 10_000;
 
 const HTTP_CONFLICT = 409;
 
 const HTTP_UNPROCESSABLE = 422;
 
-const HTTP_UNKNOWN = 504;
+const HTTP_GATEWAY_TIMEOUT = 504;
 
 const HTTP_UNAVAILABLE = 503;
 
@@ -27,32 +27,32 @@
   }),
 );
 
-function reply(
+function responseOf(
   core: NodeCore,
   id: string,
-  verdict: AppendResult,
+  result: AppendResult,
 ): JsonResponse {
-  if (verdict.kind === 'dropped') {
-    const body = { result: 'not-published', reasons: [verdict.reason] };
+  if (result.kind === 'dropped') {
+    const body = { result: 'not-published', reasons: [result.reason] };
     return { status: HTTP_UNAVAILABLE, body };
   }
-  const known = core.state.fold.configuration.verdicts.get(id);
-  if (verdict.kind === 'unknown' || known === undefined) {
+  const verdict = core.state.fold.configuration.verdicts.get(id);
+  if (result.kind === 'unknown' || verdict === undefined) {
     const reason =
-      verdict.kind === 'unknown' ? verdict.reason : 'no verdict was found';
+      result.kind === 'unknown' ? result.reason : 'no verdict was found';
     return {
-      status: HTTP_UNKNOWN,
+      status: HTTP_GATEWAY_TIMEOUT,
       body: { result: 'unknown', reasons: [reason] },
     };
   }
-  return known.accepted
-    ? { status: 200, body: { result: 'in-force', ...known } }
-    : { status: HTTP_CONFLICT, body: { result: 'rejected', ...known } };
+  return verdict.accepted
+    ? { status: 200, body: { result: 'in-force', ...verdict } }
+    : { status: HTTP_CONFLICT, body: { result: 'rejected', ...verdict } };
 }
 
 /**
- * Publishes a release note: checks it, appends it, and reports it as accepted
- * only after it was read back in force. The caller's id makes it idempotent.
+ * Publishes a release note: checks it, appends it, and reports it as in force
+ * only after it was read back. The id in the body makes the call idempotent.
  */
 export async function publishNote(
   core: NodeCore,
@@ -63,9 +63,9 @@
   }
   const { id, text } = body;
   if (core.state.fold.hasApplied(id)) {
-    const known = core.state.fold.configuration.verdicts.get(id);
-    const result = known?.accepted === true ? 'in-force' : 'rejected';
-    return { status: 200, body: { result, ...known } };
+    const verdict = core.state.fold.configuration.verdicts.get(id);
+    const result = verdict?.accepted === true ? 'in-force' : 'rejected';
+    return { status: 200, body: { result, ...verdict } };
   }
   const { note, problems } = parseReleaseNote(text);
   const reasons =
@@ -81,9 +81,9 @@
     `Note ${note.name} by ${note.operator}.`,
   );
   const { operator } = note;
-  const deadline = core.clock.now() + PUBLISH_PATIENCE_MILLISECONDS;
-  const verdict = await Effect.runPromise(
+  const deadline = core.clock.now() + PUBLISH_TIMEOUT_MILLISECONDS;
+  const appendResult = await Effect.runPromise(
     core.appender.append(id, 'release-note', { operator, text }, deadline),
   );
-  return reply(core, id, verdict);
+  return responseOf(core, id, appendResult);
 }
--- a/packages/daemon/src/operators/status-of.ts
+++ b/packages/daemon/src/operators/status-of.ts
@@ -64,10 +64,13 @@
   }));
 }
 
-/** What is in force, what runs and what waits, as one entry sees it. */
+/** Summarizes the configuration, tasks and members in one entry's state. */
 export function statusOf(
   core: NodeCore,
-  parts: { readonly router: UpstreamRouter; readonly cells: CellManager },
+  dependencies: {
+    readonly router: UpstreamRouter;
+    readonly cells: CellManager;
+  },
 ): Status {
   const { configuration, scheduling } = core.state.fold;
   const jobs = [...configuration.jobs.keys()].map(job => ({
@@ -84,7 +87,7 @@
       service: service.name,
       minions: service.minions,
       assigned: scheduling.attemptsOf(`service/${service.name}`).length,
-      serving: parts.router.candidates(service.name).length,
+      serving: dependencies.router.candidates(service.name).length,
     })),
     jobs: jobs.map(({ job, state }) => ({
       job,
--- a/packages/daemon/src/operators/status.ts
+++ b/packages/daemon/src/operators/status.ts
@@ -1,6 +1,6 @@
 import type { Resources } from '@basilcourse/shared-state/records/resources';
 
-/** Answer to `basilcourse status`. */
+/** Response body of the status route, shown by `basilcourse status`. */
 export interface Status {
   readonly process: string;
   readonly revision: number;
--- a/packages/daemon/src/relay/choose-source.ts
+++ b/packages/daemon/src/relay/choose-source.ts
@@ -1,7 +1,7 @@
 import { rendezvousRank } from '@basilcourse/foundation/util/rendezvous-rank';
 import type { Member } from '@basilcourse/request-plane/membership/member';
 
-/** Where a process reads the log from. */
+/** Source from which a process reads the log. */
 export type RecordSource =
   | { readonly kind: 'store' }
   | { readonly kind: 'peer'; readonly address: string };
@@ -9,11 +9,12 @@
 const STORE: RecordSource = { kind: 'store' };
 
 /**
- * Chooses the source of a process: in each availability zone one entry reads
- * the store, chosen by rendezvous hashing among those alive; the other entries
- * of the zone follow it, and agents follow an entry of their zone.
+ * Chooses the source of a process. In each availability zone one live entry,
+ * chosen by rendezvous hashing, reads the store. The other entries of the zone
+ * follow it, and agents follow an entry of their zone.
  *
- * @param failures - Sources that failed in a row; the next in rank is taken.
+ * @param failures - Number of sources that failed in a row; selects the next
+ *   one in rank.
  */
 export function chooseSource(
   own: Member,
@@ -33,11 +34,11 @@
     return peer === undefined ? STORE : { kind: 'peer', address: peer.address };
   }
   const inRegion = alive.filter(({ region }) => region === own.region);
-  const near = inZone.length > 0 ? inZone : inRegion;
-  const known = near.length > 0 ? near : alive;
+  const nearby = inZone.length > 0 ? inZone : inRegion;
+  const candidates = nearby.length > 0 ? nearby : alive;
   const ranked = rendezvousRank(
     own.id,
-    known.map(({ address }) => address),
+    candidates.map(({ address }) => address),
   );
   const address = ranked[failures % Math.max(1, ranked.length)];
   const exhausted = failures > 0 && failures % (ranked.length + 1) === 0;
--- a/packages/daemon/src/relay/follow-peer.ts
+++ b/packages/daemon/src/relay/follow-peer.ts
@@ -8,10 +8,10 @@
 import { createClient } from '@connectrpc/connect';
 import * as Effect from 'effect/Effect';
 
-/** Silence after which another source is chosen. */
-const SILENCE_MILLISECONDS = 3500;
+/** Time without a message after which another source is chosen. */
+const PEER_TIMEOUT_MILLISECONDS = 3500;
 
-function takeIn(
+function applyMessage(
   state: SharedState,
   message: FollowResponse,
   isPartial: boolean,
@@ -34,24 +34,24 @@
 }
 
 /**
- * Follows the log through a peer until the peer is silent, the caller
- * interrupts, or `wanted` no longer holds.
+ * Follows the log through a peer until the peer sends nothing within the
+ * timeout, the fiber is interrupted, or `shouldContinue` returns false.
  */
 export function followPeer(
   transports: PeerTransports,
   state: SharedState,
   address: string,
   configurationOnly: boolean,
-  wanted: () => boolean,
+  shouldContinue: () => boolean,
 ): Effect.Effect<void, PeerUnreachableError> {
   const client = createClient(RecordService, transports.to(address));
   return Effect.tryPromise({
     try: async signal => {
-      const silence = new AbortController();
-      const stop = AbortSignal.any([signal, silence.signal]);
+      const timeout = new AbortController();
+      const stop = AbortSignal.any([signal, timeout.signal]);
       let timer = setTimeout(() => {
-        silence.abort();
-      }, SILENCE_MILLISECONDS);
+        timeout.abort();
+      }, PEER_TIMEOUT_MILLISECONDS);
       const fromOffset = BigInt(state.fold.next);
       try {
         const messages = client.follow(
@@ -61,10 +61,10 @@
         for await (const message of messages) {
           clearTimeout(timer);
           timer = setTimeout(() => {
-            silence.abort();
-          }, SILENCE_MILLISECONDS);
-          takeIn(state, message, configurationOnly);
-          if (!wanted()) {
+            timeout.abort();
+          }, PEER_TIMEOUT_MILLISECONDS);
+          applyMessage(state, message, configurationOnly);
+          if (!shouldContinue()) {
             return;
           }
         }
--- a/packages/daemon/src/relay/record-buffer.ts
+++ b/packages/daemon/src/relay/record-buffer.ts
@@ -1,30 +1,33 @@
 import type { StoredRecord } from '@basilcourse/shared-state/log/stored-record';
 
-/** Records kept for peers that follow this process. */
-const CAPACITY = 5000;
+/**
+ * Minimum number of the latest records kept; the buffer is cut back to this
+ * number when it has twice as many.
+ */
+const RECORDS_KEPT = 5000;
 
-/** The most recent records of the log, for peers. */
+/** Keeps the most recent records of the log for peers that follow it. */
 export class RecordBuffer {
   private records: StoredRecord[] = [];
 
-  private readonly waiting = new Set<() => void>();
+  private readonly waiters = new Set<() => void>();
 
-  /** Adds the next record and wakes those who wait. */
+  /** Adds the next record and resolves all pending `changed` calls. */
   public add(record: StoredRecord): void {
     this.records.push(record);
-    if (this.records.length > CAPACITY * 2) {
-      this.records = this.records.slice(-CAPACITY);
+    if (this.records.length > RECORDS_KEPT * 2) {
+      this.records = this.records.slice(-RECORDS_KEPT);
     }
     this.wakeAll();
   }
 
-  /** Forgets all records, after the state was replaced by a snapshot. */
+  /** Drops all records after the state was replaced by a snapshot. */
   public clear(): void {
     this.records = [];
     this.wakeAll();
   }
 
-  /** Records from an offset on; undefined when some are no longer kept. */
+  /** Records from an offset on; undefined if some of them are not kept. */
   public from(
     offset: number,
     next: number,
@@ -37,22 +40,22 @@
     return this.records.slice(index + 1);
   }
 
-  /** Resolves on the next record or after the given time. */
+  /** Resolves at the next change or after the given time. */
   public async changed(milliseconds: number): Promise<void> {
     await new Promise<void>(resolve => {
       const timer = setTimeout(wake, milliseconds);
-      const { waiting } = this;
+      const { waiters } = this;
       function wake(): void {
         clearTimeout(timer);
-        waiting.delete(wake);
+        waiters.delete(wake);
         resolve();
       }
-      waiting.add(wake);
+      waiters.add(wake);
     });
   }
 
   private wakeAll(): void {
-    for (const wake of [...this.waiting]) {
+    for (const wake of [...this.waiters]) {
       wake();
     }
   }
--- a/packages/daemon/src/relay/record-routes.ts
+++ b/packages/daemon/src/relay/record-routes.ts
@@ -18,19 +18,18 @@
 
 import type { RecordBuffer } from './record-buffer.js';
 
-/** Longest silence towards a follower. */
-const KEEP_ALIVE_MILLISECONDS = 1000;
+/** Maximum time between two messages to a follower. */
+const KEEP_ALIVE_INTERVAL_MILLISECONDS = 1000;
 
-/** Records in one message at the most. */
-const RECORDS_PER_MESSAGE = 500;
+const MAXIMUM_RECORDS_PER_MESSAGE = 500;
 
-/** Parts behind the following of records. */
-interface RelayParts {
+/** Dependencies of `recordRoutes`. */
+interface RelayDependencies {
   readonly state: SharedState;
   readonly buffer: RecordBuffer;
 }
 
-function messageOf(
+function recordsMessage(
   records: readonly StoredRecord[],
   nextOffset: number,
 ): FollowResponse {
@@ -44,7 +43,7 @@
 }
 
 function snapshotMessage(
-  { state }: RelayParts,
+  { state }: RelayDependencies,
   configurationOnly: boolean,
 ): FollowResponse {
   const write = configurationOnly ? writeConfigurationSnapshot : writeSnapshot;
@@ -55,40 +54,41 @@
 }
 
 async function* follow(
-  parts: RelayParts,
+  dependencies: RelayDependencies,
   request: FollowRequest,
   signal: AbortSignal,
 ): AsyncGenerator<FollowResponse> {
-  const { state, buffer } = parts;
+  const { state, buffer } = dependencies;
   let next = Number(request.fromOffset);
   while (!signal.aborted) {
     const end = state.fold.next;
     const records = next < end ? buffer.from(next, end) : [];
     if (records === undefined) {
       next = end;
-      yield snapshotMessage(parts, request.configurationOnly);
+      yield snapshotMessage(dependencies, request.configurationOnly);
       continue;
     }
-    const page = records.slice(0, RECORDS_PER_MESSAGE);
+    const page = records.slice(0, MAXIMUM_RECORDS_PER_MESSAGE);
     const last = page.at(-1)?.offset;
     next = last === undefined ? Math.max(next, end) : last + 1;
-    const wanted = request.configurationOnly
+    const selected = request.configurationOnly
       ? page.filter(record => CONFIGURATION_KINDS.has(record.envelope.kind))
       : page;
-    yield messageOf(wanted, next);
+    yield recordsMessage(selected, next);
     if (next >= state.fold.next) {
-      await buffer.changed(KEEP_ALIVE_MILLISECONDS);
+      await buffer.changed(KEEP_ALIVE_INTERVAL_MILLISECONDS);
     }
   }
 }
 
-/** Registers the call by which peers follow the log through this process. */
+/** Registers the RPC by which peers follow the log through this process. */
 export function recordRoutes(
-  parts: RelayParts,
+  dependencies: RelayDependencies,
 ): (router: ConnectRouter) => void {
   return router => {
     router.service(RecordService, {
-      follow: (request, context) => follow(parts, request, context.signal),
+      follow: (request, context) =>
+        follow(dependencies, request, context.signal),
     });
   };
 }
--- a/packages/daemon/src/scheduling/cell-manager.ts
+++ b/packages/daemon/src/scheduling/cell-manager.ts
@@ -10,16 +10,16 @@
 
 import type { NodeCore } from '../node/node-core.js';
 import { announcedWorkers } from './announced-workers.js';
-import { CellHolder } from './cell-holder.js';
-import { EntryJanitor } from './entry-janitor.js';
-import { LeaseKeeper } from './lease-keeper.js';
+import { CellScheduler } from './cell-scheduler.js';
+import { DepartedEntryRemover } from './departed-entry-remover.js';
+import { LeaseManager } from './lease-manager.js';
 import { SnapshotWriter } from './snapshot-writer.js';
 
-/** Runs for the leases of all cells of the region, and holds those it gets. */
+/** Claims the leases of the cells of the region and schedules held cells. */
 export class CellManager {
-  private readonly leases = new Map<string, LeaseKeeper>();
+  private readonly leases = new Map<string, LeaseManager>();
 
-  private readonly holders = new Map<string, CellHolder>();
+  private readonly schedulers = new Map<string, CellScheduler>();
 
   private readonly collector = new SnapshotCollector();
 
@@ -29,7 +29,7 @@
     });
   }
 
-  /** Tells whether this process holds the lease of any cell. */
+  /** Returns whether this process holds the lease of any cell. */
   public holdsAny(): boolean {
     return [...this.leases.values()].some(lease => lease.isLatestHolder());
   }
@@ -42,7 +42,7 @@
     );
   }
 
-  /** Lets all leases go. */
+  /** Releases all leases. */
   public release(deadline: number): Effect.Effect<void> {
     const releases = [...this.leases.values()].map(lease =>
       lease.release(deadline),
@@ -52,8 +52,8 @@
 
   /** Views of the workers whose cells this process holds. */
   public get workerViews(): readonly WorkerView[] {
-    return [...this.holders.values()].flatMap(holder => [
-      ...holder.workerViews.values(),
+    return [...this.schedulers.values()].flatMap(scheduler => [
+      ...scheduler.workerViews.values(),
     ]);
   }
 
@@ -78,13 +78,13 @@
     return rendezvousRank(cell, [self.id, ...others]).indexOf(self.id);
   }
 
-  private leaseFor(cell: string): LeaseKeeper {
-    const known = this.leases.get(cell);
-    if (known !== undefined) {
-      return known;
+  private leaseFor(cell: string): LeaseManager {
+    const existing = this.leases.get(cell);
+    if (existing !== undefined) {
+      return existing;
     }
     const { instance, state, appender, clock, events } = this.core;
-    const lease = new LeaseKeeper({
+    const lease = new LeaseManager({
       cell,
       instance,
       state,
@@ -100,15 +100,15 @@
 
   private runCell(cell: string): Effect.Effect<never> {
     const lease = this.leaseFor(cell);
-    const duty =
+    const work =
       cell === SNAPSHOT_CELL
-        ? this.keepOrder(lease)
-        : this.holderFor(cell).run();
-    return Effect.raceFirst(lease.run(), duty);
+        ? this.maintainLog(lease)
+        : this.schedulerFor(cell).run();
+    return Effect.raceFirst(lease.run(), work);
   }
 
-  /** Writes snapshots and strikes off entries that are gone. */
-  private keepOrder(lease: LeaseKeeper): Effect.Effect<never> {
+  /** Writes snapshots and removes departed entries. */
+  private maintainLog(lease: LeaseManager): Effect.Effect<never> {
     const { state, appender, clock, events } = this.core;
     const writer = new SnapshotWriter({
       lease,
@@ -117,20 +117,20 @@
       clock,
       identifiers: this.core.dependencies.identifiers,
       events,
-      newestSnapshot: () => this.collector.newest?.next ?? 0,
+      newestSnapshotOffset: () => this.collector.newest?.next ?? 0,
     });
-    const janitor = new EntryJanitor(this.core, lease);
-    return Effect.raceFirst(writer.run(), janitor.run());
+    const remover = new DepartedEntryRemover(this.core, lease);
+    return Effect.raceFirst(writer.run(), remover.run());
   }
 
-  private holderFor(cell: string): CellHolder {
-    const known = this.holders.get(cell);
-    if (known !== undefined) {
-      return known;
+  private schedulerFor(cell: string): CellScheduler {
+    const existing = this.schedulers.get(cell);
+    if (existing !== undefined) {
+      return existing;
     }
     const { state, appender, clock, events, health, members } = this.core;
     const { identifiers, workerAt } = this.core.dependencies;
-    const holder = new CellHolder({
+    const scheduler = new CellScheduler({
       cell,
       lease: this.leaseFor(cell),
       state,
@@ -142,9 +142,9 @@
       workerAt,
       storeReachable: () => health.reachable,
       placement: this.core.settings.placement,
-      throttlesStarts: this.core.settings.placement === 'least-harm',
+      throttlesAtStart: this.core.settings.placement === 'least-harm',
     });
-    this.holders.set(cell, holder);
-    return holder;
+    this.schedulers.set(cell, scheduler);
+    return scheduler;
   }
 }
--- a/packages/daemon/src/scheduling/cell-holder.ts
+++ b/packages/daemon/src/scheduling/cell-scheduler.ts
@@ -16,19 +16,19 @@
 import * as Effect from 'effect/Effect';
 
 import { decisionKey } from './decision-key.js';
-import type { LeaseKeeper } from './lease-keeper.js';
+import type { LeaseManager } from './lease-manager.js';
 import { WorkerTask } from './worker-task.js';
 
-/** Pause between two passes of decisions. */
-const PLAN_MILLISECONDS = 150;
+/** Delay between two planning passes. */
+const PLAN_INTERVAL_MILLISECONDS = 150;
 
-/** Wait for a batch of decisions to be read back. */
-const APPEND_PATIENCE_MILLISECONDS = 2000;
+/** Time limit for a batch of decisions to be read back from the log. */
+const APPEND_TIMEOUT_MILLISECONDS = 2000;
 
-/** Parts that holding a cell works on. */
-interface HolderParts {
+/** Dependencies of `CellScheduler`. */
+interface CellSchedulerDependencies {
   readonly cell: string;
-  readonly lease: LeaseKeeper;
+  readonly lease: LeaseManager;
   readonly state: SharedState;
   readonly appender: RecordAppender;
   readonly clock: Clock;
@@ -38,58 +38,58 @@
   readonly workerAt: (address: string) => PlatformWorker;
   readonly storeReachable: () => boolean;
   readonly placement: ScorerName;
-  /** Starts tasks throttled that harm services beside them. */
-  readonly throttlesStarts: boolean;
+  /** Whether tasks that interfere with services on their VM start throttled. */
+  readonly throttlesAtStart: boolean;
 }
 
-/** Decides for one cell while this process holds its lease. */
-export class CellHolder {
-  public readonly learner = new WorkloadEstimator();
+/** Schedules the tasks of one cell while this process holds its lease. */
+export class CellScheduler {
+  public readonly estimator = new WorkloadEstimator();
 
-  private readonly ledger = new GrantedLeases();
+  private readonly grantedLeases = new GrantedLeases();
 
   private readonly views = new Map<string, WorkerView>();
 
   private readonly tasks = new Map<string, WorkerTask>();
 
-  /** Ends reported by workers that have not been appended yet. */
-  private readonly outbox = new Map<string, Decision>();
+  /** Decisions after reports of workers, not yet appended, by their keys. */
+  private readonly pendingDecisions = new Map<string, Decision>();
 
-  private ledgerEpoch = 0;
+  private inheritedEpoch = 0;
 
-  /** Latest epoch that this process held; its grants are all known. */
-  private lastOwnEpoch = 0;
+  /** Latest epoch that this process held; `grantedLeases` has all its grants. */
+  private lastHeldEpoch = 0;
 
-  public constructor(private readonly parts: HolderParts) {
-    parts.state.onOutcome(({ decisions }) => {
+  public constructor(private readonly dependencies: CellSchedulerDependencies) {
+    dependencies.state.onOutcome(({ decisions }) => {
       for (const decision of decisions) {
         this.wake(decision);
       }
     });
   }
 
-  /** Runs the workers' tasks and the passes of decisions. */
+  /** Runs a task per worker of the cell, and the planning passes. */
   public run(): Effect.Effect<never> {
-    const workers = runTaskPerPeer(
+    const workerTasks = runTaskPerPeer(
       () => this.ownWorkers(),
-      worker => this.taskOf(worker).run(),
+      worker => this.taskFor(worker).run(),
     );
-    const passes = Effect.suspend(() => this.pass()).pipe(
-      Effect.zipRight(Effect.sleep(PLAN_MILLISECONDS)),
+    const planning = Effect.suspend(() => this.planOnce()).pipe(
+      Effect.zipRight(Effect.sleep(PLAN_INTERVAL_MILLISECONDS)),
       Effect.forever,
     );
-    return Effect.raceFirst(workers, passes);
+    return Effect.raceFirst(workerTasks, planning);
   }
 
-  /** Views of the workers, for the operators' status. */
+  /** Views of the workers of the cell, by worker. */
   public get workerViews(): ReadonlyMap<string, WorkerView> {
     return this.views;
   }
 
   private ownWorkers(): readonly string[] {
-    const { state, cell, lease } = this.parts;
+    const { state, cell, lease } = this.dependencies;
     if (!lease.isLatestHolder()) {
-      this.ledgerEpoch = 0;
+      this.inheritedEpoch = 0;
       return [];
     }
     this.inheritLeases();
@@ -98,43 +98,43 @@
       .map(worker => worker.description.worker);
   }
 
-  /** Bounds what the former holder may have granted, once for each epoch. */
+  /** Bounds the leases that former holders may have granted, once an epoch. */
   private inheritLeases(): void {
-    const { lease, state } = this.parts;
+    const { lease, state } = this.dependencies;
     const { epoch, cleanHandover } = lease.cell;
-    if (epoch === this.ledgerEpoch) {
+    if (epoch === this.inheritedEpoch) {
       return;
     }
-    this.ledgerEpoch = epoch;
+    this.inheritedEpoch = epoch;
     this.views.clear();
-    this.outbox.clear();
+    this.pendingDecisions.clear();
     const { taskLeaseSeconds, storeOutageSeconds } =
       state.fold.configuration.limits;
-    const isOwn = epoch === this.lastOwnEpoch + 1;
-    this.lastOwnEpoch = epoch;
-    if (isOwn) {
+    const heldPreviousEpoch = epoch === this.lastHeldEpoch + 1;
+    this.lastHeldEpoch = epoch;
+    if (heldPreviousEpoch) {
       return;
     }
-    const outage = cleanHandover ? 0 : storeOutageSeconds;
-    const seconds = outage + taskLeaseSeconds;
-    this.ledger.inherit(lease.observedAt + seconds * 1000);
+    const outageSeconds = cleanHandover ? 0 : storeOutageSeconds;
+    const seconds = outageSeconds + taskLeaseSeconds;
+    this.grantedLeases.inherit(lease.observedAt + seconds * 1000);
   }
 
-  private taskOf(worker: string): WorkerTask {
-    const known = this.tasks.get(worker);
-    if (known !== undefined) {
-      return known;
+  private taskFor(worker: string): WorkerTask {
+    const existing = this.tasks.get(worker);
+    if (existing !== undefined) {
+      return existing;
     }
-    const { state, clock, events, workerAt, lease } = this.parts;
+    const { state, clock, events, workerAt, lease } = this.dependencies;
     const task = new WorkerTask({
       worker,
       state,
       clock,
       events,
       workerAt,
-      ledger: this.ledger,
-      learner: this.learner,
-      startsThrottled: this.parts.throttlesStarts,
+      grantedLeases: this.grantedLeases,
+      estimator: this.estimator,
+      throttlesAtStart: this.dependencies.throttlesAtStart,
       mayDecide: now => lease.holds(now),
       mayRenew: now => this.mayRenew(now),
       view: () => this.views.get(worker) ?? newWorkerView(worker),
@@ -142,7 +142,7 @@
         this.views.set(worker, view);
       },
       propose: decision => {
-        this.outbox.set(decisionKey(decision), decision);
+        this.pendingDecisions.set(decisionKey(decision), decision);
       },
     });
     this.tasks.set(worker, task);
@@ -150,21 +150,23 @@
   }
 
   /**
-   * Without the log a holder goes on renewing leases for a bounded time; a
-   * later holder waits for that bound where it cannot ask the worker.
+   * While the log is unreachable, a holder goes on renewing leases for a bounded
+   * time. A later holder waits for that time if it cannot reach the worker.
    */
   private mayRenew(now: number): boolean {
-    const { lease, state, storeReachable } = this.parts;
+    const { lease, state, storeReachable } = this.dependencies;
     if (lease.holds(now)) {
       return true;
     }
-    const outage = state.fold.configuration.limits.storeOutageSeconds * 1000;
-    const isRecent = now < lease.lastConfirmedAt + outage;
+    const outageMilliseconds =
+      state.fold.configuration.limits.storeOutageSeconds * 1000;
+    const isRecent = now < lease.lastConfirmedAt + outageMilliseconds;
     return lease.isLatestHolder() && !storeReachable() && isRecent;
   }
 
-  private pass(): Effect.Effect<void> {
-    const { clock, lease, state, cell, announced, placement } = this.parts;
+  private planOnce(): Effect.Effect<void> {
+    const { clock, lease, state, cell, announced, placement } =
+      this.dependencies;
     const now = clock.now();
     if (!lease.holds(now) || state.lag > 0) {
       return Effect.void;
@@ -175,14 +177,14 @@
         configuration: state.fold.configuration,
         scheduling: state.fold.scheduling,
         views: this.views,
-        leases: this.ledger,
-        estimator: this.learner,
+        leases: this.grantedLeases,
+        estimator: this.estimator,
         announced: announced(),
         scorer: placement,
       },
       now,
     );
-    const decisions = [...this.outbox.values(), ...planned];
+    const decisions = [...this.pendingDecisions.values(), ...planned];
     return decisions.length === 0 ? Effect.void : this.append(decisions, now);
   }
 
@@ -190,15 +192,15 @@
     decisions: readonly Decision[],
     now: number,
   ): Effect.Effect<void> {
-    const { appender, identifiers, cell, lease } = this.parts;
+    const { appender, identifiers, cell, lease } = this.dependencies;
     const id = identifiers.next('decisions');
     const body = { cell, epoch: lease.cell.epoch, decisions };
-    const deadline = now + APPEND_PATIENCE_MILLISECONDS;
+    const deadline = now + APPEND_TIMEOUT_MILLISECONDS;
     return appender.append(id, 'decisions', body, deadline).pipe(
-      Effect.map(verdict => {
-        if (verdict.kind === 'applied') {
+      Effect.map(result => {
+        if (result.kind === 'applied') {
           for (const decision of decisions) {
-            this.outbox.delete(decisionKey(decision));
+            this.pendingDecisions.delete(decisionKey(decision));
           }
         }
       }),
@@ -206,7 +208,7 @@
   }
 
   private wake(decision: Decision): void {
-    const { scheduling } = this.parts.state.fold;
+    const { scheduling } = this.dependencies.state.fold;
     if (decision.type === 'place') {
       this.tasks.get(decision.worker)?.wake();
     }
--- a/packages/daemon/src/scheduling/decision-key.ts
+++ b/packages/daemon/src/scheduling/decision-key.ts
@@ -1,6 +1,6 @@
 import type { Decision } from '@basilcourse/shared-state/records/decision';
 
-/** Key under which repeated proposals of a decision count once. */
+/** Key that is the same for repeated proposals of a decision. */
 export function decisionKey(decision: Decision): string {
   switch (decision.type) {
     case 'place':
--- a/packages/daemon/src/scheduling/entry-janitor.ts
+++ b/packages/daemon/src/scheduling/departed-entry-remover.ts
@@ -1,27 +1,27 @@
 import * as Effect from 'effect/Effect';
 
 import type { NodeCore } from '../node/node-core.js';
-import type { LeaseKeeper } from './lease-keeper.js';
+import type { LeaseManager } from './lease-manager.js';
 
-const CHECK_MILLISECONDS = 5000;
+const CHECK_INTERVAL_MILLISECONDS = 5000;
 
-/** Absence after which an entry counts as gone. */
-const GONE_AFTER_MILLISECONDS = 30_000;
+/** Time without membership after which an entry counts as departed. */
+const DEPARTURE_TIMEOUT_MILLISECONDS = 30_000;
 
-const APPEND_PATIENCE_MILLISECONDS = 3000;
+const APPEND_TIMEOUT_MILLISECONDS = 3000;
 
-/** Strikes entries off the configuration that ended without saying so. */
-export class EntryJanitor {
+/** Appends `entry-left` for entries that stopped without appending it. */
+export class DepartedEntryRemover {
   private readonly absentSince = new Map<string, number>();
 
   public constructor(
     private readonly core: NodeCore,
-    private readonly lease: LeaseKeeper,
+    private readonly lease: LeaseManager,
   ) {}
 
   public run(): Effect.Effect<never> {
     return Effect.suspend(() => this.step()).pipe(
-      Effect.zipRight(Effect.sleep(CHECK_MILLISECONDS)),
+      Effect.zipRight(Effect.sleep(CHECK_INTERVAL_MILLISECONDS)),
       Effect.forever,
     );
   }
@@ -33,18 +33,18 @@
       this.absentSince.clear();
       return Effect.void;
     }
-    const appends = this.goneEntries(now).map(({ instance, address }) =>
+    const appends = this.departedEntries(now).map(({ instance, address }) =>
       appender.append(
         `left-${instance}`,
         'entry-left',
         { instance, address },
-        now + APPEND_PATIENCE_MILLISECONDS,
+        now + APPEND_TIMEOUT_MILLISECONDS,
       ),
     );
     return Effect.all(appends, { discard: true });
   }
 
-  private goneEntries(
+  private departedEntries(
     now: number,
   ): readonly { readonly instance: string; readonly address: string }[] {
     const { state, members, instance: ownInstance } = this.core;
@@ -52,7 +52,7 @@
       ownInstance,
       ...members.ofRole('entry').map(({ member }) => member.instance),
     ]);
-    const gone = [];
+    const departed = [];
     for (const entry of state.fold.configuration.entries.values()) {
       if (entry.leftAt > 0 || present.has(entry.instance)) {
         this.absentSince.delete(entry.instance);
@@ -60,10 +60,10 @@
       }
       const since = this.absentSince.get(entry.instance) ?? now;
       this.absentSince.set(entry.instance, since);
-      if (now - since >= GONE_AFTER_MILLISECONDS) {
-        gone.push(entry);
+      if (now - since >= DEPARTURE_TIMEOUT_MILLISECONDS) {
+        departed.push(entry);
       }
     }
-    return gone;
+    return departed;
   }
 }
--- a/packages/daemon/src/scheduling/lease-keeper.ts
+++ b/packages/daemon/src/scheduling/lease-manager.ts
@@ -9,10 +9,10 @@
 import type { Cell } from '@basilcourse/shared-state/scheduling/cell';
 import * as Effect from 'effect/Effect';
 
-const STEP_MILLISECONDS = 100;
+const STEP_INTERVAL_MILLISECONDS = 100;
 
-/** Parts that keeping one lease works on. */
-interface LeaseParts {
+/** Dependencies of `LeaseManager`. */
+interface LeaseManagerDependencies {
   readonly cell: string;
   readonly instance: string;
   readonly state: SharedState;
@@ -24,61 +24,64 @@
   readonly rank: () => number;
 }
 
-/** Claims and renews the lease of one cell. */
-export class LeaseKeeper {
+/** Claims, renews and releases the lease of one cell. */
+export class LeaseManager {
   private observation: LeaseObservation;
 
-  /** When the most recent claim or renewal that was read back was sent. */
+  /** Time at which the latest claim or renewal that was read back was sent. */
   private confirmedAt = 0;
 
   private lastSentAt = 0;
 
   private lastClaimAt = 0;
 
-  public constructor(private readonly parts: LeaseParts) {
-    this.observation = { cell: this.read(), changedAt: parts.clock.now() };
+  public constructor(private readonly dependencies: LeaseManagerDependencies) {
+    this.observation = {
+      cell: this.readCell(),
+      changedAt: dependencies.clock.now(),
+    };
   }
 
   public get cell(): Cell {
-    return this.read();
+    return this.readCell();
   }
 
-  /** When the present epoch was first read here. */
+  /** Time at which this process read the latest change of the lease. */
   public get observedAt(): number {
     return this.observation.changedAt;
   }
 
-  /** When this process last knew for sure that it was the holder. */
+  /** Latest time at which this process was certainly the holder. */
   public get lastConfirmedAt(): number {
     return this.confirmedAt;
   }
 
-  /** Tells whether this process may decide for the cell. */
+  /** Returns whether this process may make decisions for the cell. */
   public holds(now: number): boolean {
-    const { state, instance } = this.parts;
+    const { state, instance } = this.dependencies;
     const lease = state.fold.configuration.limits.cellLeaseMilliseconds;
     this.observe(now);
     return holdsLease(this.observation, instance, this.confirmedAt, lease, now);
   }
 
-  /** Tells whether no later holder of the cell is known. */
+  /** Returns whether this process is the latest holder in the log. */
   public isLatestHolder(): boolean {
-    return this.read().holder === this.parts.instance;
+    return this.readCell().holder === this.dependencies.instance;
   }
 
   /** Claims or renews the lease for as long as the process runs. */
   public run(): Effect.Effect<never> {
     const step = Effect.suspend(() => this.step());
     return step.pipe(
-      Effect.zipRight(Effect.sleep(STEP_MILLISECONDS)),
+      Effect.zipRight(Effect.sleep(STEP_INTERVAL_MILLISECONDS)),
       Effect.forever,
     );
   }
 
-  /** Lets the lease go, so that another claims it at once. */
+  /** Releases the lease, so that another process can claim it at once. */
   public release(deadline: number): Effect.Effect<void> {
-    const { instance, cell } = this.parts;
-    const { holder, epoch } = this.read();
+    const { instance, cell } = this.dependencies;
+    const { holder, epoch } = this.readCell();
     return holder === instance
       ? this.append('lease-release', { cell, epoch }, deadline).pipe(
           Effect.asVoid,
@@ -87,7 +90,7 @@
   }
 
   private step(): Effect.Effect<void> {
-    const { clock, state, instance, rank, cell: name } = this.parts;
+    const { clock, state, instance, rank, cell: name } = this.dependencies;
     const now = clock.now();
     this.observe(now);
     const { cell } = this.observation;
@@ -118,7 +121,7 @@
     this.lastClaimAt = now;
     const body = {
       cell: cell.name,
-      holder: this.parts.instance,
+      holder: this.dependencies.instance,
       previousEpoch: cell.epoch,
       previousRenewals: cell.renewals,
     };
@@ -126,8 +129,8 @@
       Effect.tap(() =>
         Effect.sync(() => {
           if (this.isLatestHolder()) {
-            const text = `Holds the lease of ${cell.name}, epoch ${this.read().epoch}.`;
-            this.parts.events.record('lease-claimed', text);
+            const text = `Holds the lease of ${cell.name}, epoch ${this.readCell().epoch}.`;
+            this.dependencies.events.record('lease-claimed', text);
           }
         }),
       ),
@@ -135,7 +138,7 @@
   }
 
   private send(kind: string, body: object, lease: number): Effect.Effect<void> {
-    const sentAt = this.parts.clock.now();
+    const sentAt = this.dependencies.clock.now();
     this.lastSentAt = sentAt;
     return this.append(kind, body, sentAt + lease).pipe(
       Effect.map(applied => {
@@ -151,44 +154,44 @@
     body: object,
     deadline: number,
   ): Effect.Effect<boolean> {
-    const { appender, identifiers } = this.parts;
+    const { appender, identifiers } = this.dependencies;
     const id = identifiers.next(kind);
     return appender
       .append(id, kind, body, deadline)
       .pipe(
         Effect.map(
-          verdict => verdict.kind === 'applied' && verdict.outcome.applied,
+          result => result.kind === 'applied' && result.outcome.applied,
         ),
       );
   }
 
   private observe(now: number): void {
-    const cell = this.read();
-    const before = this.observation.cell;
+    const cell = this.readCell();
+    const previous = this.observation.cell;
     const changed =
-      cell.epoch !== before.epoch ||
-      cell.renewals !== before.renewals ||
-      cell.holder !== before.holder;
+      cell.epoch !== previous.epoch ||
+      cell.renewals !== previous.renewals ||
+      cell.holder !== previous.holder;
     if (!changed) {
       return;
     }
-    const { instance, events } = this.parts;
-    if (before.holder === instance && cell.holder !== instance) {
+    const { instance, events } = this.dependencies;
+    if (previous.holder === instance && cell.holder !== instance) {
       const text = `The lease of ${cell.name} went to ${cell.holder || 'nobody'}.`;
       events.record('lease-lost', text);
     }
     this.observation = { cell, changedAt: now };
   }
 
-  private read(): Cell {
+  private readCell(): Cell {
     const unclaimed = {
-      name: this.parts.cell,
+      name: this.dependencies.cell,
       epoch: 0,
       holder: '',
       renewals: 0,
       cleanHandover: true,
     };
-    const { cells } = this.parts.state.fold.scheduling;
-    return cells.get(this.parts.cell) ?? unclaimed;
+    const { cells } = this.dependencies.state.fold.scheduling;
+    return cells.get(this.dependencies.cell) ?? unclaimed;
   }
 }
--- a/packages/daemon/src/scheduling/neighbours-of.ts
+++ b/packages/daemon/src/scheduling/neighbours-of.ts
@@ -3,7 +3,7 @@
 import { taskKindOf } from '@basilcourse/shared-state/configuration/task-kind-of';
 import type { StateFold } from '@basilcourse/shared-state/fold/state-fold';
 
-/** Running tasks of a worker as their neighbours feel them, by attempt. */
+/** Kinds and shares of the running tasks of a worker, by attempt. */
 export function neighboursOf(
   {
     configuration,
--- a/packages/daemon/src/scheduling/snapshot-writer.ts
+++ b/packages/daemon/src/scheduling/snapshot-writer.ts
@@ -7,46 +7,49 @@
 import { splitSnapshot } from '@basilcourse/shared-state/snapshot/split-snapshot';
 import * as Effect from 'effect/Effect';
 
-import type { LeaseKeeper } from './lease-keeper.js';
+import type { LeaseManager } from './lease-manager.js';
 
-/** Records after which a new snapshot is written. */
+/** Number of records after which a new snapshot is written. */
 export const RECORDS_PER_SNAPSHOT = 2000;
 
-const CHECK_MILLISECONDS = 1000;
+const CHECK_INTERVAL_MILLISECONDS = 1000;
 
-const APPEND_PATIENCE_MILLISECONDS = 5000;
+const APPEND_TIMEOUT_MILLISECONDS = 5000;
 
-/** Parts that writing snapshots works on. */
-interface SnapshotParts {
-  readonly lease: LeaseKeeper;
+/** Dependencies of `SnapshotWriter`. */
+interface SnapshotWriterDependencies {
+  readonly lease: LeaseManager;
   readonly state: SharedState;
   readonly appender: RecordAppender;
   readonly clock: Clock;
   readonly identifiers: IdentifierSource;
   readonly events: EventRecorder;
-  /** Offset at which the newest whole snapshot in the log ends. */
-  readonly newestSnapshot: () => number;
+  /** Returns the first offset that the newest complete snapshot excludes. */
+  readonly newestSnapshotOffset: () => number;
 }
 
-/** Writes snapshots into the log while this process holds their lease. */
+/** Appends snapshots to the log while this process holds their lease. */
 export class SnapshotWriter {
-  public constructor(private readonly parts: SnapshotParts) {}
+  public constructor(
+    private readonly dependencies: SnapshotWriterDependencies,
+  ) {}
 
   public run(): Effect.Effect<never> {
     return Effect.suspend(() => this.step()).pipe(
-      Effect.zipRight(Effect.sleep(CHECK_MILLISECONDS)),
+      Effect.zipRight(Effect.sleep(CHECK_INTERVAL_MILLISECONDS)),
       Effect.forever,
     );
   }
 
   private step(): Effect.Effect<void> {
-    const { lease, state, clock, newestSnapshot } = this.parts;
-    const isDue = state.fold.next - newestSnapshot() >= RECORDS_PER_SNAPSHOT;
+    const { lease, state, clock, newestSnapshotOffset } = this.dependencies;
+    const isDue =
+      state.fold.next - newestSnapshotOffset() >= RECORDS_PER_SNAPSHOT;
     return isDue && lease.holds(clock.now()) ? this.write() : Effect.void;
   }
 
   private write(): Effect.Effect<void> {
-    const { state, appender, clock, identifiers, events } = this.parts;
+    const { state, appender, clock, identifiers, events } = this.dependencies;
     const text = writeSnapshot(state.fold);
     const snapshot = identifiers.next('snapshot');
     const chunks = splitSnapshot(snapshot, state.fold.next, text);
@@ -56,14 +59,14 @@
           `${snapshot}.${chunk.chunk}`,
           'snapshot-chunk',
           chunk,
-          clock.now() + APPEND_PATIENCE_MILLISECONDS,
+          clock.now() + APPEND_TIMEOUT_MILLISECONDS,
         ),
       ),
     );
     return Effect.all(appends).pipe(
       Effect.map(() => {
-        const sentence = `Snapshot of ${text.length} characters in ${chunks.length} records.`;
-        events.record('snapshot-written', sentence);
+        const eventText = `Snapshot of ${text.length} characters in ${chunks.length} records.`;
+        events.record('snapshot-written', eventText);
       }),
     );
   }
--- a/packages/daemon/src/scheduling/start-share.ts
+++ b/packages/daemon/src/scheduling/start-share.ts
@@ -9,7 +9,7 @@
     configuration,
     scheduling,
   }: Pick<StateFold, 'configuration' | 'scheduling'>,
-  learner: WorkloadEstimator,
+  estimator: WorkloadEstimator,
   worker: string,
   attempt: string,
   taskKind: string,
@@ -23,7 +23,7 @@
   }
   const services = [...configuration.services.values()];
   const context = {
-    interference: learner.interference,
+    interference: estimator.interference,
     serviceKinds: new Set(services.map(service => service.taskKind)),
     latencyWeight: configuration.limits.latencyWeight,
   };
--- a/packages/daemon/src/scheduling/wakeup.ts
+++ b/packages/daemon/src/scheduling/wakeup.ts
@@ -2,16 +2,16 @@
 import * as Effect from 'effect/Effect';
 import * as FiberId from 'effect/FiberId';
 
-/** A pause that can be cut short. */
+/** A delay that can be ended early. */
 export class Wakeup {
   private signal = Deferred.unsafeMake<undefined>(FiberId.none);
 
-  /** Ends the present pause, or the next one if there is none. */
+  /** Ends the current delay, or the next one if none is running. */
   public wake(): void {
     Deferred.unsafeDone(this.signal, Effect.succeed(undefined));
   }
 
-  /** Pauses for the given time or until woken. */
+  /** Waits for the given time or until `wake` is called. */
   public wait(milliseconds: number): Effect.Effect<void> {
     return Effect.suspend(() => Deferred.await(this.signal)).pipe(
       Effect.raceFirst(Effect.sleep(milliseconds)),
--- a/packages/daemon/src/scheduling/worker-task.ts
+++ b/packages/daemon/src/scheduling/worker-task.ts
@@ -21,23 +21,23 @@
 import { startShare } from './start-share.js';
 import { Wakeup } from './wakeup.js';
 
-/** Pause between two synchronisations with a worker. */
-const SYNC_MILLISECONDS = 1000;
+/** Delay between two synchronisations with a worker. */
+const SYNC_INTERVAL_MILLISECONDS = 1000;
 
-/** Pause after a failed one. */
-const RETRY_MILLISECONDS = 300;
+/** Delay after a failed synchronisation. */
+const RETRY_DELAY_MILLISECONDS = 300;
 
-/** Parts that the task of one worker works on. */
-interface WorkerTaskParts {
+/** Dependencies of `WorkerTask`. */
+interface WorkerTaskDependencies {
   readonly worker: string;
   readonly state: SharedState;
   readonly clock: Clock;
   readonly events: EventRecorder;
   readonly workerAt: (address: string) => PlatformWorker;
-  readonly ledger: GrantedLeases;
-  readonly learner: WorkloadEstimator;
-  /** Starts tasks throttled that harm services beside them. */
-  readonly startsThrottled: boolean;
+  readonly grantedLeases: GrantedLeases;
+  readonly estimator: WorkloadEstimator;
+  /** Whether tasks that interfere with services on their VM start throttled. */
+  readonly throttlesAtStart: boolean;
   readonly mayDecide: (now: number) => boolean;
   readonly mayRenew: (now: number) => boolean;
   readonly view: () => WorkerView;
@@ -45,7 +45,7 @@
   readonly propose: (decision: Decision) => void;
 }
 
-/** Keeps one worker in line with the log. */
+/** Reconciles one worker with the assignments in the log. */
 export class WorkerTask {
   private readonly wakeup = new Wakeup();
 
@@ -53,9 +53,9 @@
 
   private readonly confirmed = new Set<string>();
 
-  public constructor(private readonly parts: WorkerTaskParts) {}
+  public constructor(private readonly dependencies: WorkerTaskDependencies) {}
 
-  /** Makes the next synchronisation happen at once. */
+  /** Starts the next synchronisation without delay. */
   public wake(): void {
     this.wakeup.wake();
   }
@@ -64,16 +64,18 @@
   public run(): Effect.Effect<never> {
     return Effect.gen(this, function* () {
       for (;;) {
-        const answered = yield* this.synchronise();
-        const pause = answered ? SYNC_MILLISECONDS : RETRY_MILLISECONDS;
-        yield* this.wakeup.wait(pause);
+        const succeeded = yield* this.synchronise();
+        const delay = succeeded
+          ? SYNC_INTERVAL_MILLISECONDS
+          : RETRY_DELAY_MILLISECONDS;
+        yield* this.wakeup.wait(delay);
       }
     });
   }
 
   private synchronise(): Effect.Effect<boolean> {
     return Effect.suspend(() => {
-      const { clock, state, worker, workerAt } = this.parts;
+      const { clock, state, worker, workerAt } = this.dependencies;
       const description =
         state.fold.scheduling.workers.get(worker)?.description;
       if (description === undefined) {
@@ -82,7 +84,7 @@
       const platformWorker = workerAt(description.address);
       const renewals = this.renewals(clock.now());
       const { acknowledged } = this;
-      return this.attempt('worker.sync', () =>
+      return this.callWorker('worker.sync', () =>
         platformWorker.sync({ renewals, acknowledged }),
       ).pipe(
         Effect.flatMap(report => this.reconcile(platformWorker, report)),
@@ -90,7 +92,9 @@
         Effect.catchAll(() =>
           Effect.sync(() => {
             const now = clock.now();
-            this.parts.setView(viewAfterFailure(this.parts.view(), now));
+            this.dependencies.setView(
+              viewAfterFailure(this.dependencies.view(), now),
+            );
             return false;
           }),
         ),
@@ -101,21 +105,21 @@
   private renewals(
     now: number,
   ): { readonly attempt: string; readonly until: number }[] {
-    const { state, ledger, mayRenew, worker } = this.parts;
-    // A silent worker is probed without renewals, so that the leases there
-    // lapse at a known time.
-    if (!mayRenew(now) || this.parts.view().failingSince > 0) {
+    const { state, grantedLeases, mayRenew, worker } = this.dependencies;
+    // A worker that does not respond is polled without renewals, so that its
+    // leases expire at a known time.
+    if (!mayRenew(now) || this.dependencies.view().failingSince > 0) {
       return [];
     }
     const { taskLeaseSeconds } = state.fold.configuration.limits;
     const until = now + taskLeaseSeconds * 1000;
-    const { tasks } = this.parts.view();
-    // An attempt that the worker does not know must be able to lapse.
+    const { tasks } = this.dependencies.view();
+    // The lease of an attempt that the worker does not report must expire.
     const running = state.fold.scheduling
       .attemptsOn(worker)
       .filter(({ id }) => tasks.get(id)?.state === 'running');
     return running.map(({ id }) => {
-      ledger.grant(id, until);
+      grantedLeases.grant(id, until);
       return { attempt: id, until };
     });
   }
@@ -124,12 +128,13 @@
     platformWorker: PlatformWorker,
     report: WorkerReport,
   ): Effect.Effect<void> {
-    const { clock, state, ledger, learner, worker } = this.parts;
+    const { clock, state, grantedLeases, estimator, worker } =
+      this.dependencies;
     const now = clock.now();
-    const view = viewAfterReport(this.parts.view(), report, now);
-    this.parts.setView(view);
-    this.learn(report, now);
-    if (!this.parts.mayDecide(now) || state.lag > 0) {
+    const view = viewAfterReport(this.dependencies.view(), report, now);
+    this.dependencies.setView(view);
+    this.updateFromReport(report, now);
+    if (!this.dependencies.mayDecide(now) || state.lag > 0) {
       return Effect.void;
     }
     const actions = reconcileWorker(
@@ -138,16 +143,16 @@
         configuration: state.fold.configuration,
         scheduling: state.fold.scheduling,
         view,
-        leases: ledger,
+        leases: grantedLeases,
         confirmed: this.confirmed,
       },
       now,
     );
     this.acknowledged = actions.acknowledged;
     for (const decision of actions.decisions) {
-      this.parts.propose(decision);
+      this.dependencies.propose(decision);
     }
-    learner.recordSamples(worker, report.usage);
+    estimator.recordSamples(worker, report.usage);
     const commands = [
       ...actions.starts.map(start => this.start(platformWorker, start)),
       ...actions.stops.map(stop => this.stop(platformWorker, stop)),
@@ -155,32 +160,33 @@
     return Effect.all(commands, { discard: true });
   }
 
-  private learn(report: WorkerReport, now: number): void {
-    const { learner, worker } = this.parts;
+  private updateFromReport(report: WorkerReport, now: number): void {
+    const { estimator, worker } = this.dependencies;
     const running = report.tasks.filter(({ state }) => state === 'running');
     for (const { attempt } of running) {
       this.confirmed.add(attempt);
     }
-    const present = new Set(report.tasks.map(({ attempt }) => attempt));
+    const reported = new Set(report.tasks.map(({ attempt }) => attempt));
     for (const attempt of this.confirmed) {
-      const known = this.parts.state.fold.scheduling.attempts.has(attempt);
-      if (!known && !present.has(attempt)) {
+      const isRecorded =
+        this.dependencies.state.fold.scheduling.attempts.has(attempt);
+      if (!isRecorded && !reported.has(attempt)) {
         this.confirmed.delete(attempt);
       }
     }
-    const neighbours = neighboursOf(this.parts.state.fold, running);
-    learner.recordRunning(worker, neighbours, now);
+    const neighbours = neighboursOf(this.dependencies.state.fold, running);
+    estimator.recordRunning(worker, neighbours, now);
   }
 
   private start(
     platformWorker: PlatformWorker,
     command: StartCommand,
   ): Effect.Effect<void> {
-    const { ledger, events, worker } = this.parts;
+    const { grantedLeases, events, worker } = this.dependencies;
     return Effect.suspend(() => {
-      ledger.grant(command.attempt, command.leaseUntil);
+      grantedLeases.grant(command.attempt, command.leaseUntil);
       const subject = { job: command.task, worker };
-      return this.attempt('worker.start', () =>
+      return this.callWorker('worker.start', () =>
         platformWorker.start(command),
       ).pipe(
         Effect.map(() => {
@@ -191,7 +197,7 @@
         Effect.zipRight(this.throttleAtStart(platformWorker, command)),
         Effect.catchAll(({ message }) =>
           Effect.sync(() => {
-            const text = `Start of ${command.attempt} unanswered: ${message}`;
+            const text = `No answer to the start of ${command.attempt}: ${message}`;
             events.record('attempt-started', text, subject);
           }),
         ),
@@ -199,17 +205,17 @@
     });
   }
 
-  /** A task that harms a service beside it starts with a smaller share. */
+  /** Throttles a starting task that interferes with a service on the VM. */
   private throttleAtStart(
     platformWorker: PlatformWorker,
     { attempt, taskKind, role }: StartCommand,
   ): Effect.Effect<void, PeerUnreachableError> {
-    const { state, worker, learner } = this.parts;
-    const share = startShare(state.fold, learner, worker, attempt, taskKind);
-    const isFree = role === 'service' || !this.parts.startsThrottled;
-    return isFree || share === 1
+    const { state, worker, estimator } = this.dependencies;
+    const share = startShare(state.fold, estimator, worker, attempt, taskKind);
+    const isExempt = role === 'service' || !this.dependencies.throttlesAtStart;
+    return isExempt || share === 1
       ? Effect.void
-      : this.attempt('worker.throttle', () =>
+      : this.callWorker('worker.throttle', () =>
           platformWorker.throttle(attempt, share),
         );
   }
@@ -218,7 +224,9 @@
     platformWorker: PlatformWorker,
     command: StopCommand,
   ): Effect.Effect<void> {
-    return this.attempt('worker.stop', () => platformWorker.stop(command)).pipe(
+    return this.callWorker('worker.stop', () =>
+      platformWorker.stop(command),
+    ).pipe(
       Effect.tap(() =>
         Effect.sync(() => {
           this.wake();
@@ -228,13 +236,14 @@
     );
   }
 
-  private attempt<Answer>(
+  private callWorker<Answer>(
     step: string,
     call: () => Promise<Answer>,
   ): Effect.Effect<Answer, PeerUnreachableError> {
     return Effect.tryPromise({
       try: call,
-      catch: error => new PeerUnreachableError(step, this.parts.worker, error),
+      catch: error =>
+        new PeerUnreachableError(step, this.dependencies.worker, error),
     });
   }
 }
--- a/packages/daemon/src/settings/parse-settings.ts
+++ b/packages/daemon/src/settings/parse-settings.ts
@@ -14,7 +14,7 @@
 
 function readWorker(
   section: CheckedSection | undefined,
-  place: SectionReader,
+  processReader: SectionReader,
 ): WorkerDescription | undefined {
   if (section === undefined) {
     return undefined;
@@ -23,9 +23,9 @@
   return {
     worker: reader.text('name'),
     address: reader.text('address'),
-    region: place.text('region'),
-    availabilityZone: place.text('availability-zone'),
-    rack: place.text('rack'),
+    region: processReader.text('region'),
+    availabilityZone: processReader.text('availability-zone'),
+    rack: processReader.text('rack'),
     resources: {
       processors: reader.number('processors'),
       memoryGigabytes: reader.number('memory-gigabytes'),
@@ -63,34 +63,34 @@
 /** Parses and checks the text of a settings file. */
 export function parseSettings(text: string): ParsedSettings {
   const { sections, problems } = checkIni(text, settingsFormat);
-  const find = (kind: string): CheckedSection | undefined =>
+  const findSection = (kind: string): CheckedSection | undefined =>
     sections.find(section => section.kind === kind);
-  const read = (kind: string): SectionReader => {
+  const readSection = (kind: string): SectionReader => {
     const fields =
       settingsFormat.find(section => section.kind === kind)?.fields ?? [];
     const fallbacks = new Map(
       fields.map(field => [field.key, field.fallback ?? '']),
     );
-    const missing = { kind, name: '', values: fallbacks };
-    return new SectionReader(find(kind) ?? missing);
+    const defaults = { kind, name: '', values: fallbacks };
+    return new SectionReader(findSection(kind) ?? defaults);
   };
-  const place = read('process');
-  const addresses = read('addresses');
-  const security = read('security');
-  const behaviour = read('behaviour');
+  const processReader = readSection('process');
+  const addresses = readSection('addresses');
+  const security = readSection('security');
+  const behaviour = readSection('behaviour');
   const settings: Settings = {
-    name: place.text('name'),
-    role: place.text('role') === 'agent' ? 'agent' : 'entry',
-    region: place.text('region'),
-    availabilityZone: place.text('availability-zone'),
-    rack: place.text('rack'),
+    name: processReader.text('name'),
+    role: processReader.text('role') === 'agent' ? 'agent' : 'entry',
+    region: processReader.text('region'),
+    availabilityZone: processReader.text('availability-zone'),
+    rack: processReader.text('rack'),
     controlAddress: addresses.text('control'),
     operatorsAddress: addresses.text('operators'),
     callersAddress: addresses.text('callers'),
     localAddress: addresses.text('local'),
     logAddress: addresses.text('log'),
     entries: addresses.list('entries'),
-    worker: readWorker(find('worker'), place),
+    worker: readWorker(findSection('worker'), processReader),
     keys: {
       current: security.text('key'),
       other: security.text('other-key'),
@@ -102,6 +102,9 @@
     noticeSeconds: behaviour.number('notice-seconds'),
     shutdownSeconds: behaviour.number('shutdown-seconds'),
   };
-  const more = [...checkRole(settings), ...checkEntries(settings)];
-  return { settings, problems: [...problems, ...more] };
+  const combinationProblems = [
+    ...checkRole(settings),
+    ...checkEntries(settings),
+  ];
+  return { settings, problems: [...problems, ...combinationProblems] };
 }
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -4,7 +4,7 @@
 import type { ScorerName } from '@basilcourse/scheduler/placement/scorers';
 import type { WorkerDescription } from '@basilcourse/shared-state/records/worker-description';
 
-/** Checked settings of one daemon. */
+/** Settings of one daemon. */
 export interface Settings {
   readonly name: string;
   readonly role: 'entry' | 'agent';
@@ -16,7 +16,7 @@
   readonly callersAddress: string;
   readonly localAddress: string;
   readonly logAddress: string;
-  /** Control addresses of some entries. */
+  /** Control addresses of some entries, used to join the deployment. */
   readonly entries: readonly string[];
   /** The worker on the same VM; undefined for an entry. */
   readonly worker: WorkerDescription | undefined;
--- a/packages/daemon/tests/node/announcement-check.test.ts
+++ b/packages/daemon/tests/node/announcement-check.test.ts
@@ -3,7 +3,7 @@
 
 import { announcementCheck } from '../../src/node/announcement-check.js';
 
-const right = {
+const validAnnouncement = {
   service: 'labels',
   attempt: 'service/labels/0#1',
   address: '127.0.0.1:80',
@@ -12,30 +12,30 @@
   leaving: false,
 };
 
-const wrong = [
-  { ...right, service: '__proto__' },
-  { ...right, service: 'UPPER' },
-  { ...right, attempt: '' },
-  { ...right, address: 'localhost' },
-  { ...right, address: '127.0.0.1:99999' },
-  { ...right, slots: 0 },
-  { ...right, slots: 1.5 },
-  { ...right, connections: 70_000 },
-  { ...right, leaving: 'no' },
+const invalidBodies = [
+  { ...validAnnouncement, service: '__proto__' },
+  { ...validAnnouncement, service: 'UPPER' },
+  { ...validAnnouncement, attempt: '' },
+  { ...validAnnouncement, address: 'localhost' },
+  { ...validAnnouncement, address: '127.0.0.1:99999' },
+  { ...validAnnouncement, slots: 0 },
+  { ...validAnnouncement, slots: 1.5 },
+  { ...validAnnouncement, connections: 70_000 },
+  { ...validAnnouncement, leaving: 'no' },
   [],
   undefined,
 ];
 
 t.test('announcements', t => {
-  t.equal(announcementCheck(right), '');
-  t.equal(announcementCheck({ ...right, left: true }), '');
-  for (const body of wrong) {
+  t.equal(announcementCheck(validAnnouncement), '');
+  t.equal(announcementCheck({ ...validAnnouncement, left: true }), '');
+  for (const body of invalidBodies) {
     t.not(announcementCheck(body), '', JSON.stringify(body));
   }
   t.end();
 });
 
-t.test('any body is judged', t => {
+t.test('any body gets a string as the result', t => {
   fc.assert(
     fc.property(
       fc.oneof(
--- a/packages/daemon/tests/relay/choose-source.test.ts
+++ b/packages/daemon/tests/relay/choose-source.test.ts
@@ -40,17 +40,17 @@
   t.end();
 });
 
-t.test('when the reader is gone another takes its place', t => {
+t.test('when the reader is dead or fails, another entry reads the store', t => {
   const zone = [member('a'), member('b')];
   const reader = zone.find(own => chooseSource(own, zone, 0).kind === 'store');
   const other = zone.find(own => own !== reader);
   if (reader === undefined || other === undefined) {
-    t.fail('no reader');
+    t.fail('no entry reads the store');
     t.end();
     return;
   }
-  const dead = { ...reader, state: 'dead' as const };
-  t.equal(chooseSource(other, [dead, other], 0).kind, 'store');
+  const departed = { ...reader, state: 'dead' as const };
+  t.equal(chooseSource(other, [departed, other], 0).kind, 'store');
   t.equal(chooseSource(other, zone, 1).kind, 'store');
   t.end();
 });
--- a/packages/daemon/tests/settings/parse-settings.test.ts
+++ b/packages/daemon/tests/settings/parse-settings.test.ts
@@ -3,7 +3,7 @@
 
 import { parseSettings } from '../../src/settings/parse-settings.js';
 
-const entry = `
+const entrySettings = `
 [process]
 name = entry-1
 role = entry
@@ -19,8 +19,8 @@
 key = a key
 `;
 
-t.test('a right file has no problems', t => {
-  const { settings, problems } = parseSettings(entry);
+t.test('a valid file has no problems', t => {
+  const { settings, problems } = parseSettings(entrySettings);
   t.same(problems, []);
   t.same(settings.entries, ['127.0.0.1:7000', '127.0.0.1:7010']);
   t.equal(settings.routing, 'expected-time');
@@ -28,22 +28,22 @@
   t.end();
 });
 
-const wrong = [
-  entry.replace('role = entry', 'role = agent'),
-  entry.replace('role = entry', 'role = entrance'),
-  entry.replace('control = 127.0.0.1:7000', 'control = here:7000'),
-  entry.replace('7000, 127.0.0.1:7010', '7000, nowhere'),
-  entry.replace('key = a key', 'kee = a key'),
-  entry.replace('name = entry-1', 'name = Entry One'),
-  entry.replace('[security]\nkey = a key\n', ''),
+const invalidSettings = [
+  entrySettings.replace('role = entry', 'role = agent'),
+  entrySettings.replace('role = entry', 'role = entrance'),
+  entrySettings.replace('control = 127.0.0.1:7000', 'control = here:7000'),
+  entrySettings.replace('7000, 127.0.0.1:7010', '7000, nowhere'),
+  entrySettings.replace('key = a key', 'kee = a key'),
+  entrySettings.replace('name = entry-1', 'name = Entry One'),
+  entrySettings.replace('[security]\nkey = a key\n', ''),
 ];
 
-t.test('a wrong file is told with file, section, key, found and allowed', t => {
-  const told = wrong.flatMap(text => {
+t.test('a problem names file, section, key, found and allowed', t => {
+  const reported = invalidSettings.flatMap(text => {
     const { problems } = parseSettings(text);
     t.not(problems.length, 0);
     return problems.map(problem => formatProblem('entry.ini', problem));
   });
-  t.matchSnapshot(told.join('\n'));
+  t.matchSnapshot(reported.join('\n'));
   t.end();
 });
--- a/packages/proving/src/measure/colocation/run-case.ts
+++ b/packages/proving/src/measure/colocation/run-case.ts
@@ -72,7 +72,7 @@
   });
   if (one.oracle) {
     for (const process of run.processes) {
-      teach(process.holder.learner, behaviour);
+      teach(process.holder.estimator, behaviour);
     }
   }
   const samples = new RunSamples();
--- a/packages/proving/src/stepped/stepped-process.ts
+++ b/packages/proving/src/stepped/stepped-process.ts
@@ -1,6 +1,6 @@
 import { describeDecision } from '@basilcourse/daemon/node/describe-decision';
-import { CellHolder } from '@basilcourse/daemon/scheduling/cell-holder';
-import { LeaseKeeper } from '@basilcourse/daemon/scheduling/lease-keeper';
+import { CellScheduler } from '@basilcourse/daemon/scheduling/cell-scheduler';
+import { LeaseManager } from '@basilcourse/daemon/scheduling/lease-manager';
 import type { Clock } from '@basilcourse/foundation/clock/clock';
 import { PeerUnreachableError } from '@basilcourse/foundation/errors/peer-unreachable-error';
 import { EventRing } from '@basilcourse/foundation/events/event-ring';
@@ -47,9 +47,9 @@
 
   public readonly events: EventRing;
 
-  public readonly holder: CellHolder;
+  public readonly holder: CellScheduler;
 
-  public readonly lease: LeaseKeeper;
+  public readonly lease: LeaseManager;
 
   public readonly appender: RecordAppender;
 
@@ -97,7 +97,7 @@
       random,
       writer: name,
     });
-    this.lease = new LeaseKeeper({
+    this.lease = new LeaseManager({
       ...common,
       cell,
       instance: name,
@@ -105,7 +105,7 @@
       identifiers: named,
       rank: () => parts.rank,
     });
-    this.holder = new CellHolder({
+    this.holder = new CellScheduler({
       ...common,
       cell,
       lease: this.lease,
@@ -115,7 +115,7 @@
       workerAt: address => this.guardedWorker(address),
       storeReachable: () => health.reachable,
       placement: parts.placement,
-      throttlesStarts: parts.throttlesStarts,
+      throttlesAtStart: parts.throttlesStarts,
     });
     this.followed = followStore({
       ...common,
--- a/tap-snapshots/packages/daemon/dist/tests/settings/parse-settings.test.js.test.cjs
+++ b/tap-snapshots/packages/daemon/dist/tests/settings/parse-settings.test.js.test.cjs
@@ -5,7 +5,7 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`packages/daemon/dist/tests/settings/parse-settings.test.js > TAP > a wrong file is told with file, section, key, found and allowed > must match snapshot 1`] = `
+exports[`packages/daemon/dist/tests/settings/parse-settings.test.js > TAP > a problem names file, section, key, found and allowed > must match snapshot 1`] = `
 entry.ini:0 [worker] name: found no such section; allowed: a worker section, as the role is agent
 entry.ini:4 [process] role: found entrance; allowed: entry, agent
 entry.ini:8 [addresses] control: found here:7000; allowed: an IP number and port, as 127.0.0.1:7000
