refactor(command-line): plain terms for the entry client and printing

Names and comments spoke of a gateway, complaints, guarded work and entries that tell of something.

| before | after | |---|---| | EntryGateway (gateway/entry-gateway) | EntryClient (client/entry-client) | | BaseCommand.gateway | BaseCommand.client | | BaseCommand.complain | BaseCommand.printError | | BaseCommand.guarded | BaseCommand.handleErrors | | isWantedEvent | matchesFilter |

Output: "The text of note … is valid.", "No note … was published." and "It is unknown whether the note was published: …" replace their older texts; no test matches them. Commands, flags, usage texts, table heads and step names stay.

The parameter `noted` stays, as it is on the list of outward names.

The package has no tests; it was compiled and linted.

--- a/packages/command-line/src/client/entry-client.ts
+++ b/packages/command-line/src/client/entry-client.ts
@@ -4,14 +4,14 @@
 import { callJson } from '@basilcourse/foundation/http/call-json';
 import type { JsonCall } from '@basilcourse/foundation/http/json-call';
 
-/** Wait for an answer that needs no append. */
+/** Time limit for a call that needs no append. */
 const READ_TIMEOUT_MILLISECONDS = 5000;
 
-/** Calls any entry: the next one is tried when one is dead or mute. */
-export class EntryGateway {
+/** Calls the first entry that answers, in the order of the addresses. */
+export class EntryClient {
   public constructor(
     private readonly addresses: readonly string[],
-    private readonly warn: (sentence: string) => void,
+    private readonly reportFailure: (message: string) => void,
   ) {}
 
   /**
@@ -38,7 +38,7 @@
         if (error instanceof PeerRefusedError) {
           throw error;
         }
-        this.warn(messageOf(error));
+        this.reportFailure(messageOf(error));
       }
     }
     const peers = this.addresses.join(', ');
--- a/packages/command-line/src/commands/base-command.ts
+++ b/packages/command-line/src/commands/base-command.ts
@@ -2,13 +2,13 @@
 import { isAddress } from '@basilcourse/foundation/settings/field-checks';
 import { Command, Option, UsageError } from 'clipanion';
 
+import { EntryClient } from '../client/entry-client.js';
 import { ExitCode } from '../exit-code.js';
-import { EntryGateway } from '../gateway/entry-gateway.js';
 
-/** Environment variable that names the entries. */
+/** Environment variable with the operators' addresses of entries. */
 const ENTRIES_VARIABLE = 'BASILCOURSE_ENTRIES';
 
-/** Base of the commands that talk to an entry. */
+/** Base class of all commands. */
 export abstract class BaseCommand extends Command {
   public entries = Option.String('--entries', {
     description: `Operators' addresses of entries, separated by commas; by default from ${ENTRIES_VARIABLE}.`,
@@ -19,7 +19,7 @@
     description: 'Writes JSON for scripts.',
   });
 
-  protected get gateway(): EntryGateway {
+  protected get client(): EntryClient {
     const addresses = (this.entries ?? '')
       .split(',')
       .map(address => address.trim())
@@ -29,12 +29,12 @@
         `Name at least one entry by --entries or ${ENTRIES_VARIABLE}.`,
       );
     }
-    const wrong = addresses.find(address => !isAddress(address));
-    if (wrong !== undefined) {
-      throw new UsageError(`${wrong} is not an IP number and port.`);
+    const invalid = addresses.find(address => !isAddress(address));
+    if (invalid !== undefined) {
+      throw new UsageError(`${invalid} is not an IP number and port.`);
     }
-    return new EntryGateway(addresses, sentence => {
-      this.complain(sentence);
+    return new EntryClient(addresses, failure => {
+      this.printError(failure);
     });
   }
 
@@ -42,7 +42,7 @@
     this.context.stdout.write(`${line}\n`);
   }
 
-  protected complain(line: string): void {
+  protected printError(line: string): void {
     this.context.stderr.write(`${line}\n`);
   }
 
@@ -50,12 +50,12 @@
     this.print(JSON.stringify(value, undefined, 2));
   }
 
-  /** Runs the work and turns errors into a line and an exit code. */
-  protected async guarded(work: () => Promise<number>): Promise<number> {
+  /** Runs an action; an error is printed and turned into an exit code. */
+  protected async handleErrors(action: () => Promise<number>): Promise<number> {
     try {
-      return await work();
+      return await action();
     } catch (error) {
-      this.complain(messageOf(error));
+      this.printError(messageOf(error));
       return error instanceof UsageError ? ExitCode.usage : ExitCode.refused;
     }
   }
--- a/packages/command-line/src/commands/explain-command.ts
+++ b/packages/command-line/src/commands/explain-command.ts
@@ -28,7 +28,7 @@
   public subject = Option.String();
 
   public override execute(): Promise<number> {
-    return this.guarded(() => {
+    return this.handleErrors(() => {
       if (!KINDS.includes(this.kind)) {
         throw new UsageError(`Explain one of ${KINDS.join(', ')}.`);
       }
@@ -39,28 +39,28 @@
   }
 
   private async explainRequest(): Promise<number> {
-    const { events, missing } = await gatherEvents(this.gateway, 0);
-    const own = events.filter(({ request }) =>
+    const { events, missing } = await gatherEvents(this.client, 0);
+    const requestEvents = events.filter(({ request }) =>
       request?.startsWith(this.subject),
     );
-    for (const sentence of missing) {
-      this.complain(sentence);
+    for (const gap of missing) {
+      this.printError(gap);
     }
-    if (own.length === 0) {
-      this.complain(`No process has an event of request ${this.subject}.`);
+    if (requestEvents.length === 0) {
+      this.printError(`No process has an event of request ${this.subject}.`);
       return ExitCode.refused;
     }
     if (this.json) {
-      this.printJson(own);
+      this.printJson(requestEvents);
     } else {
-      this.print(formatEvents(own));
+      this.print(formatEvents(requestEvents));
     }
     return ExitCode.done;
   }
 
   private async explainSubject(): Promise<number> {
     const path = `/explain?subject=${encodeURIComponent(this.subject)}`;
-    const view = (await this.gateway.get(
+    const view = (await this.client.get(
       'operator.explain',
       path,
     )) as ExplanationView;
--- a/packages/command-line/src/commands/note-check-command.ts
+++ b/packages/command-line/src/commands/note-check-command.ts
@@ -17,20 +17,20 @@
   public file = Option.String();
 
   public override execute(): Promise<number> {
-    return this.guarded(async () => {
+    return this.handleErrors(async () => {
       const { note, problems } = await readNoteFile(this.file);
       if (this.json) {
         this.printJson({ name: note.name, problems });
       } else {
         for (const problem of problems) {
-          this.complain(problem);
+          this.printError(problem);
         }
       }
       if (problems.length > 0) {
         return ExitCode.refused;
       }
       if (!this.json) {
-        this.print(`The text of note ${note.name} is right.`);
+        this.print(`The text of note ${note.name} is valid.`);
       }
       return ExitCode.done;
     });
--- a/packages/command-line/src/commands/note-difference-command.ts
+++ b/packages/command-line/src/commands/note-difference-command.ts
@@ -21,15 +21,15 @@
   public file = Option.String();
 
   public override execute(): Promise<number> {
-    return this.guarded(async () => {
+    return this.handleErrors(async () => {
       const { note, problems } = await readNoteFile(this.file);
       if (problems.length > 0) {
         for (const problem of problems) {
-          this.complain(problem);
+          this.printError(problem);
         }
         return ExitCode.refused;
       }
-      const view = (await this.gateway.get(
+      const view = (await this.client.get(
         'operator.in-force',
         '/configuration',
       )) as ConfigurationView;
--- a/packages/command-line/src/commands/note-history-command.ts
+++ b/packages/command-line/src/commands/note-history-command.ts
@@ -16,8 +16,8 @@
   });
 
   public override execute(): Promise<number> {
-    return this.guarded(async () => {
-      const notes = (await this.gateway.get(
+    return this.handleErrors(async () => {
+      const notes = (await this.client.get(
         'operator.notes',
         '/notes',
       )) as readonly NoteVerdictView[];
--- a/packages/command-line/src/commands/note-in-force-command.ts
+++ b/packages/command-line/src/commands/note-in-force-command.ts
@@ -16,8 +16,8 @@
   });
 
   public override execute(): Promise<number> {
-    return this.guarded(async () => {
-      const view = (await this.gateway.get(
+    return this.handleErrors(async () => {
+      const view = (await this.client.get(
         'operator.in-force',
         '/configuration',
       )) as ConfigurationView;
--- a/packages/command-line/src/commands/note-publish-command.ts
+++ b/packages/command-line/src/commands/note-publish-command.ts
@@ -11,7 +11,7 @@
 
 const PUBLISH_TIMEOUT_MILLISECONDS = 15_000;
 
-const HTTP_UNKNOWN = 504;
+const HTTP_GATEWAY_TIMEOUT = 504;
 
 /** `basilcourse release-note publish`. */
 export class NotePublishCommand extends BaseCommand {
@@ -37,11 +37,11 @@
   });
 
   public override execute(): Promise<number> {
-    return this.guarded(async () => {
+    return this.handleErrors(async () => {
       const { text, problems } = await readNoteFile(this.file);
       if (problems.length > 0) {
         for (const problem of problems) {
-          this.complain(problem);
+          this.printError(problem);
         }
         return ExitCode.refused;
       }
@@ -51,7 +51,7 @@
 
   private async publish(text: string, id: string): Promise<number> {
     try {
-      const verdict = (await this.gateway.call({
+      const verdict = (await this.client.call({
         step: 'operator.publish',
         method: 'POST',
         path: '/release-notes',
@@ -60,18 +60,21 @@
       })) as NoteVerdictView;
       return this.report(verdict);
     } catch (error) {
-      if (error instanceof PeerRefusedError && error.status !== HTTP_UNKNOWN) {
-        this.complain(error.message);
+      if (
+        error instanceof PeerRefusedError &&
+        error.status !== HTTP_GATEWAY_TIMEOUT
+      ) {
+        this.printError(error.message);
         return ExitCode.refused;
       }
-      return this.findOut(id, messageOf(error));
+      return this.findVerdict(id, messageOf(error));
     }
   }
 
-  /** Asks whether the note got in although its answer was lost. */
-  private async findOut(id: string, reason: string): Promise<number> {
+  /** Looks for the verdict on a note whose publication got no answer. */
+  private async findVerdict(id: string, reason: string): Promise<number> {
     try {
-      const notes = (await this.gateway.get(
+      const notes = (await this.client.get(
         'operator.notes',
         '/notes',
       )) as readonly NoteVerdictView[];
@@ -80,10 +83,10 @@
         return this.report(verdict);
       }
     } catch (error) {
-      this.complain(messageOf(error));
+      this.printError(messageOf(error));
     }
-    this.complain(`Not known whether the note got in: ${reason}`);
-    this.complain(`Publish again with --id ${id} to find out.`);
+    this.printError(`It is unknown whether the note was published: ${reason}`);
+    this.printError(`Publish again with --id ${id} to find out.`);
     return ExitCode.unknown;
   }
 
@@ -95,9 +98,9 @@
         `Note ${verdict.name} is in force as revision ${verdict.revision}.`,
       );
     } else {
-      this.complain(`Note ${verdict.name} was rejected:`);
+      this.printError(`Note ${verdict.name} was rejected:`);
       for (const reason of verdict.reasons) {
-        this.complain(`  ${reason}`);
+        this.printError(`  ${reason}`);
       }
     }
     return verdict.accepted ? ExitCode.done : ExitCode.refused;
--- a/packages/command-line/src/commands/note-show-command.ts
+++ b/packages/command-line/src/commands/note-show-command.ts
@@ -17,8 +17,8 @@
   public noteName = Option.String();
 
   public override execute(): Promise<number> {
-    return this.guarded(async () => {
-      const notes = (await this.gateway.get(
+    return this.handleErrors(async () => {
+      const notes = (await this.client.get(
         'operator.notes',
         '/notes',
       )) as readonly NoteVerdictView[];
@@ -26,7 +26,7 @@
         ({ name, id }) => name === this.noteName || id === this.noteName,
       );
       if (found === undefined) {
-        this.complain(`No note ${this.noteName} is known.`);
+        this.printError(`No note ${this.noteName} was published.`);
         return ExitCode.refused;
       }
       if (this.json) {
--- a/packages/command-line/src/commands/status-command.ts
+++ b/packages/command-line/src/commands/status-command.ts
@@ -16,8 +16,8 @@
   });
 
   public override execute(): Promise<number> {
-    return this.guarded(async () => {
-      const status = (await this.gateway.get(
+    return this.handleErrors(async () => {
+      const status = (await this.client.get(
         'operator.status',
         '/status',
       )) as StatusView;
--- a/packages/command-line/src/commands/timeline-command.ts
+++ b/packages/command-line/src/commands/timeline-command.ts
@@ -5,13 +5,13 @@
 
 import { ExitCode } from '../exit-code.js';
 import type { EventFilter } from '../timeline/event-filter.js';
-import { isWantedEvent } from '../timeline/event-filter.js';
+import { matchesFilter } from '../timeline/event-filter.js';
 import { formatEvents } from '../timeline/format-events.js';
 import { gatherEvents } from '../timeline/gather-events.js';
 import { timelinePage } from '../timeline/timeline-page.js';
 import { BaseCommand } from './base-command.js';
 
-const FOLLOW_MILLISECONDS = 1000;
+const FOLLOW_INTERVAL_MILLISECONDS = 1000;
 
 const formats = {
   text: formatEvents,
@@ -62,21 +62,21 @@
   });
 
   public override execute(): Promise<number> {
-    return this.guarded(async () => {
+    return this.handleErrors(async () => {
       const { format } = this;
       if (!isFormat(format)) {
-        const known = Object.keys(formats).join(', ');
-        throw new UsageError(`--format is one of ${known}.`);
+        const choices = Object.keys(formats).join(', ');
+        throw new UsageError(`--format is one of ${choices}.`);
       }
       const filter = this.filter();
-      const gathered = await gatherEvents(this.gateway, 0);
-      for (const sentence of gathered.missing) {
-        this.complain(sentence);
+      const gathered = await gatherEvents(this.client, 0);
+      for (const gap of gathered.missing) {
+        this.printError(gap);
       }
-      const wanted = gathered.events.filter(event =>
-        isWantedEvent(event, filter),
+      const matching = gathered.events.filter(event =>
+        matchesFilter(event, filter),
       );
-      await this.write(formats[format](wanted));
+      await this.write(formats[format](matching));
       if (this.follow) {
         await this.followFrom(gathered.events, filter);
       }
@@ -102,25 +102,27 @@
   }
 
   private async followFrom(
-    shown: readonly Event[],
+    shownEvents: readonly Event[],
     filter: EventFilter,
   ): Promise<void> {
-    const seen = new Map<string, number>();
-    const note = (event: Event): void => {
-      const last = seen.get(event.process) ?? 0;
-      seen.set(event.process, Math.max(last, event.sequence));
+    const lastSequences = new Map<string, number>();
+    const recordSequence = (event: Event): void => {
+      const last = lastSequences.get(event.process) ?? 0;
+      lastSequences.set(event.process, Math.max(last, event.sequence));
     };
-    shown.forEach(note);
+    shownEvents.forEach(recordSequence);
     for (;;) {
-      await new Promise(resolve => setTimeout(resolve, FOLLOW_MILLISECONDS));
-      const { events } = await gatherEvents(this.gateway, 0);
-      const fresh = events.filter(
-        event => event.sequence > (seen.get(event.process) ?? 0),
+      await new Promise(resolve =>
+        setTimeout(resolve, FOLLOW_INTERVAL_MILLISECONDS),
       );
-      fresh.forEach(note);
-      const wanted = fresh.filter(event => isWantedEvent(event, filter));
-      if (wanted.length > 0) {
-        this.print(formatEvents(wanted));
+      const { events } = await gatherEvents(this.client, 0);
+      const newEvents = events.filter(
+        event => event.sequence > (lastSequences.get(event.process) ?? 0),
+      );
+      newEvents.forEach(recordSequence);
+      const matching = newEvents.filter(event => matchesFilter(event, filter));
+      if (matching.length > 0) {
+        this.print(formatEvents(matching));
       }
     }
   }
--- a/packages/command-line/src/create-cli.ts
+++ b/packages/command-line/src/create-cli.ts
@@ -11,7 +11,7 @@
 import { StatusCommand } from './commands/status-command.js';
 import { TimelineCommand } from './commands/timeline-command.js';
 
-/** Wires the commands of the tool. */
+/** Creates the command-line tool with all its commands. */
 export function createCli(): Cli {
   const cli = new Cli({
     binaryLabel: 'basilcourse',
--- a/packages/command-line/src/exit-code.ts
+++ b/packages/command-line/src/exit-code.ts
@@ -1,4 +1,4 @@
-/** Exit codes of the tool. */
+/** Exit codes of the command-line tool. */
 export const ExitCode = {
   done: 0,
   refused: 1,
--- a/packages/command-line/src/explain/explanation-view.ts
+++ b/packages/command-line/src/explain/explanation-view.ts
@@ -1,4 +1,4 @@
-/** Decisions about a subject as an entry tells of them. */
+/** Decisions about a subject, as returned by an entry. */
 export interface ExplanationView {
   readonly subject: string;
   readonly tasks: readonly {
--- a/packages/command-line/src/explain/format-explanation.ts
+++ b/packages/command-line/src/explain/format-explanation.ts
@@ -1,8 +1,15 @@
 import { formatTable } from '../format/format-table.js';
 import type { ExplanationView } from './explanation-view.js';
 
-function describe(decision: Readonly<Record<string, unknown>>): string {
-  const named = ['task', 'attemptId', 'worker', 'condition', 'outcome', 'cell']
+function formatDecision(decision: Readonly<Record<string, unknown>>): string {
+  const subjects = [
+    'task',
+    'attemptId',
+    'worker',
+    'condition',
+    'outcome',
+    'cell',
+  ]
     .flatMap(key => {
       const value = decision[key];
       return typeof value === 'string' ? [value] : [];
@@ -10,10 +17,12 @@
     .join(' ');
   const { type, reason } = decision;
   const because = typeof reason === 'string' && reason !== '' ? reason : '';
-  return [String(type), named, because].filter(text => text !== '').join(': ');
+  return [String(type), subjects, because]
+    .filter(text => text !== '')
+    .join(': ');
 }
 
-/** Writes the chain of decisions about a subject for people. */
+/** Formats the decisions about a subject as text. */
 export function formatExplanation(view: ExplanationView): string {
   const tasks = view.tasks.map(task => {
     const state = task.finished ? 'finished' : task.lastOutcome;
@@ -31,8 +40,8 @@
       String(entry.offset),
       entry.by,
       entry.voidBecause === ''
-        ? describe(entry.decision)
-        : `${describe(entry.decision)} (void: ${entry.voidBecause})`,
+        ? formatDecision(entry.decision)
+        : `${formatDecision(entry.decision)} (void: ${entry.voidBecause})`,
     ]),
   ]);
   return [...tasks, ...attempts, '', decisions].join('\n');
--- a/packages/command-line/src/format/format-table.ts
+++ b/packages/command-line/src/format/format-table.ts
@@ -1,4 +1,4 @@
-/** Writes rows as a table with aligned columns; the first row is the head. */
+/** Formats rows as a table with aligned columns. */
 export function formatTable(rows: readonly (readonly string[])[]): string {
   const columns = Math.max(0, ...rows.map(row => row.length));
   const widths = Array.from({ length: columns }, (_, column) =>
--- a/packages/command-line/src/note/configuration-view.ts
+++ b/packages/command-line/src/note/configuration-view.ts
@@ -3,7 +3,7 @@
 import type { Service } from '@basilcourse/shared-state/release-note/service';
 import type { Team } from '@basilcourse/shared-state/release-note/team';
 
-/** The configuration in force as an entry tells of it. */
+/** The configuration in force, as returned by an entry. */
 export interface ConfigurationView {
   readonly revision: number;
   readonly limits: Limits;
--- a/packages/command-line/src/note/note-difference.ts
+++ b/packages/command-line/src/note/note-difference.ts
@@ -2,27 +2,27 @@
 
 import type { ConfigurationView } from './configuration-view.js';
 
-interface Named {
+interface NamedItem {
   readonly name: string;
 }
 
 function compare(
   kind: string,
-  present: readonly Named[],
-  noted: readonly Named[],
+  inForce: readonly NamedItem[],
+  noted: readonly NamedItem[],
 ): readonly string[] {
-  const known = new Map(present.map(entry => [entry.name, entry]));
+  const inForceByName = new Map(inForce.map(entry => [entry.name, entry]));
   return noted.flatMap(entry => {
-    const before = known.get(entry.name);
-    if (before === undefined) {
+    const current = inForceByName.get(entry.name);
+    if (current === undefined) {
       return [`+ ${kind} ${entry.name}`];
     }
-    const same = JSON.stringify(before) === JSON.stringify(entry);
+    const same = JSON.stringify(current) === JSON.stringify(entry);
     return same ? [] : [`~ ${kind} ${entry.name}`];
   });
 }
 
-/** What a note would add (+), change (~) and withdraw (-). */
+/** Lists what a note would add (+), change (~) and withdraw (-). */
 export function noteDifference(
   inForce: ConfigurationView,
   note: ReleaseNote,
--- a/packages/command-line/src/note/note-verdict-view.ts
+++ b/packages/command-line/src/note/note-verdict-view.ts
@@ -1,4 +1,4 @@
-/** A published note as an entry tells of it. */
+/** A published release note and its verdict, as returned by an entry. */
 export interface NoteVerdictView {
   readonly id: string;
   readonly name: string;
--- a/packages/command-line/src/run-cli.ts
+++ b/packages/command-line/src/run-cli.ts
@@ -5,16 +5,16 @@
 
 import { ExitCode } from './exit-code.js';
 
-/** Runs the tool with arguments; wrong usage has an exit code of its own. */
+/** Runs a command and returns its exit code; invalid usage has its own code. */
 export async function runCli(
   cli: Cli,
-  words: string[],
+  commandArguments: string[],
   stdout: Writable,
   stderr: Writable,
 ): Promise<number> {
   const context = { ...CliDefaults.defaultContext, stdout, stderr };
   try {
-    const command = cli.process(words, context);
+    const command = cli.process(commandArguments, context);
     return await cli.run(command, context);
   } catch (error) {
     stderr.write(cli.error(error, { colored: false }));
--- a/packages/command-line/src/status/format-status.ts
+++ b/packages/command-line/src/status/format-status.ts
@@ -1,8 +1,8 @@
 import { formatTable } from '../format/format-table.js';
 import type { StatusView } from './status-view.js';
 
-/** Jobs listed in the table; the rest is counted. */
-const JOBS_SHOWN = 40;
+/** Maximum number of jobs in the table; the summary counts all jobs. */
+const MAXIMUM_JOBS_SHOWN = 40;
 
 function round(value: number): string {
   return String(Math.round(value * 10) / 10);
@@ -26,11 +26,11 @@
     counts.set(state, (counts.get(state) ?? 0) + 1);
   }
   const summary = [...counts].map(([state, count]) => `${count} ${state}`);
-  const open = status.jobs.filter(({ state }) => state !== 'finished');
+  const unfinished = status.jobs.filter(({ state }) => state !== 'finished');
   const table = formatTable([
     ['job', 'state', 'why'],
-    ...open
-      .slice(0, JOBS_SHOWN)
+    ...unfinished
+      .slice(0, MAXIMUM_JOBS_SHOWN)
       .map(entry => [entry.job, entry.state, entry.reason]),
   ]);
   return `jobs: ${summary.join(', ') || 'none'}\n${table}`;
@@ -74,7 +74,7 @@
   ]);
 }
 
-/** Writes the status for people. */
+/** Formats the status as text. */
 export function formatStatus(status: StatusView): string {
   const store = status.storeReachable ? 'answers' : 'does not answer';
   const head = `${status.process}: revision ${status.revision}, log ${store}, offset ${status.logNext}, ${status.logLag} behind`;
--- a/packages/command-line/src/status/status-view.ts
+++ b/packages/command-line/src/status/status-view.ts
@@ -4,7 +4,7 @@
   readonly accelerators: number;
 }
 
-/** The status as an entry tells of it. */
+/** The status of the deployment, as returned by an entry. */
 export interface StatusView {
   readonly process: string;
   readonly revision: number;
--- a/packages/command-line/src/timeline/event-filter.ts
+++ b/packages/command-line/src/timeline/event-filter.ts
@@ -1,6 +1,6 @@
 import type { Event } from '@basilcourse/foundation/events/event';
 
-/** Which events of a time line are wanted; undefined for any. */
+/** Conditions on the events to show; an undefined one is met by any event. */
 export interface EventFilter {
   readonly job: string | undefined;
   readonly request: string | undefined;
@@ -10,20 +10,20 @@
   readonly from: number | undefined;
 }
 
-function matches(
+function containsExpected(
   value: string | undefined,
-  wanted: string | undefined,
+  expected: string | undefined,
 ): boolean {
-  return wanted === undefined || value?.includes(wanted) === true;
+  return expected === undefined || value?.includes(expected) === true;
 }
 
-/** Tells whether an event is wanted. */
-export function isWantedEvent(event: Event, filter: EventFilter): boolean {
+/** Returns whether an event meets all conditions of a filter. */
+export function matchesFilter(event: Event, filter: EventFilter): boolean {
   return (
-    matches(event.job, filter.job) &&
-    matches(event.request, filter.request) &&
-    matches(event.worker, filter.worker) &&
-    matches(event.kind, filter.kind) &&
+    containsExpected(event.job, filter.job) &&
+    containsExpected(event.request, filter.request) &&
+    containsExpected(event.worker, filter.worker) &&
+    containsExpected(event.kind, filter.kind) &&
     (filter.from === undefined || event.timestamp.wall >= filter.from)
   );
 }
--- a/packages/command-line/src/timeline/format-events.ts
+++ b/packages/command-line/src/timeline/format-events.ts
@@ -2,7 +2,7 @@
 
 import { formatTable } from '../format/format-table.js';
 
-/** Writes events for people, one a line. */
+/** Formats events as text, one per line. */
 export function formatEvents(events: readonly Event[]): string {
   return formatTable(
     events.map(event => [
--- a/packages/command-line/src/timeline/gather-events.ts
+++ b/packages/command-line/src/timeline/gather-events.ts
@@ -3,7 +3,7 @@
 import { mergePages } from '@basilcourse/foundation/events/merge-pages';
 import { callJson } from '@basilcourse/foundation/http/call-json';
 
-import type { EntryGateway } from '../gateway/entry-gateway.js';
+import type { EntryClient } from '../client/entry-client.js';
 import type { GatheredEvents } from './gathered-events.js';
 
 const GATHER_TIMEOUT_MILLISECONDS = 3000;
@@ -38,7 +38,7 @@
   }
 }
 
-function complaintOf({ member, page, reason }: GatherResult): string[] {
+function gapsOf({ member, page, reason }: GatherResult): string[] {
   if (page === undefined) {
     return [`${member.id} is missing (${member.state}): ${reason}`];
   }
@@ -49,10 +49,10 @@
 
 /** Gathers the events of all processes in parallel and merges them. */
 export async function gatherEvents(
-  gateway: EntryGateway,
+  client: EntryClient,
   since: number,
 ): Promise<GatheredEvents> {
-  const members = (await gateway.get(
+  const members = (await client.get(
     'timeline.members',
     '/members',
   )) as readonly MemberView[];
@@ -64,7 +64,7 @@
   );
   return {
     events: mergePages(pages),
-    missing: results.flatMap(complaintOf),
+    missing: results.flatMap(gapsOf),
     bytes: pages.reduce((sum, page) => sum + JSON.stringify(page).length, 0),
     processes: pages.map(page => page.process),
   };
--- a/packages/command-line/src/timeline/gathered-events.ts
+++ b/packages/command-line/src/timeline/gathered-events.ts
@@ -3,9 +3,9 @@
 /** Events of all processes that answered, in causal order. */
 export interface GatheredEvents {
   readonly events: readonly Event[];
-  /** A sentence for each process that is missing or dropped events. */
+  /** A message for each process that is missing or dropped events. */
   readonly missing: readonly string[];
-  /** Bytes of the answers. */
+  /** Total size of the responses. */
   readonly bytes: number;
   readonly processes: readonly string[];
 }
--- a/packages/command-line/src/timeline/timeline-page.ts
+++ b/packages/command-line/src/timeline/timeline-page.ts
@@ -4,11 +4,11 @@
 
 const ROW_HEIGHT = 18;
 
-const TOP = 40;
+const HEADER_HEIGHT = 40;
 
 const TIME_WIDTH = 110;
 
-const LONGEST_LABEL = 60;
+const MAXIMUM_LABEL_LENGTH = 60;
 
 function escape(text: string): string {
   return text
@@ -28,9 +28,11 @@
   processes: readonly string[],
 ): string {
   const x = laneOf(processes, event.process);
-  const y = TOP + (index + 1) * ROW_HEIGHT;
+  const y = HEADER_HEIGHT + (index + 1) * ROW_HEIGHT;
   const time = new Date(event.timestamp.wall).toISOString().slice(11, 23);
-  const label = escape(`${event.kind} ${event.text}`.slice(0, LONGEST_LABEL));
+  const label = escape(
+    `${event.kind} ${event.text}`.slice(0, MAXIMUM_LABEL_LENGTH),
+  );
   return [
     `<text x="4" y="${y}" class="time">${time}</text>`,
     `<circle cx="${x + 4}" cy="${y - 4}" r="3"><title>${escape(event.text)}</title></circle>`,
@@ -38,11 +40,11 @@
   ].join('');
 }
 
-/** Writes events as one HTML page with a lane for each process. */
+/** Formats events as an HTML page with a lane for each process. */
 export function timelinePage(events: readonly Event[]): string {
   const processes = [...new Set(events.map(event => event.process))].sort();
   const width = TIME_WIDTH + processes.length * LANE_WIDTH;
-  const height = TOP + (events.length + 2) * ROW_HEIGHT;
+  const height = HEADER_HEIGHT + (events.length + 2) * ROW_HEIGHT;
   const lanes = processes.map(name => {
     const x = laneOf(processes, name) + 4;
     const head = `<text x="${x}" y="20" class="head">${escape(name)}</text>`;
