refactor(foundation): plainer comments and test titles

Private idioms at the line writer, the INI parser and the backoff are written out. Elements of lists are no longer called entries, which are processes in this project. Comments fit in 80 columns.

No exported name and no file name changes.

--- a/packages/foundation/src/events/event-ring.ts
+++ b/packages/foundation/src/events/event-ring.ts
@@ -43,7 +43,7 @@
     };
   };
 
-  /** Returns the events after the given sequence number, oldest first. */
+  /** Returns the retained events after a sequence number, oldest first. */
   public since(sequence: number): EventPage {
     const oldestSequence = Math.max(1, this.nextSequence - this.capacity);
     const first = Math.max(sequence + 1, oldestSequence);
--- a/packages/foundation/src/events/hybrid-clock.ts
+++ b/packages/foundation/src/events/hybrid-clock.ts
@@ -1,8 +1,8 @@
 import type { HybridTimestamp } from './hybrid-timestamp.js';
 
 /**
- * Timestamps further ahead of the local clock are ignored, so that a peer with a
- * wrong clock cannot move this clock far ahead.
+ * Timestamps further ahead of the local clock are ignored, so that a peer with
+ * a wrong clock cannot move this clock far ahead.
  */
 const MAXIMUM_FORWARD_SKEW_MILLISECONDS = 60_000;
 
@@ -22,7 +22,9 @@
     return this.last;
   }
 
-  /** Advances past a timestamp received from a peer, unless it is too far ahead. */
+  /**
+   * Advances past a timestamp received from a peer, unless it is too far ahead.
+   */
   public observe(received: HybridTimestamp, now: number): void {
     if (received.wall > now + MAXIMUM_FORWARD_SKEW_MILLISECONDS) {
       return;
--- a/packages/foundation/src/logging/line-writer.ts
+++ b/packages/foundation/src/logging/line-writer.ts
@@ -1,11 +1,13 @@
 import { write, writeSync } from 'node:fs';
 
-/** Lines that would exceed this size of the queue are dropped and counted. */
+/** Maximum size of the queue; lines that do not fit are dropped and counted. */
 const MAXIMUM_QUEUED_BYTES = 512 * 1024;
 
 const RETRY_DELAY_MILLISECONDS = 50;
 
-/** After this time, a pending write means that nobody reads the pipe. */
+/**
+ * Duration after which a pending write counts as stalled: the pipe is unread.
+ */
 const STALLED_WRITE_MILLISECONDS = 200;
 
 /** Error code of a write to a pipe that is currently full. */
@@ -24,7 +26,9 @@
 
   private writeScheduled = false;
 
-  /** Start of the write in progress, if there is one. */
+  /**
+   * Time at which the write in progress started; undefined when there is none.
+   */
   private writeStartedAt: number | undefined;
 
   private droppedLines = 0;
--- a/packages/foundation/src/random/pick-one.ts
+++ b/packages/foundation/src/random/pick-one.ts
@@ -1,9 +1,9 @@
 import type { RandomSource } from './random-source.js';
 
 /** Returns a random element of an array; undefined when the array is empty. */
-export function pickOne<Entry>(
-  entries: readonly Entry[],
+export function pickOne<Element>(
+  elements: readonly Element[],
   random: RandomSource,
-): Entry | undefined {
-  return entries[Math.floor(random.next() * entries.length)];
+): Element | undefined {
+  return elements[Math.floor(random.next() * elements.length)];
 }
--- a/packages/foundation/src/settings/check-ini.ts
+++ b/packages/foundation/src/settings/check-ini.ts
@@ -15,8 +15,9 @@
 type RawSection = ReadonlyMap<string, string>;
 
 function readSections(text: string): ReadonlyMap<string, RawSection> {
-  // The parser would nest sections at dots. Dots are replaced by a private-use
-  // character while parsing; no valid section name contains one.
+  // The parser splits section names at dots into nested sections. To prevent
+  // this, dots are replaced by a private-use character, which no valid section
+  // name contains, and restored after parsing.
   const parsed: unknown = parse(text.replaceAll('.', '\uE000'));
   const sections = new Map<string, RawSection>();
   for (const [name, values] of Object.entries(parsed as object)) {
--- a/packages/foundation/src/settings/section-reader.ts
+++ b/packages/foundation/src/settings/section-reader.ts
@@ -20,7 +20,7 @@
   public list(key: string): readonly string[] {
     return this.text(key)
       .split(',')
-      .map(entry => entry.trim())
-      .filter(entry => entry !== '');
+      .map(element => element.trim())
+      .filter(element => element !== '');
   }
 }
--- a/packages/foundation/src/util/jittered-backoff.ts
+++ b/packages/foundation/src/util/jittered-backoff.ts
@@ -1,6 +1,6 @@
 import type { RandomSource } from '../random/random-source.js';
 
-/** Limits of a retry delay before jitter. */
+/** Initial and maximum retry delay before jitter is applied. */
 export interface BackoffBounds {
   readonly initialMilliseconds: number;
   readonly maximumMilliseconds: number;
--- a/packages/foundation/tests/errors/never-connected.test.ts
+++ b/packages/foundation/tests/errors/never-connected.test.ts
@@ -9,19 +9,22 @@
   return new PeerUnreachableError('step', 'peer', cause);
 }
 
-t.test('errors that show that nothing was sent or nobody listens', t => {
-  const cases: readonly [unknown, boolean, boolean][] = [
-    [unreachableError('ECONNREFUSED'), true, true],
-    [unreachableError('EHOSTUNREACH'), true, false],
-    [unreachableError('ENETUNREACH'), true, false],
-    [unreachableError('ECONNRESET'), false, false],
-    [new PeerUnreachableError('step', 'peer', 'no answer'), false, false],
-    [new Error('ECONNREFUSED'), false, false],
-    ['ECONNREFUSED', false, false],
-  ];
-  for (const [error, never, refused] of cases) {
-    t.equal(neverConnected(error), never, String(error));
-    t.equal(connectionRefused(error), refused, String(error));
-  }
-  t.end();
-});
+t.test(
+  'errors are classified by whether a connection was made or refused',
+  t => {
+    const cases: readonly [unknown, boolean, boolean][] = [
+      [unreachableError('ECONNREFUSED'), true, true],
+      [unreachableError('EHOSTUNREACH'), true, false],
+      [unreachableError('ENETUNREACH'), true, false],
+      [unreachableError('ECONNRESET'), false, false],
+      [new PeerUnreachableError('step', 'peer', 'no answer'), false, false],
+      [new Error('ECONNREFUSED'), false, false],
+      ['ECONNREFUSED', false, false],
+    ];
+    for (const [error, never, refused] of cases) {
+      t.equal(neverConnected(error), never, String(error));
+      t.equal(connectionRefused(error), refused, String(error));
+    }
+    t.end();
+  },
+);
--- a/packages/foundation/tests/logging/create-logger.test.ts
+++ b/packages/foundation/tests/logging/create-logger.test.ts
@@ -20,7 +20,7 @@
  */
 const MAXIMUM_TURN_MILLISECONDS = 1000;
 
-/** The queue, the chunk being written, and the pipe. */
+/** Limits of the queue and of the chunk being written, plus the pipe size. */
 const MAXIMUM_OUTPUT_BYTES = 2 * 512 * 1024 + 64 * 1024;
 
 t.test('unread output does not block; dropped lines are reported', async t => {
--- a/packages/foundation/tests/settings/check-ini-fuzz.test.ts
+++ b/packages/foundation/tests/settings/check-ini-fuzz.test.ts
@@ -43,7 +43,7 @@
   fc.string(),
 );
 
-t.test('no text makes the check throw', t => {
+t.test('checking an arbitrary text never throws', t => {
   fc.assert(
     fc.property(fc.array(lines, { maxLength: 12 }), parts => {
       const { sections, problems } = checkIni(parts.join('\n'), definitions);
