refactor(shared-state): plainer comments and locals

"Tells whether" becomes "returns whether", "size" becomes "amount of resources", "cell holder" becomes "holder of the lease". "For ever", "goes on" and "comes about" are replaced. Event texts, reasons of void decisions, verdicts and format descriptions stay, as they are stored or compared.

No exported name and no file name changes.

--- a/packages/shared-state/src/configuration/apply-release-note.ts
+++ b/packages/shared-state/src/configuration/apply-release-note.ts
@@ -27,7 +27,7 @@
   });
 }
 
-function replaceAll<Named extends { readonly name: string }>(
+function setByName<Named extends { readonly name: string }>(
   target: Map<string, Named>,
   entries: readonly Named[],
 ): void {
@@ -49,18 +49,18 @@
 function applyAcceptedNote(state: ConfigurationState, note: ReleaseNote): void {
   state.revision += 1;
   state.limits = note.limits ?? state.limits;
-  replaceAll(state.shapes, note.shapes);
-  replaceAll(state.teams, note.teams);
+  setByName(state.shapes, note.shapes);
+  setByName(state.teams, note.teams);
   for (const name of note.withdrawn) {
     withdraw(state, name);
   }
-  replaceAll(state.services, note.services);
+  setByName(state.services, note.services);
   for (const job of note.jobs) {
     if (!state.jobsSince.has(job.name)) {
       state.jobsSince.set(job.name, state.revision);
     }
   }
-  replaceAll(state.jobs, note.jobs);
+  setByName(state.jobs, note.jobs);
   for (const worker of note.drained) {
     state.drained.add(worker);
   }
--- a/packages/shared-state/src/configuration/configuration-state.ts
+++ b/packages/shared-state/src/configuration/configuration-state.ts
@@ -12,7 +12,7 @@
 /** Maximum number of verdicts kept for `release-note history`. */
 const MAXIMUM_VERDICTS = 500;
 
-/** Mutable state behind the configuration; changed by the fold alone. */
+/** Mutable state behind the configuration; changed only by the fold. */
 export class ConfigurationState implements Configuration {
   public revision = 0;
 
--- a/packages/shared-state/src/configuration/is-task-in-force.ts
+++ b/packages/shared-state/src/configuration/is-task-in-force.ts
@@ -6,7 +6,7 @@
 } from '../scheduling/task-names.js';
 import type { Configuration } from './configuration.js';
 
-/** Tells whether the service or job of a task is in force. */
+/** Returns whether the service or job of a task is in force. */
 export function isTaskInForce(
   configuration: Configuration,
   task: string,
--- a/packages/shared-state/src/configuration/name-change.ts
+++ b/packages/shared-state/src/configuration/name-change.ts
@@ -1,4 +1,4 @@
-/** The most recent change to the named part of the configuration. */
+/** The most recent change to one named section of the configuration. */
 export interface NameChange {
   readonly revision: number;
   /** Name of the note that made the change. */
--- a/packages/shared-state/src/fold/apply-decisions.ts
+++ b/packages/shared-state/src/fold/apply-decisions.ts
@@ -13,7 +13,9 @@
   return handler(context, decision);
 }
 
-/** Applies the decisions of a cell's holder; void when its epoch has ended. */
+/**
+ * Applies a lease holder's decisions; they are void once its epoch has ended.
+ */
 export function applyDecisions(
   fold: FoldContext,
   body: DecisionsBody,
--- a/packages/shared-state/src/fold/decision-handlers.ts
+++ b/packages/shared-state/src/fold/decision-handlers.ts
@@ -9,7 +9,7 @@
 import { place } from './place.js';
 import { shouldKeepProgress } from './should-keep-progress.js';
 
-/** Applies a decision; returns why it is void, or an empty text. */
+/** Applies a decision; returns why it is void, or an empty string. */
 export type DecisionHandler<Type extends Decision['type']> = (
   context: DecisionContext,
   decision: Extract<Decision, { readonly type: Type }>,
--- a/packages/shared-state/src/fold/fold-context.ts
+++ b/packages/shared-state/src/fold/fold-context.ts
@@ -2,7 +2,7 @@
 import type { StoredRecord } from '../log/stored-record.js';
 import type { SchedulingState } from '../scheduling/scheduling-state.js';
 
-/** What a handler of the fold may read and change. */
+/** State that a handler of the fold may change, and the record to apply. */
 export interface FoldContext {
   readonly configuration: ConfigurationState;
   readonly scheduling: SchedulingState;
--- a/packages/shared-state/src/fold/recent-identifiers.ts
+++ b/packages/shared-state/src/fold/recent-identifiers.ts
@@ -5,7 +5,7 @@
 export class RecentIdentifiers {
   private readonly identifiers = new Set<string>();
 
-  /** Adds an identifier; false when it was present. */
+  /** Adds an identifier; returns false when it is already present. */
   public add(identifier: string): boolean {
     if (this.identifiers.has(identifier)) {
       return false;
--- a/packages/shared-state/src/fold/should-keep-progress.ts
+++ b/packages/shared-state/src/fold/should-keep-progress.ts
@@ -3,11 +3,11 @@
 import { isServiceTask } from '../scheduling/task-names.js';
 
 /**
- * Tells whether the progress of a task must be kept.
+ * Returns whether the progress of a task must be kept.
  *
- * That of a minion is kept for ever, so that the names of its attempts stay
- * unique. That of a withdrawn job can be dropped, as a job that is added again
- * gets another task name.
+ * The progress of a minion is never dropped, so that the names of its attempts
+ * stay unique. The progress of a withdrawn job can be dropped, because a job
+ * that is added again gets another task name.
  */
 export function shouldKeepProgress(
   state: { readonly configuration: Configuration },
--- a/packages/shared-state/src/fold/state-fold.ts
+++ b/packages/shared-state/src/fold/state-fold.ts
@@ -57,7 +57,7 @@
     return this.schedulingState;
   }
 
-  /** Tells whether a record with the identifier was applied. */
+  /** Returns whether a record with the identifier was applied. */
   public hasApplied(identifier: string): boolean {
     return (
       this.configurationIds.has(identifier) ||
--- a/packages/shared-state/src/follow/append-result.ts
+++ b/packages/shared-state/src/follow/append-result.ts
@@ -13,7 +13,7 @@
       readonly reason: string;
     }
   | {
-      /** Not sent, and never will be, as too many appends were waiting. */
+      /** Never sent, because too many appends were waiting. */
       readonly kind: 'dropped';
       readonly reason: string;
     };
--- a/packages/shared-state/src/follow/record-appender.ts
+++ b/packages/shared-state/src/follow/record-appender.ts
@@ -28,7 +28,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly events: EventRecorder;
-  /** Instance of the process; written into each record. */
+  /** Instance of this process; written into each record. */
   readonly writer: string;
 }
 
--- a/packages/shared-state/src/follow/recover-from-snapshot.ts
+++ b/packages/shared-state/src/follow/recover-from-snapshot.ts
@@ -44,8 +44,9 @@
 }
 
 /**
- * Restores the state from the newest verified snapshot in the log after
- * retention has dropped the next record to read; true when the state advanced.
+ * Restores the state from the newest verified snapshot in the log. Needed when
+ * retention has dropped the next record to read. Returns whether the state
+ * advanced.
  */
 export function recoverFromSnapshot(
   log: PlatformLog,
--- a/packages/shared-state/src/follow/shared-state.ts
+++ b/packages/shared-state/src/follow/shared-state.ts
@@ -18,7 +18,7 @@
     (outcome: FoldOutcome) => void
   >();
 
-  /** Highest end of the log that any source reported. */
+  /** Highest end of the log reported so far. */
   private highestEnd = 0;
 
   public get fold(): StateFold {
@@ -51,8 +51,8 @@
   }
 
   /**
-   * Replaces the fold by one restored from a snapshot when that is newer;
-   * returns whether it did.
+   * Replaces the fold by one restored from a snapshot if that one is newer.
+   * Returns whether the fold was replaced.
    */
   public replaceIfNewer(fold: StateFold): boolean {
     if (fold.next <= this.currentFold.next) {
--- a/packages/shared-state/src/follow/store-health.ts
+++ b/packages/shared-state/src/follow/store-health.ts
@@ -1,6 +1,6 @@
 import type { EventRecorder } from '@basilcourse/foundation/events/event-recorder';
 
-/** Tracks whether the platform's log answers one process. */
+/** Tracks whether one process can reach the platform's log. */
 export class StoreHealth {
   private failing = false;
 
--- a/packages/shared-state/src/lease/decide-lease-action.ts
+++ b/packages/shared-state/src/lease/decide-lease-action.ts
@@ -1,10 +1,10 @@
 import type { LeaseAction } from './lease-action.js';
 import type { LeaseObservation } from './lease-observation.js';
 
-/** Largest relative error assumed between the rates of two clocks. */
+/** Maximum assumed relative difference between the rates of two clocks. */
 export const CLOCK_DRIFT_SHARE = 0.01;
 
-/** Delay per rank, so that candidates do not claim simultaneously. */
+/** Delay per rank, which keeps candidates from claiming simultaneously. */
 const CLAIM_STAGGER_MILLISECONDS = 250;
 
 /** Renewals sent per duration of a lease. */
--- a/packages/shared-state/src/lease/holds-lease.ts
+++ b/packages/shared-state/src/lease/holds-lease.ts
@@ -2,13 +2,13 @@
 import type { LeaseObservation } from './lease-observation.js';
 
 /**
- * Tells whether a process may still act as the holder of a cell's lease.
+ * Returns whether a process may still act as the holder of a cell's lease.
  *
  * The fold voids the decisions of a former holder in any case; this check only
  * avoids sending them.
  *
- * @param confirmedAt - Time at which the most recent of the claims and renewals
- * that were read back was sent.
+ * @param confirmedAt - Time at which the process sent its most recent claim or
+ * renewal that has been read back from the log.
  */
 export function holdsLease(
   observation: LeaseObservation,
--- a/packages/shared-state/src/lease/lease-action.ts
+++ b/packages/shared-state/src/lease/lease-action.ts
@@ -1,2 +1,2 @@
-/** What a candidate for a cell's lease does next. */
+/** Next action of a candidate for a cell's lease. */
 export type LeaseAction = 'claim' | 'renew' | 'wait';
--- a/packages/shared-state/src/log/record-envelope.ts
+++ b/packages/shared-state/src/log/record-envelope.ts
@@ -10,7 +10,7 @@
     id: Type.String({ maxLength: MAXIMUM_IDENTIFIER_CHARACTERS }),
     kind: Type.String({ maxLength: MAXIMUM_IDENTIFIER_CHARACTERS }),
     version: Type.Integer({ minimum: 1 }),
-    /** Instance of the process that wrote it. */
+    /** Instance of the process that wrote the record. */
     writer: Type.String({ maxLength: MAXIMUM_IDENTIFIER_CHARACTERS }),
     /** Writer's clock in milliseconds since the epoch. */
     writtenAt: Type.Number(),
--- a/packages/shared-state/src/records/decision.ts
+++ b/packages/shared-state/src/records/decision.ts
@@ -20,7 +20,7 @@
 
 export type AttemptOutcome = Static<typeof AttemptOutcomeSchema>;
 
-/** Conditions of a worker, as decided by the holder of its cell. */
+/** Conditions of a worker, as decided by the holder of its cell's lease. */
 export const WorkerConditionSchema = Type.Union([
   Type.Literal('ready'),
   Type.Literal('probation'),
@@ -29,7 +29,7 @@
 
 export type WorkerCondition = Static<typeof WorkerConditionSchema>;
 
-/** One decision of a cell's holder. */
+/** One decision of the holder of a cell's lease. */
 export const DecisionSchema = Type.Union([
   Type.Object({
     type: Type.Readonly(Type.Literal('place')),
--- a/packages/shared-state/src/release-note/changed-names.ts
+++ b/packages/shared-state/src/release-note/changed-names.ts
@@ -1,6 +1,8 @@
 import type { ReleaseNote } from './release-note.js';
 
-/** Names that a note changes; concurrent notes that share a name conflict. */
+/**
+ * Names that a note changes; concurrent notes that change one name conflict.
+ */
 export function changedNames(note: ReleaseNote): readonly string[] {
   return [
     ...(note.limits === undefined ? [] : ['limits']),
--- a/packages/shared-state/src/release-note/check-note-against-configuration.ts
+++ b/packages/shared-state/src/release-note/check-note-against-configuration.ts
@@ -102,10 +102,10 @@
 }
 
 function checkQuota(team: Team, merged: MergedConfiguration): Problem[] {
-  const sizes = [...merged.services.values()]
+  const serviceResources = [...merged.services.values()]
     .filter(service => service.team === team.name)
     .map(service => multiply(service.resources, service.minions));
-  return fits(sumOf(sizes), team.quota)
+  return fits(sumOf(serviceResources), team.quota)
     ? []
     : [
         problem(
--- a/packages/shared-state/src/release-note/find-cycle.ts
+++ b/packages/shared-state/src/release-note/find-cycle.ts
@@ -15,8 +15,8 @@
     if (finished.has(name)) {
       return undefined;
     }
-    for (const previous of jobs.get(name)?.after ?? []) {
-      const cycle = visit(previous, [...path, name]);
+    for (const predecessor of jobs.get(name)?.after ?? []) {
+      const cycle = visit(predecessor, [...path, name]);
       if (cycle !== undefined) {
         return cycle;
       }
--- a/packages/shared-state/src/release-note/limits.ts
+++ b/packages/shared-state/src/release-note/limits.ts
@@ -1,8 +1,8 @@
-/** Limits and weights that hold for the whole deployment. */
+/** Limits and weights that apply to the whole deployment. */
 export interface Limits {
   /** Weight of service tail latency against batch throughput, 0 to 1. */
   readonly latencyWeight: number;
-  /** Duration of the lease that a task has on its worker. */
+  /** Duration of the lease under which a task runs on its worker. */
   readonly taskLeaseSeconds: number;
   /** How long a holder that cannot reach the log still renews task leases. */
   readonly storeOutageSeconds: number;
--- a/packages/shared-state/src/resources/add.ts
+++ b/packages/shared-state/src/resources/add.ts
@@ -1,6 +1,6 @@
 import type { Resources } from '../records/resources.js';
 
-/** Adds two sizes. */
+/** Adds two amounts of resources. */
 export function add(left: Resources, right: Resources): Resources {
   return {
     processors: left.processors + right.processors,
--- a/packages/shared-state/src/resources/fits.ts
+++ b/packages/shared-state/src/resources/fits.ts
@@ -1,13 +1,14 @@
 import type { Resources } from '../records/resources.js';
 
-/** Tolerance for rounding errors in sums of fractional sizes. */
+/** Tolerance for rounding errors in sums of fractional amounts. */
 const ROUNDING_TOLERANCE = 1e-9;
 
-/** Tells whether a size fits into the available resources. */
-export function fits(size: Resources, available: Resources): boolean {
+/** Returns whether the required resources fit into the available ones. */
+export function fits(required: Resources, available: Resources): boolean {
   return (
-    size.processors <= available.processors + ROUNDING_TOLERANCE &&
-    size.memoryGigabytes <= available.memoryGigabytes + ROUNDING_TOLERANCE &&
-    size.accelerators <= available.accelerators
+    required.processors <= available.processors + ROUNDING_TOLERANCE &&
+    required.memoryGigabytes <=
+      available.memoryGigabytes + ROUNDING_TOLERANCE &&
+    required.accelerators <= available.accelerators
   );
 }
--- a/packages/shared-state/src/resources/multiply.ts
+++ b/packages/shared-state/src/resources/multiply.ts
@@ -1,10 +1,10 @@
 import type { Resources } from '../records/resources.js';
 
-/** Multiplies a size by a count. */
-export function multiply(size: Resources, count: number): Resources {
+/** Multiplies an amount of resources by a count. */
+export function multiply(resources: Resources, count: number): Resources {
   return {
-    processors: size.processors * count,
-    memoryGigabytes: size.memoryGigabytes * count,
-    accelerators: size.accelerators * count,
+    processors: resources.processors * count,
+    memoryGigabytes: resources.memoryGigabytes * count,
+    accelerators: resources.accelerators * count,
   };
 }
--- a/packages/shared-state/src/resources/no-resources.ts
+++ b/packages/shared-state/src/resources/no-resources.ts
@@ -1,6 +1,6 @@
 import type { Resources } from '../records/resources.js';
 
-/** Zero of each resource. */
+/** An amount of zero of each resource. */
 export const NO_RESOURCES: Resources = {
   processors: 0,
   memoryGigabytes: 0,
--- a/packages/shared-state/src/resources/subtract.ts
+++ b/packages/shared-state/src/resources/subtract.ts
@@ -1,6 +1,6 @@
 import type { Resources } from '../records/resources.js';
 
-/** Subtracts the second size from the first. */
+/** Subtracts the second amount of resources from the first. */
 export function subtract(left: Resources, right: Resources): Resources {
   return {
     processors: left.processors - right.processors,
--- a/packages/shared-state/src/scheduling/attempt.ts
+++ b/packages/shared-state/src/scheduling/attempt.ts
@@ -25,6 +25,6 @@
    * interruption, by the holder's clock.
    */
   readonly keeperSince: number;
-  /** Offset of the record with which this time began. */
+  /** Offset of the record that started this period. */
   readonly keeperSinceOffset: number;
 }
--- a/packages/shared-state/src/scheduling/cell-names.ts
+++ b/packages/shared-state/src/scheduling/cell-names.ts
@@ -13,7 +13,7 @@
   return Array.from({ length: count }, (_, number) => cellName(region, number));
 }
 
-/** Cell that a worker belongs to. */
+/** Name of the cell that a worker belongs to. */
 export function cellOfWorker(
   worker: string,
   region: string,
--- a/packages/shared-state/src/scheduling/cell.ts
+++ b/packages/shared-state/src/scheduling/cell.ts
@@ -1,6 +1,6 @@
 /**
- * A shard of the workers, with the lease that entitles one process to decide
- * for it.
+ * A shard of the workers, with the lease that entitles one process to make the
+ * scheduling decisions for it.
  */
 export interface Cell {
   readonly name: string;
--- a/packages/shared-state/src/scheduling/scheduling-state.ts
+++ b/packages/shared-state/src/scheduling/scheduling-state.ts
@@ -12,7 +12,7 @@
 import type { TaskProgress } from './task-progress.js';
 import type { Worker } from './worker.js';
 
-/** Mutable state behind the `Scheduling` view; changed by the fold alone. */
+/** Mutable state behind the `Scheduling` view; changed only by the fold. */
 export class SchedulingState implements Scheduling {
   public readonly cells = new Map<string, Cell>();
 
@@ -44,7 +44,7 @@
     return this.tasks.get(task) ?? newTaskProgress(task);
   }
 
-  /** Cell whose holder decides for a task; undefined without any worker. */
+  /** Cell whose lease holder decides for a task; undefined without workers. */
   public readonly ownerCell = (task: string): string | undefined => {
     const forwarded = this.tasks.get(task)?.forwardedTo ?? '';
     if (forwarded !== '' && this.cellsWithWorkers.includes(forwarded)) {
@@ -81,7 +81,10 @@
     }
   }
 
-  /** Stores an attempt or replaces it by one with the same worker and size. */
+  /**
+   * Stores an attempt. May only replace an attempt with the same worker and
+   * resources, because the reserved resources are not changed.
+   */
   public storeAttempt(attempt: Attempt): void {
     this.attempts.set(attempt.id, attempt);
     this.byWorker.set(attempt);
@@ -101,8 +104,8 @@
   }
 
   /**
-   * Records a minion that kept idempotency keys, and discards those that
-   * stopped keeping keys before a given time.
+   * Records a period in which a minion kept idempotency keys, and discards the
+   * periods that ended before a given time.
    */
   public recordPastMinion(minion: PastMinion, discardBefore: number): void {
     for (const [name, { keptUntil }] of this.pastMinions) {
--- a/packages/shared-state/src/scheduling/scheduling.ts
+++ b/packages/shared-state/src/scheduling/scheduling.ts
@@ -14,12 +14,12 @@
   /** Attempts that are not certain to have ended. */
   readonly attempts: ReadonlyMap<string, Attempt>;
   readonly tasks: ReadonlyMap<string, TaskProgress>;
-  /** Recent minions, by attempt and by the start of the time they kept keys. */
+  /** Periods in which past minions kept keys, by attempt and start time. */
   readonly pastMinions: ReadonlyMap<string, PastMinion>;
   /** Active attempts of one worker. */
   readonly attemptsOn: (worker: string) => readonly Attempt[];
   /** Active attempts of one service or job. */
   readonly attemptsOf: (owner: string) => readonly Attempt[];
-  /** Cell whose holder decides for a task; undefined without any worker. */
+  /** Cell whose lease holder decides for a task; undefined without workers. */
   readonly ownerCell: (task: string) => string | undefined;
 }
--- a/packages/shared-state/src/scheduling/task-names.ts
+++ b/packages/shared-state/src/scheduling/task-names.ts
@@ -22,7 +22,7 @@
   return `${task}#${number}`;
 }
 
-/** Tells whether a task is a minion of a service. */
+/** Returns whether a task is a minion of a service. */
 export function isServiceTask(task: string): boolean {
   return task.startsWith(SERVICE_PREFIX);
 }
--- a/packages/shared-state/src/scheduling/task-progress.ts
+++ b/packages/shared-state/src/scheduling/task-progress.ts
@@ -18,8 +18,10 @@
   readonly lastReason: string;
   /** Workers on which the most recent attempts failed. */
   readonly failedOn: readonly string[];
-  /** Why the task was reported as unable to ever run; empty otherwise. */
+  /** Why the task was reported as unplaceable; empty if it was not. */
   readonly unplaceable: string;
-  /** End of the most recent attempt by the clock of the cell's holder. */
+  /**
+   * End of the most recent attempt, by the clock of the cell's lease holder.
+   */
   readonly endedAt: number;
 }
--- a/packages/shared-state/src/snapshot/snapshot-text.ts
+++ b/packages/shared-state/src/snapshot/snapshot-text.ts
@@ -137,8 +137,8 @@
 }
 
 /**
- * Serializes only the state that every node folds, for nodes that follow the
- * configuration alone.
+ * Serializes only the configuration, with the identifiers of its records, for
+ * nodes that do not fold the scheduling state.
  */
 export function writeConfigurationSnapshot(fold: StateFold): string {
   const snapshot: SerializedSnapshot = {
--- a/packages/shared-state/tests/fold/decisions.test.ts
+++ b/packages/shared-state/tests/fold/decisions.test.ts
@@ -195,10 +195,10 @@
     decide(fold, 1, place('job/reconcile@1', 1));
     const restored = readSnapshot(writeSnapshot(fold));
     t.equal(writeSnapshot(restored), writeSnapshot(fold));
-    for (const each of [fold, restored]) {
-      t.equal(decide(each, 1, end('job/reconcile@1#1', 'finished')), '');
+    for (const current of [fold, restored]) {
+      t.equal(decide(current, 1, end('job/reconcile@1#1', 'finished')), '');
       t.equal(
-        decide(each, 1, place('job/reconcile@1', 2)),
+        decide(current, 1, place('job/reconcile@1', 2)),
         'the job is finished',
       );
     }
--- a/packages/shared-state/tests/follow/record-appender.test.ts
+++ b/packages/shared-state/tests/follow/record-appender.test.ts
@@ -20,7 +20,9 @@
   readonly appender: RecordAppender;
 }
 
-/** Creates an appender whose log treats each append as the script says. */
+/**
+ * Creates an appender whose log handles each append as the script specifies.
+ */
 function createHarness(
   script: readonly ('taken' | 'lost-answer' | 'refused')[],
 ): AppenderHarness {
@@ -68,10 +70,10 @@
       'taken',
     ]);
     const deadline = systemClock.now() + 60_000;
-    const verdict = await Effect.runPromise(
+    const result = await Effect.runPromise(
       appender.append('note-1', note.kind, note.body, deadline),
     );
-    t.equal(verdict.kind, 'applied');
+    t.equal(result.kind, 'applied');
     t.equal(records.length, 3);
     t.equal(state.fold.configuration.revision, 1);
     t.equal(state.fold.configuration.verdicts.size, 1);
@@ -85,10 +87,10 @@
       Array.from({ length: 100 }, () => 'refused' as const),
     );
     const deadline = systemClock.now() + 50;
-    const verdict = await Effect.runPromise(
+    const result = await Effect.runPromise(
       appender.append('note-1', note.kind, note.body, deadline),
     );
-    t.equal(verdict.kind, 'unknown');
+    t.equal(result.kind, 'unknown');
   },
 );
 
@@ -108,10 +110,10 @@
     events: { record: kind => events.push(kind) },
     writer: 'writer',
   });
-  const verdicts = Array.from({ length: 300 }, (_, index) =>
+  const results = Array.from({ length: 300 }, (_, index) =>
     Effect.runPromise(appender.append(`id-${index}`, 'x', {}, 1050)),
   );
-  const kinds = (await Promise.all(verdicts)).map(({ kind }) => kind);
+  const kinds = (await Promise.all(results)).map(({ kind }) => kind);
   t.equal(kinds.filter(kind => kind === 'dropped').length, 44);
   t.equal(kinds.filter(kind => kind === 'unknown').length, 256);
   t.equal(events.filter(kind => kind === 'append-dropped').length, 44);
--- a/packages/shared-state/tests/lease/lease-exploration.test.ts
+++ b/packages/shared-state/tests/lease/lease-exploration.test.ts
@@ -4,9 +4,9 @@
 import { StateFold } from '../../src/fold/state-fold.js';
 import type { StoredRecord } from '../../src/log/stored-record.js';
 
-// Guards against two processes that decide for one cell in the same epoch. It
-// comes about when candidates claim the lease from outdated reads, when a
-// former holder goes on deciding, or when an append whose answer was lost is
+// Guards against two processes that decide for one cell in the same epoch. This
+// could happen when candidates claim the lease after outdated reads, when a
+// former holder continues to decide, or when an append whose answer was lost is
 // repeated.
 
 /** One step of a holder; the steps of all holders are interleaved. */
@@ -97,7 +97,9 @@
   });
 }
 
-/** A placement, or the end of the active attempt, as of the holder's fold. */
+/**
+ * Places the task, or ends its active attempt, according to the holder's fold.
+ */
 function decisionOf(holder: Holder, id: string): StoredRecord['envelope'] {
   const progress = holder.fold.scheduling.tasks.get(TASK);
   const active = progress?.active ?? '';
@@ -142,7 +144,7 @@
   const id = `${holder.name}-${state.log.length}`;
   const replace = (changed: Holder, log = state.log): SystemState => ({
     log,
-    holders: state.holders.map((each, at) => (at === index ? changed : each)),
+    holders: state.holders.map((other, at) => (at === index ? changed : other)),
   });
   if (step === 'read') {
     const fold = foldOf(state.log);
