refactor(scheduler): plainer comments, locals and test titles

Comments on probation, throttling, late samples and pending evictions say directly what is compared. Locals "present", "previous" and "entry" become "current" or "assigned", "predecessor" and "waitingJob". Reasons of decisions stay, as they are stored.

No exported name and no file name changes.

--- a/packages/scheduler/src/cell/update-view.ts
+++ b/packages/scheduler/src/cell/update-view.ts
@@ -20,7 +20,7 @@
       .filter(({ state }) => state === 'running')
       .map(({ attempt }) => attempt),
   );
-  // Samples arrive late, so some belong to tasks that have ended since.
+  // Samples arrive with a delay; some belong to tasks that have already ended.
   const samples = report.usage.filter(({ attempt }) => running.has(attempt));
   return {
     worker: view.worker,
--- a/packages/scheduler/src/cell/worker-view.ts
+++ b/packages/scheduler/src/cell/worker-view.ts
@@ -1,6 +1,6 @@
 import type { TaskReport } from '../platform/task-report.js';
 
-/** State of a worker as last observed by the holder of its cell. */
+/** State of a worker as last observed by the holder of its cell's lease. */
 export interface WorkerView {
   readonly worker: string;
   /** Time of the most recent answer; 0 before the first. */
--- a/packages/scheduler/src/learning/neighbour-history.ts
+++ b/packages/scheduler/src/learning/neighbour-history.ts
@@ -3,7 +3,7 @@
 /** Time for which past tasks of a worker are kept. */
 const RETENTION_MILLISECONDS = 120_000;
 
-/** Tasks that run on a worker from a time until the next entry. */
+/** Tasks that ran on a worker from a time until that of the next element. */
 interface RunningTasks {
   readonly from: number;
   readonly byAttempt: ReadonlyMap<string, Neighbour>;
@@ -21,7 +21,9 @@
   );
 }
 
-/** Past tasks of a worker, to match usage samples that arrive late. */
+/**
+ * Past tasks of a worker; usage samples that arrive late are matched to them.
+ */
 export class NeighbourHistory {
   private entries: readonly RunningTasks[] = [];
 
@@ -38,7 +40,7 @@
     this.entries = [...kept, { from: now, byAttempt }];
   }
 
-  /** Other tasks at a time; undefined if the attempt is not recorded then. */
+  /** Other tasks at a time; undefined if the attempt has no record for it. */
   public neighboursAt(
     attempt: string,
     at: number,
--- a/packages/scheduler/src/learning/usage-model.ts
+++ b/packages/scheduler/src/learning/usage-model.ts
@@ -51,7 +51,9 @@
     this.kinds.set(sample.taskKind, usage);
   }
 
-  /** Resources to assign to a task; the declared ones until enough samples. */
+  /**
+   * Resources to assign to a task; the declared ones if samples are too few.
+   */
   public resourcesFor(taskKind: string, declared: Resources): Resources {
     const usage = this.kinds.get(taskKind);
     if (usage === undefined || usage.processors.samples < MINIMUM_SAMPLES) {
--- a/packages/scheduler/src/learning/workload-estimator.ts
+++ b/packages/scheduler/src/learning/workload-estimator.ts
@@ -4,7 +4,7 @@
 import { NeighbourHistory } from './neighbour-history.js';
 import { UsageModel } from './usage-model.js';
 
-/** Estimates of a cell holder from the usage samples of its workers. */
+/** Estimates of a lease holder, from the usage samples of its workers. */
 export class WorkloadEstimator {
   public readonly usage = new UsageModel();
 
--- a/packages/scheduler/src/placement/capacity-tracker.ts
+++ b/packages/scheduler/src/placement/capacity-tracker.ts
@@ -14,7 +14,7 @@
 
 import type { Candidate } from './candidate.js';
 
-/** Capacity and tasks of one worker at a point of the pass. */
+/** Available resources and tasks of one worker during a plan pass. */
 interface WorkerCapacity {
   readonly worker: Worker;
   readonly available: Resources;
@@ -80,7 +80,7 @@
     this.capacities.set(worker, { ...workerCapacity, available });
   }
 
-  /** Reserves resources of pending evictions for a task that waits for them. */
+  /** Reserves resources that pending evictions release for a waiting task. */
   public reservePendingRelease(worker: string, resources: Resources): void {
     const workerCapacity = this.capacities.get(worker);
     if (workerCapacity !== undefined) {
--- a/packages/scheduler/src/placement/choose-worker.ts
+++ b/packages/scheduler/src/placement/choose-worker.ts
@@ -4,7 +4,7 @@
 import type { PlacementRequest } from './placement-request.js';
 import type { Scorer, ScoringContext } from './scorer.js';
 
-/** The worker chosen for a task, with the statistics of the choice. */
+/** The worker chosen for a task, with its score and candidate counts. */
 export interface Choice {
   readonly worker: string;
   readonly score: number;
--- a/packages/scheduler/src/placement/interference-budget.ts
+++ b/packages/scheduler/src/placement/interference-budget.ts
@@ -36,7 +36,7 @@
   return Math.max(0, ...services.map(slowdownOf));
 }
 
-function presentSlowdown(
+function currentSlowdown(
   { interference, serviceKinds }: InterferenceContext,
   neighbours: Neighbours,
   service: string,
@@ -57,8 +57,8 @@
   taskKind: string,
 ): number {
   const budget = interferenceBudget(context.latencyWeight);
-  const present = highestServiceSlowdown(context, neighbours, service =>
-    presentSlowdown(context, neighbours, service),
+  const current = highestServiceSlowdown(context, neighbours, service =>
+    currentSlowdown(context, neighbours, service),
   );
   const added = highestServiceSlowdown(context, neighbours, service =>
     context.interference.slowdown(service, taskKind),
@@ -66,7 +66,7 @@
   if (added < NEGLIGIBLE_SLOWDOWN) {
     return 1;
   }
-  const share = (budget - present) / added;
+  const share = (budget - current) / added;
   return Math.min(1, Math.max(MINIMUM_SHARE, share));
 }
 
@@ -84,7 +84,7 @@
     context,
     neighbours,
     service =>
-      presentSlowdown(context, neighbours, service) +
+      currentSlowdown(context, neighbours, service) +
       context.interference.slowdown(service, taskKind),
   );
   return total * MINIMUM_SHARE <= interferenceBudget(context.latencyWeight);
--- a/packages/scheduler/src/placement/scorers.ts
+++ b/packages/scheduler/src/placement/scorers.ts
@@ -87,7 +87,7 @@
   return (otherRoleKinds.length === 0 ? 0 : -1000) + availableShare(candidate);
 };
 
-/** Scorers by name; `least-harm` is in use, the others are baselines. */
+/** Scorers by name; `least-harm` is the default, the others are baselines. */
 export const scorers = {
   'first-fit': () => 0,
   'least-assigned': (_request, candidate) => availableShare(candidate),
--- a/packages/scheduler/src/plan/place-jobs.ts
+++ b/packages/scheduler/src/plan/place-jobs.ts
@@ -18,10 +18,12 @@
 /** Number of workers on which a job must fail to be reported as unplaceable. */
 const MINIMUM_FAILED_WORKERS = 3;
 
-/** Number of jobs that could not be placed after which a pass stops. */
+/** Number of unplaced jobs after which a pass stops placing jobs. */
 const MAXIMUM_UNPLACED_JOBS = 20;
 
-/** Time to wait for available resources before forwarding to another cell. */
+/**
+ * Time that a job waits for resources before it is forwarded to another cell.
+ */
 const FORWARD_DELAY_MILLISECONDS = 2000;
 
 function requestFor(pass: PlanPass, waiting: WaitingJob): PlacementRequest {
@@ -165,7 +167,7 @@
       scheduling.workers.size,
     );
     if (failureReason !== undefined) {
-      // Retries go on at the maximum delay, since the workers may recover.
+      // Retries continue at the maximum delay, because the workers may recover.
       reportUnplaceable(pass, waiting, failureReason);
     }
     const tooEarly =
--- a/packages/scheduler/src/plan/place-services.ts
+++ b/packages/scheduler/src/plan/place-services.ts
@@ -14,14 +14,14 @@
 
 function missingMinions(pass: PlanPass, service: Service): number {
   const { scheduling, configuration } = pass.input;
-  const present = scheduling
+  const assigned = scheduling
     .attemptsOf(`service/${service.name}`)
     .filter(
       attempt =>
         attempt.state === 'assigned' &&
         !configuration.drained.has(attempt.worker),
     );
-  return service.minions - present.length;
+  return service.minions - assigned.length;
 }
 
 function inactiveTasks(
--- a/packages/scheduler/src/plan/plan-pass.ts
+++ b/packages/scheduler/src/plan/plan-pass.ts
@@ -67,7 +67,7 @@
     return chooseWorker(request, candidates, scorer, this.scoring);
   }
 
-  /** Candidates where the request keeps within the interference budget. */
+  /** Candidates on which the task stays within the interference budget. */
   public candidatesWithinBudget(
     request: PlacementRequest,
   ): readonly Candidate[] {
@@ -100,7 +100,7 @@
     });
   }
 
-  /** Decides to evict an attempt, unless that is already decided. */
+  /** Decides to evict an attempt, unless its eviction is already decided. */
   public evict(attempt: Attempt, reason: string): void {
     if (attempt.state === 'evicting' || this.evicted.has(attempt.id)) {
       return;
--- a/packages/scheduler/src/plan/relieve-workers.ts
+++ b/packages/scheduler/src/plan/relieve-workers.ts
@@ -14,10 +14,10 @@
 /** Share of a worker's memory in use above which batch tasks are evicted. */
 const MAXIMUM_MEMORY_SHARE = 0.97;
 
-/** Share of its processors at or below which a batch task may be moved. */
+/** Processor share at or below which a batch task may be moved. */
 const MAXIMUM_THROTTLED_SHARE = 0.2;
 
-/** Run time below which a throttled task is not moved. */
+/** Minimum run time before a throttled task may be moved. */
 const MINIMUM_RUN_MILLISECONDS = 60_000;
 
 /** Returns whether enough other minions run for a minion to be evicted. */
@@ -96,7 +96,10 @@
   }
 }
 
-/** Evicts tasks from drained and overloaded workers. */
+/**
+ * Evicts tasks from drained workers, from workers that are short of memory, and
+ * throttled tasks that could run unthrottled elsewhere.
+ */
 export function relieveWorkers(pass: PlanPass): void {
   const { scheduling, configuration, cell } = pass.input;
   for (const worker of scheduling.workers.values()) {
--- a/packages/scheduler/src/plan/team-shares.ts
+++ b/packages/scheduler/src/plan/team-shares.ts
@@ -62,12 +62,14 @@
   public inPlacementOrder(
     waiting: readonly WaitingJob[],
   ): readonly WaitingJob[] {
-    const ranked = waiting.map((entry, index) => ({
-      entry,
+    const ranked = waiting.map((waitingJob, index) => ({
+      waitingJob,
       index,
-      urgent: entry.job.urgent ? 0 : 1,
-      borrows: this.isWithinQuota(entry.job.team, entry.job.resources) ? 0 : 1,
-      share: this.shareOf(entry.job.team),
+      urgent: waitingJob.job.urgent ? 0 : 1,
+      borrows: this.isWithinQuota(waitingJob.job.team, waitingJob.job.resources)
+        ? 0
+        : 1,
+      share: this.shareOf(waitingJob.job.team),
     }));
     ranked.sort(
       (left, right) =>
@@ -76,7 +78,7 @@
         left.share - right.share ||
         left.index - right.index,
     );
-    return ranked.map(({ entry }) => entry);
+    return ranked.map(({ waitingJob }) => waitingJob);
   }
 
   private shareOf(team: string): number {
--- a/packages/scheduler/src/plan/waiting-jobs.ts
+++ b/packages/scheduler/src/plan/waiting-jobs.ts
@@ -27,7 +27,7 @@
       continue;
     }
     const isBlocked = job.after.some(
-      previous => !isFinished(configuration, scheduling, previous),
+      predecessor => !isFinished(configuration, scheduling, predecessor),
     );
     if (!isBlocked) {
       waiting.push({ job, task, progress, readyAt: progress?.endedAt ?? 0 });
--- a/packages/scheduler/src/platform/task-report.ts
+++ b/packages/scheduler/src/platform/task-report.ts
@@ -15,7 +15,7 @@
   ),
   /** Most recent checkpoint; empty when there is none. */
   checkpoint: Type.Readonly(Type.String({ maxLength: 200 })),
-  /** Time since the checkpoint, or since the start without a checkpoint. */
+  /** Time since the checkpoint, or since the start if there is none. */
   uncheckpointedSeconds: Type.Readonly(Type.Number({ minimum: 0 })),
   /** Share of its processors that the task may use, 0 to 1. */
   throttle: Type.Readonly(Type.Number({ minimum: 0, maximum: 1 })),
--- a/packages/scheduler/src/pressure/decide-throttle.ts
+++ b/packages/scheduler/src/pressure/decide-throttle.ts
@@ -3,16 +3,16 @@
 /** Lowest share of its processors to which a batch task is throttled. */
 export const MINIMUM_SHARE = 0.2;
 
-/** Factor by which the share shrinks while a service misses its target. */
+/** Factor by which the share decreases while a service misses its target. */
 const DECREASE_FACTOR = 0.6;
 
-/** Step by which the share grows again. */
+/** Step by which the share increases again. */
 const INCREASE_STEP = 0.1;
 
-/** Ratio of tail latency to the tolerated latency below which shares grow. */
+/** Ratio of tail latency to tolerated latency below which shares increase. */
 const INCREASE_THRESHOLD = 0.95;
 
-/** Latency weight from which no latency above the target is tolerated. */
+/** Latency weight at or above which no latency over the target is tolerated. */
 const STRICT_LATENCY_WEIGHT = 0.8;
 
 /** Change to the processor shares of the batch tasks on a VM. */
--- a/packages/scheduler/src/repair/collect-evidence.ts
+++ b/packages/scheduler/src/repair/collect-evidence.ts
@@ -3,7 +3,7 @@
 
 import type { WorkerEvidence } from './worker-evidence.js';
 
-/** Age at which failures no longer count. */
+/** Age at which failures are no longer counted. */
 const MAXIMUM_FAILURE_AGE_MILLISECONDS = 120_000;
 
 const NO_EVIDENCE: WorkerEvidence = { failedTasks: 0, failedOnlyHere: 0 };
--- a/packages/scheduler/src/repair/retry-delay.ts
+++ b/packages/scheduler/src/repair/retry-delay.ts
@@ -1,13 +1,13 @@
 import type { TaskProgress } from '@basilcourse/shared-state/scheduling/task-progress';
 
-/** Number of failures from which a job may be reported as unplaceable. */
+/** Minimum number of failures to report a job as unplaceable. */
 export const UNPLACEABLE_FAILURE_COUNT = 6;
 
 const INITIAL_DELAY_MILLISECONDS = 500;
 
 const MAXIMUM_DELAY_MILLISECONDS = 60_000;
 
-/** Time before which a failed task is not retried: exponential backoff. */
+/** Earliest time to retry a failed task, with exponential backoff. */
 export function earliestRetryTime(progress: TaskProgress): number {
   if (progress.lastOutcome !== 'failed') {
     return 0;
--- a/packages/scheduler/src/repair/update-probation.ts
+++ b/packages/scheduler/src/repair/update-probation.ts
@@ -3,7 +3,7 @@
 import type { PlanPass } from '../plan/plan-pass.js';
 import { collectEvidence } from './collect-evidence.js';
 
-/** Number of tasks that must fail on this worker only for probation. */
+/** Number of tasks failing on one worker only that puts it on probation. */
 const PROBATION_FAILURE_COUNT = 3;
 
 /** Time on probation before a worker accepts tasks again. */
@@ -28,9 +28,9 @@
 }
 
 /**
- * Puts workers on probation on which many tasks fail that fail nowhere else.
- * Marks them as ready again after a fixed time, so that new tasks show whether
- * they have recovered.
+ * Puts a worker on probation when several tasks have recently failed on it and
+ * on no other worker. Marks it as ready again after a fixed time, so that new
+ * tasks show whether it has recovered.
  */
 export function updateProbation(pass: PlanPass): void {
   const { scheduling, configuration, cell } = pass.input;
--- a/packages/scheduler/tests/learning/interference-estimator.test.ts
+++ b/packages/scheduler/tests/learning/interference-estimator.test.ts
@@ -10,13 +10,13 @@
   return { taskKind, share: 1 };
 }
 
-/** Actual slowdown that the model has to recover. */
+/** Actual slowdown that the model has to estimate. */
 function actualSlowdown(affectedKind: string, neighbourKind: string): number {
   const interferes = affectedKind === 'a' && neighbourKind !== 'b';
   return interferes ? 0.3 : 0;
 }
 
-t.test('finds the neighbours that interfere from noisy sums', t => {
+t.test('identifies interfering neighbours from noisy slowdowns', t => {
   const random = seededRandom(5);
   const model = new InterferenceEstimator();
   for (let round = 0; round < 600; round += 1) {
@@ -24,7 +24,7 @@
     const noise = (random.next() - 0.5) * 0.05;
     const slowdown = neighbours
       .map(neighbour => actualSlowdown('a', neighbour))
-      .reduce((sum, one) => sum + one, Math.max(0, noise));
+      .reduce((sum, value) => sum + value, Math.max(0, noise));
     model.observe('a', neighbours.map(unthrottled), slowdown);
   }
   t.ok(model.slowdown('a', 'c') > 0.25);
@@ -34,7 +34,7 @@
 });
 
 t.test(
-  'an unobserved pair has the prior; one observation moves it partly',
+  'one observation shifts the prior of an unobserved pair only partly',
   t => {
     const model = new InterferenceEstimator();
     const prior = model.slowdown('x', 'y');
