refactor(request-plane): plainer comments, locals and test titles

"What X depends on" becomes "Dependencies of X"; "largest", "whole", "anew" and "lately" are replaced; the comments on claim memory name memoryStart and the entry-joined record. Event texts, reasons and advice in answers to callers stay.

No exported name and no file name changes.

--- a/packages/request-plane/src/agent/announcement.ts
+++ b/packages/request-plane/src/agent/announcement.ts
@@ -1,4 +1,4 @@
-/** What an upstream announces of itself to the agent on its VM. */
+/** What an upstream announces about itself to the agent on its VM. */
 export interface Announcement {
   readonly service: string;
   readonly attempt: string;
--- a/packages/request-plane/src/agent/call-upstream.ts
+++ b/packages/request-plane/src/agent/call-upstream.ts
@@ -10,7 +10,7 @@
 import { notRun, unknown } from '../outcome/outcomes.js';
 import type { RunOutcome } from '../outcome/run-outcome.js';
 
-/** Largest answer of an upstream, in bytes. */
+/** Maximum size of an upstream's answer. */
 const MAXIMUM_ANSWER_BYTES = 4 * 1024 * 1024;
 
 const STEP = 'agent.run';
@@ -86,7 +86,7 @@
 }
 
 /**
- * Sends a request to an upstream and waits for its whole answer.
+ * Sends a request to an upstream and waits for its complete answer.
  *
  * Interruption closes the connection, which frees the upstream's slot.
  */
--- a/packages/request-plane/src/agent/claim-register.ts
+++ b/packages/request-plane/src/agent/claim-register.ts
@@ -11,8 +11,8 @@
 /**
  * The idempotency keys claimed at one agent, with the requests that hold them.
  *
- * When the register is full, the oldest claim is dropped and the memory counts
- * as starting anew at that time.
+ * When the register is full, the oldest claim is dropped and `memoryStart` is
+ * set to the time of the drop.
  */
 export class ClaimRegister {
   private readonly claims = new BoundedMap<Claim>(MAXIMUM_KEYS);
@@ -31,20 +31,21 @@
   }
 
   /**
-   * An end of the log that was read after the start of the memory; undefined
-   * until one has been read.
+   * End of the log as first read after `memoryStart`; undefined until it has
+   * been read.
    *
-   * Every entry that claimed a key here before the start of the memory has its
-   * joining recorded below this offset.
+   * Every entry that claimed a key here before `memoryStart` has its
+   * `entry-joined` record below this offset.
    */
   public get memoryStartOffset(): number | undefined {
     return this.startOffset;
   }
 
   /**
-   * Records the end of the log, as read after the start of the memory.
+   * Records the end of the log, as read after `memoryStart`.
    *
-   * @param memoryStart - Start of the memory when the read began.
+   * @param memoryStart - Value of `memoryStart` when the read began; the end is
+   * ignored if that value has changed since.
    */
   public recordLogEnd(end: number, memoryStart: number): void {
     if (memoryStart === this.start) {
--- a/packages/request-plane/src/agent/fair-queue.ts
+++ b/packages/request-plane/src/agent/fair-queue.ts
@@ -6,14 +6,14 @@
  * Goyal, Vin and Cheng, "Start-time Fair Queueing", SIGCOMM 1996.
  */
 export class FairQueue {
-  private entries: WaitingRequest[] = [];
+  private requests: WaitingRequest[] = [];
 
   private virtualTime = 0;
 
   private readonly finishTags = new Map<string, number>();
 
   public get length(): number {
-    return this.entries.length;
+    return this.requests.length;
   }
 
   /** Returns the start tag of the next request of a team. */
@@ -23,17 +23,17 @@
     return tag;
   }
 
-  public push(entry: WaitingRequest): void {
-    const index = this.entries.findIndex(other => other.tag > entry.tag);
-    this.entries.splice(index < 0 ? this.entries.length : index, 0, entry);
+  public push(request: WaitingRequest): void {
+    const index = this.requests.findIndex(other => other.tag > request.tag);
+    this.requests.splice(index < 0 ? this.requests.length : index, 0, request);
   }
 
   public shift(): WaitingRequest | undefined {
-    const next = this.entries.shift();
+    const next = this.requests.shift();
     if (next !== undefined) {
       this.virtualTime = next.tag;
     }
-    if (this.entries.length === 0) {
+    if (this.requests.length === 0) {
       this.finishTags.clear();
       this.virtualTime = 0;
     }
@@ -42,12 +42,14 @@
 
   /** Removes a request from any position; false if it is not in the queue. */
   public remove(requestId: string): boolean {
-    const before = this.entries.length;
-    this.entries = this.entries.filter(entry => entry.requestId !== requestId);
-    return this.entries.length < before;
+    const before = this.requests.length;
+    this.requests = this.requests.filter(
+      request => request.requestId !== requestId,
+    );
+    return this.requests.length < before;
   }
 
   public removeAll(): readonly WaitingRequest[] {
-    return this.entries.splice(0);
+    return this.requests.splice(0);
   }
 }
--- a/packages/request-plane/src/agent/ledger-entry.ts
+++ b/packages/request-plane/src/agent/ledger-entry.ts
@@ -1,6 +1,6 @@
 import type { RunOutcome } from '../outcome/run-outcome.js';
 
-/** What an agent has recorded about one request. */
+/** The state of one request, as recorded by an agent. */
 export interface LedgerEntry {
   readonly state: 'waiting' | 'began' | 'ended' | 'fenced';
   /** Outcome of a request that has ended; undefined before. */
--- a/packages/request-plane/src/agent/request-runner.ts
+++ b/packages/request-plane/src/agent/request-runner.ts
@@ -16,7 +16,7 @@
 
 const SOCKET_IDLE_TIMEOUT_MILLISECONDS = 4000;
 
-/** What the runner depends on. */
+/** Dependencies of the request runner. */
 interface RunnerDependencies {
   readonly registry: UpstreamRegistry;
   readonly ledger: RunLedger;
--- a/packages/request-plane/src/agent/run-ledger.ts
+++ b/packages/request-plane/src/agent/run-ledger.ts
@@ -10,7 +10,7 @@
 /** Maximum total size of the answers that one agent keeps for repeats. */
 const MAXIMUM_KEPT_BYTES = 16 * 1024 * 1024;
 
-/** Largest answer kept for repeats. */
+/** Maximum size of one answer that is kept for repeats. */
 const MAXIMUM_KEPT_ANSWER_BYTES = 256 * 1024;
 
 function sizeOf(outcome: RunOutcome | undefined): number {
@@ -30,7 +30,9 @@
 
   private keptBytes = 0;
 
-  /** Records an arrived request; false if its identifier is already recorded. */
+  /**
+   * Records an arrived request; false if its identifier is already recorded.
+   */
   public accept(requestId: string, now: number): boolean {
     if (this.entries.has(requestId)) {
       return false;
@@ -39,7 +41,9 @@
     return true;
   }
 
-  /** Records that a request is about to be sent; false if it must not be. */
+  /**
+   * Records that a request is about to be sent; false if it must not be sent.
+   */
   public begin(requestId: string, now: number): boolean {
     if (this.entries.get(requestId)?.state !== 'waiting') {
       return false;
--- a/packages/request-plane/src/agent/service-time.ts
+++ b/packages/request-plane/src/agent/service-time.ts
@@ -1,7 +1,9 @@
 /** Minimum weight of a new sample in the average. */
 const MINIMUM_SAMPLE_WEIGHT = 0.1;
 
-/** Time constant of the decay: the weight falls by a factor of e in this time. */
+/**
+ * Time constant of the decay: the weight falls by a factor of e in this time.
+ */
 const DECAY_MILLISECONDS = 5000;
 
 /** Moving average of the time that an upstream needs for one request. */
@@ -26,8 +28,9 @@
   }
 
   /**
-   * Estimate used to refuse requests. It decays while no sample arrives, because
-   * an upstream whose requests are all refused would never be measured again.
+   * Estimate used to refuse requests. It decays while no sample arrives,
+   * because an upstream whose requests are all refused would never be measured
+   * again.
    */
   public decayedMilliseconds(now: number): number {
     return this.average * this.remainingWeight(now);
--- a/packages/request-plane/src/claim/claim-key.ts
+++ b/packages/request-plane/src/claim/claim-key.ts
@@ -1,6 +1,7 @@
 /**
- * Returns the key that identifies repeats of a caller's request: its idempotency
- * key, within its service and team; empty without an idempotency key.
+ * Returns the key that identifies repeats of a caller's request: its
+ * idempotency key, within its service and team; empty without an idempotency
+ * key.
  */
 export function claimKeyOf(
   service: string,
--- a/packages/request-plane/src/claim/claim-memory.ts
+++ b/packages/request-plane/src/claim/claim-memory.ts
@@ -8,8 +8,8 @@
 /**
  * The idempotency keys that were claimed through one entry.
  *
- * When it is full, the oldest claim is dropped and the memory counts as starting
- * anew at that time.
+ * When it is full, the oldest claim is dropped and `memoryStart` is set to the
+ * time of the drop.
  */
 export class ClaimMemory {
   private readonly claims = new BoundedMap<RememberedClaim>(MAXIMUM_KEYS);
@@ -68,7 +68,8 @@
   /**
    * Adopts the claims of a stopping entry.
    *
-   * @param previouslyInherited - Instances whose claims that entry had inherited.
+   * @param previouslyInherited - Instances whose claims that entry had
+   * inherited.
    */
   public inherit(
     instance: string,
--- a/packages/request-plane/src/claim/find-key-owner.ts
+++ b/packages/request-plane/src/claim/find-key-owner.ts
@@ -6,7 +6,7 @@
 import { keyOwnersSince } from './key-owners-since.js';
 import { memoryWindowStart } from './memory-window-start.js';
 
-/** What finding the owner of a key depends on. */
+/** Dependencies of `findKeyOwner`. */
 interface KeyOwnerDependencies {
   readonly state: SharedState;
   readonly members: MemberTable;
--- a/packages/request-plane/src/claim/key-claimer.ts
+++ b/packages/request-plane/src/claim/key-claimer.ts
@@ -39,7 +39,9 @@
   return { kind: 'settled', outcome };
 }
 
-/** The request has not been sent to any agent yet, so it was not run. */
+/**
+ * Result of a failed claim; the request was not sent to any agent to be run.
+ */
 function refusedClaim(reason: string): ClaimResult {
   return settledClaim(notRun(STEP, 'keeper', reason));
 }
@@ -61,14 +63,15 @@
  *
  * Each key is owned by one agent. If the owner may lack earlier claims, because
  * it changed or restarted within the time that claims are remembered, every
- * entry is asked as well, and each promises not to claim the key.
+ * other entry is asked as well, and each promises not to claim the key for
+ * another request.
  */
 export class KeyClaimer {
   public constructor(private readonly dependencies: ClaimerDependencies) {}
 
   /**
-   * Claims a key for a request; retries until the deadline while the claim fails,
-   * for example because the key's owner is unreachable.
+   * Claims a key for a request; retries until the deadline while the claim
+   * fails, for example because the key's owner is unreachable.
    */
   public claim(
     key: string,
@@ -82,8 +85,8 @@
         }
         const { random, clock } = this.dependencies;
         const delay = jitteredBackoff(tries, BACKOFF_BOUNDS, random);
-        // A delayed release would free a key that a later try has claimed, so
-        // the claim is released after the last try only.
+        // The claim is released after the last try only: a release that is
+        // delayed could free the key after a later try has claimed it.
         return clock.now() + delay >= request.deadline
           ? this.release(key, request).pipe(Effect.as(result))
           : Effect.sleep(delay).pipe(
@@ -114,8 +117,9 @@
   ): Effect.Effect<ClaimResult> {
     return Effect.suspend(() => {
       const { memory, clock, state, instance } = this.dependencies;
-      // Other entries ask this entry for its claims only once its joining is in
-      // the log, and a state older than that may name a former owner.
+      // Other entries ask this entry for its claims only once its
+      // `entry-joined` record is in the log, and an older state may name a
+      // former owner.
       if (!state.fold.configuration.entries.has(instance)) {
         const reason = 'the joining of this entry is not in force yet';
         return Effect.succeed(settledClaim(notRun(STEP, 'local', reason)));
@@ -172,8 +176,9 @@
     if (remembersAll && !owner.changedWithinWindow) {
       return Effect.succeed(first);
     }
-    // Entries that claimed the key before the owner's memory started joined
-    // below this offset; until it is read, some of them may be missing here.
+    // Entries that may have claimed the key before the owner's memory started
+    // have their `entry-joined` records below this offset. Until the log is
+    // read up to it, some of these entries may be unrecorded here.
     const requiredOffset = answer.memoryStartOffset;
     if (
       !remembersAll &&
--- a/packages/request-plane/src/claim/key-owners-since.ts
+++ b/packages/request-plane/src/claim/key-owners-since.ts
@@ -43,7 +43,7 @@
 }
 
 /**
- * Returns the attempts whose agents have owned a key at any moment since a time,
+ * Returns the attempts whose agents have owned a key at any time since `since`,
  * the current owner first. Depends on the records of the log only.
  *
  * A key is owned by the agent on the VM of the attempt of its service that
--- a/packages/request-plane/src/claim/recall-from-entries.ts
+++ b/packages/request-plane/src/claim/recall-from-entries.ts
@@ -11,7 +11,7 @@
 
 const RECALL_TIMEOUT_MILLISECONDS = 400;
 
-/** What asking the entries depends on. */
+/** Dependencies of `recallFromEntries`. */
 interface RecallDependencies {
   readonly state: SharedState;
   readonly members: MemberTable;
@@ -25,7 +25,7 @@
 export interface RecallResult {
   /** Identifier of another request that claimed the key; empty for none. */
   readonly holder: string;
-  /** Instances that may have a claim on the key and whose claims are missing. */
+  /** Instances that may have claimed the key and whose answer is missing. */
   readonly missing: readonly string[];
 }
 
--- a/packages/request-plane/src/claim/recover-answer.ts
+++ b/packages/request-plane/src/claim/recover-answer.ts
@@ -17,7 +17,7 @@
 /** Maximum number of agents asked at the same time. */
 const MAXIMUM_CONCURRENT_CALLS = 32;
 
-/** What recovering an answer depends on. */
+/** Dependencies of `recoverAnswer`. */
 interface RecoverDependencies {
   readonly members: MemberTable;
   readonly clients: PeerClients;
@@ -60,8 +60,8 @@
 }
 
 /**
- * Fetches the answer of an earlier request under the same key from the agents of
- * its service; waits while that request is running. Never runs a request.
+ * Fetches the answer of an earlier request under the same key from the agents
+ * of its service; waits while that request is running. Never runs a request.
  */
 export function recoverAnswer(
   dependencies: RecoverDependencies,
--- a/packages/request-plane/src/entry/bad-request.ts
+++ b/packages/request-plane/src/entry/bad-request.ts
@@ -1,4 +1,4 @@
-/** Why a caller's request failed the checks that precede all other work. */
+/** Why a caller's request failed the initial checks. */
 export interface BadRequest {
   /** HTTP status from 400 to 499. */
   readonly status: number;
--- a/packages/request-plane/src/entry/caller-request.ts
+++ b/packages/request-plane/src/entry/caller-request.ts
@@ -10,7 +10,7 @@
   readonly body: Uint8Array;
   readonly team: string;
   readonly unrepeatable: boolean;
-  /** Key by which the caller marks repeats; empty without one. */
+  /** Key by which the caller marks repeats; empty if there is none. */
   readonly idempotencyKey: string;
   /** Time of arrival in milliseconds since the epoch. */
   readonly arrivedAt: number;
--- a/packages/request-plane/src/entry/caller-server.ts
+++ b/packages/request-plane/src/entry/caller-server.ts
@@ -26,12 +26,12 @@
 /** Maximum number of requests in flight at one entry. */
 const MAXIMUM_IN_FLIGHT = 4096;
 
-/** Time within which a caller must send its whole request. */
+/** Time within which a caller must send its complete request. */
 const RECEIVE_TIMEOUT_MILLISECONDS = 30_000;
 
 const KEEP_ALIVE_TIMEOUT_MILLISECONDS = 30_000;
 
-/** What the callers' server depends on. */
+/** Dependencies of the caller server. */
 interface CallerServerDependencies {
   readonly dispatcher: Pick<RequestDispatcher, 'dispatch'>;
   readonly services: () => ReadonlyMap<string, Service>;
@@ -81,7 +81,7 @@
     return listenOn(this.server, address);
   }
 
-  /** Whether the load balancer should stop sending requests here. */
+  /** Whether the load balancer should stop sending requests to this entry. */
   public get isLeaving(): boolean {
     return this.leaving;
   }
@@ -120,7 +120,8 @@
     outgoing: ServerResponse,
   ): Promise<void> {
     this.inFlight += 1;
-    // A request is in flight until its answer is sent or its caller disconnects.
+    // A request is in flight until its answer is sent or its caller
+    // disconnects.
     outgoing.once('close', () => {
       this.requestEnded();
     });
@@ -163,7 +164,8 @@
     const { requestId } = request;
     const controller = new AbortController();
     outgoing.once('close', () => {
-      // An abort is costly; after a complete answer there is nothing to abort.
+      // After a complete answer there is nothing to abort, and an abort is
+      // costly.
       if (!outgoing.writableFinished) {
         controller.abort();
       }
@@ -175,8 +177,8 @@
     const outcome = await Effect.runPromise(work, { signal });
     const duration = clock.now() - request.arrivedAt;
     observer.ended(request, outcome, duration);
-    const ending = describeOutcome(outcome, duration);
-    events.record('request-ended', ending, { request: requestId });
+    const description = describeOutcome(outcome, duration);
+    events.record('request-ended', description, { request: requestId });
     this.write(outgoing, requestId, outcome);
   }
 
--- a/packages/request-plane/src/entry/describe-outcome.ts
+++ b/packages/request-plane/src/entry/describe-outcome.ts
@@ -1,6 +1,6 @@
 import type { RunOutcome } from '../outcome/run-outcome.js';
 
-/** Text of the event at a request's end; for a failure with step and peer. */
+/** Text of the event that ends a request; with step and peer for a failure. */
 export function describeOutcome(
   outcome: RunOutcome,
   milliseconds: number,
--- a/packages/request-plane/src/entry/hand-over.ts
+++ b/packages/request-plane/src/entry/hand-over.ts
@@ -17,13 +17,13 @@
 /** Step of a hand-over that failed before the request was sent. */
 export const CONNECT_STEP = 'entry.connect';
 
-/** Time within which an agent must answer a fence. */
+/** Time within which an agent must answer a fence request. */
 const FENCE_TIMEOUT_MILLISECONDS = 500;
 
 /** Time after the deadline for the agent's answer to arrive. */
 const ANSWER_GRACE_MILLISECONDS = 100;
 
-/** What handing requests over depends on. */
+/** Dependencies of `handOver`. */
 export interface HandOverDependencies {
   readonly clients: PeerClients;
   readonly loads: LoadTable;
@@ -72,9 +72,9 @@
 /**
  * Hands a request over to an agent in one message.
  *
- * If the answer is lost, the request is fenced at the agent: either it had not
- * begun and never will, or the agent returns its outcome, or the outcome remains
- * unknown.
+ * If the answer is lost, the request is fenced at the agent. If it has not
+ * begun, it never will; if it has ended, the agent returns its outcome;
+ * otherwise the outcome is unknown.
  */
 export function handOver(
   dependencies: HandOverDependencies,
@@ -114,7 +114,7 @@
       }),
       Effect.tap(({ load }) =>
         Effect.sync(() => {
-          // The report was made after this request had returned its slot.
+          // The agent made the report after this request had released its slot.
           if (load !== undefined) {
             dependencies.loads.recordReport(
               upstream.attempt,
--- a/packages/request-plane/src/entry/read-body.ts
+++ b/packages/request-plane/src/entry/read-body.ts
@@ -2,7 +2,7 @@
 
 import { MAXIMUM_BODY_BYTES } from './read-caller-request.js';
 
-/** Reads the whole body; undefined if it is larger than the maximum. */
+/** Reads the complete body; undefined if it is larger than the maximum. */
 export async function readBody(
   incoming: IncomingMessage,
 ): Promise<Uint8Array | undefined> {
--- a/packages/request-plane/src/entry/read-caller-request.ts
+++ b/packages/request-plane/src/entry/read-caller-request.ts
@@ -4,7 +4,7 @@
 import type { BadRequest } from './bad-request.js';
 import type { CallerRequest } from './caller-request.js';
 
-/** Largest body of a request, in bytes. */
+/** Maximum size of the body of a request. */
 export const MAXIMUM_BODY_BYTES = 1024 * 1024;
 
 const MAXIMUM_TIMEOUT_MILLISECONDS = 600_000;
--- a/packages/request-plane/src/entry/request-dispatcher.ts
+++ b/packages/request-plane/src/entry/request-dispatcher.ts
@@ -21,7 +21,7 @@
 
 const FIRST_SERVER_ERROR = 500;
 
-/** What the dispatcher depends on. */
+/** Dependencies of the request dispatcher. */
 interface DispatcherDependencies extends HandOverDependencies {
   readonly router: UpstreamRouter;
   readonly outliers: OutlierDetector;
@@ -44,7 +44,9 @@
 export class RequestDispatcher {
   public constructor(private readonly dependencies: DispatcherDependencies) {}
 
-  /** Dispatches one request; returns the outcome to be reported to its caller. */
+  /**
+   * Dispatches one request; returns the outcome to be reported to its caller.
+   */
   public dispatch(request: CallerRequest): Effect.Effect<RunOutcome> {
     const { service, team, idempotencyKey, unrepeatable } = request;
     const key = unrepeatable ? claimKeyOf(service, team, idempotencyKey) : '';
@@ -188,7 +190,8 @@
     if (!safe || tries + 1 >= MAXIMUM_TRIES) {
       return false;
     }
-    // A try that was never sent loads no upstream, so its retry is free.
+    // A try that was never sent adds no load to an upstream, so its retry does
+    // not count against the budget.
     return isConnectFailure(outcome) || this.dependencies.retryBudget.take();
   }
 
--- a/packages/request-plane/src/entry/request-observer.ts
+++ b/packages/request-plane/src/entry/request-observer.ts
@@ -1,7 +1,7 @@
 import type { RunOutcome } from '../outcome/run-outcome.js';
 import type { CallerRequest } from './caller-request.js';
 
-/** Receives each request that was answered or refused; for metrics. */
+/** Is notified of each answered or refused request, to record metrics. */
 export interface RequestObserver {
   readonly ended: (
     request: CallerRequest,
--- a/packages/request-plane/src/entry/write-bad-request.ts
+++ b/packages/request-plane/src/entry/write-bad-request.ts
@@ -2,7 +2,7 @@
 
 import type { BadRequest } from './bad-request.js';
 
-/** Answers a request that failed the checks that precede all other work. */
+/** Sends the answer to a request that failed the initial checks. */
 export function writeBadRequest(
   outgoing: ServerResponse,
   bad: BadRequest,
--- a/packages/request-plane/src/membership/exchange-heartbeats.ts
+++ b/packages/request-plane/src/membership/exchange-heartbeats.ts
@@ -18,7 +18,7 @@
 
 const EXCHANGE_TIMEOUT_MILLISECONDS = 1000;
 
-/** Largest deviation of a heartbeat interval, as a share of the interval. */
+/** Maximum deviation of a heartbeat interval, as a share of the interval. */
 const JITTER_SHARE = 0.1;
 
 interface AttemptLoad {
@@ -31,7 +31,7 @@
   };
 }
 
-/** What the heartbeats of one process depend on. */
+/** Dependencies of the heartbeat exchange of one process. */
 export interface HeartbeatDependencies {
   readonly transports: PeerTransports;
   readonly members: MemberTable;
--- a/packages/request-plane/src/membership/exchange-routes.ts
+++ b/packages/request-plane/src/membership/exchange-routes.ts
@@ -17,7 +17,7 @@
 /** Maximum number of member changes in one response. */
 const MAXIMUM_CHANGES_PER_RESPONSE = 5000;
 
-/** What the handler of heartbeats depends on. */
+/** Dependencies of the heartbeat handler. */
 interface ExchangeDependencies {
   readonly members: MemberTable;
   readonly loads: LoadTable;
--- a/packages/request-plane/src/membership/member-entry.ts
+++ b/packages/request-plane/src/membership/member-entry.ts
@@ -5,6 +5,6 @@
   readonly member: Member;
   /** Time of the last heartbeat received from the member itself; 0 for none. */
   readonly lastHeartbeatAt: number;
-  /** Number of the member's last change; counted over all members here. */
+  /** Sequence number of the member's last change within this table. */
   readonly sequence: number;
 }
--- a/packages/request-plane/src/membership/member-table.ts
+++ b/packages/request-plane/src/membership/member-table.ts
@@ -13,19 +13,21 @@
 /** Time without a heartbeat after which one observer declares a member dead. */
 const SINGLE_OBSERVER_TIMEOUT_MILLISECONDS = 8000;
 
-/** Processes that must miss a member's heartbeats to declare it dead. */
+/**
+ * Number of processes that must miss a member's heartbeats for it to be dead.
+ */
 const OBSERVERS_TO_DECLARE_DEAD = 2;
 
-/** Time for which a dead member is kept, so that late reports don't revive it. */
+/** Time to keep a dead member, so that late reports do not add it again. */
 const DEAD_MEMBER_RETENTION_MILLISECONDS = 600_000;
 
 /** Maximum number of members in the table; further ones are ignored. */
 const MAXIMUM_MEMBERS = 20_000;
 
 /**
- * The processes that one process has recorded, with failure detection: a member
- * that stops its heartbeats is suspect, and dead once two processes miss them,
- * or one for a longer time.
+ * Membership table of one process, with failure detection. A member that stops
+ * its heartbeats becomes suspect. It is declared dead once two processes miss
+ * its heartbeats, or one process misses them for a longer time.
  */
 export class MemberTable {
   private readonly entries = new Map<string, MemberEntry>();
@@ -50,7 +52,7 @@
     return [...this.entries.values()];
   }
 
-  /** Number of the most recent change. */
+  /** Sequence number of the most recent change. */
   public get sequence(): number {
     return this.lastSequence;
   }
@@ -85,8 +87,8 @@
     } else {
       this.store(updated, now, now);
     }
-    // A member that is notified of a suspicion raises its incarnation, which
-    // overrides what the peers report.
+    // Reports the suspicion to the member, which then raises its incarnation
+    // and thereby overrides the reports of the peers.
     return this.suspectedByPeers.delete(member.id)
       ? { ...updated, state: 'suspect' }
       : updated;
@@ -135,7 +137,7 @@
     }
   }
 
-  /** Members that changed after the given number. */
+  /** Members that changed after the given sequence number. */
   public changesSince(sequence: number): readonly Member[] {
     return this.all
       .filter(entry => entry.sequence > sequence)
--- a/packages/request-plane/src/membership/member.ts
+++ b/packages/request-plane/src/membership/member.ts
@@ -8,7 +8,9 @@
   readonly id: string;
   /** Identifier of this run of the process; new at each start. */
   readonly instance: string;
-  /** Version of the process's own state; the process raises it at a change. */
+  /**
+   * Version of the process's own state; raised by the process at each change.
+   */
   readonly incarnation: number;
   readonly role: 'entry' | 'agent';
   /** IP address and port for other processes. */
--- a/packages/request-plane/src/membership/own-member.ts
+++ b/packages/request-plane/src/membership/own-member.ts
@@ -1,6 +1,6 @@
 import type { Member } from './member.js';
 
-/** The state that a process reports of itself. */
+/** The state that a process reports about itself. */
 export class OwnMember {
   public constructor(private current: Member) {}
 
--- a/packages/request-plane/src/routing/byte-budget.ts
+++ b/packages/request-plane/src/routing/byte-budget.ts
@@ -21,7 +21,9 @@
     return this.spentBytes;
   }
 
-  /** Returns whether the bucket has any bytes left, so that a send may start. */
+  /**
+   * Returns whether the bucket has any bytes left, so that a send may start.
+   */
   public hasBytesLeft(now: number): boolean {
     this.refill(now);
     return this.availableBytes > 0;
--- a/packages/request-plane/src/routing/outlier-detector.ts
+++ b/packages/request-plane/src/routing/outlier-detector.ts
@@ -7,7 +7,7 @@
 
 const MAXIMUM_EJECTION_MILLISECONDS = 30_000;
 
-/** Largest share of a service's upstreams that may be ejected at once. */
+/** Maximum share of a service's upstreams that may be ejected at once. */
 const MAXIMUM_EJECTED_SHARE = 0.34;
 
 interface FailureRecord {
--- a/packages/request-plane/src/routing/routing-policies.ts
+++ b/packages/request-plane/src/routing/routing-policies.ts
@@ -49,7 +49,9 @@
   return best;
 }
 
-/** Random candidates in random order, so that entries break ties differently. */
+/**
+ * Samples candidates in random order, so that entries break ties differently.
+ */
 function sampleCandidates(
   candidates: readonly UpstreamCandidate[],
   random: RandomSource,
@@ -69,7 +71,7 @@
 
 /**
  * Routing policies by name. `expected-time` is the default; the others are
- * baselines for measurements.
+ * baselines for comparison.
  *
  * Round robin and least connections are those of the Linux Virtual Server.
  * Sampling a few candidates: Mitzenmacher, "The Power of Two Choices in
--- a/packages/request-plane/src/routing/unreachable-agents.ts
+++ b/packages/request-plane/src/routing/unreachable-agents.ts
@@ -24,7 +24,7 @@
     this.until.delete(instance);
   }
 
-  /** The candidates whose agents did not refuse lately; all if each did. */
+  /** The candidates whose agents are not excluded; all if each one is. */
   public reachable<Candidate extends { readonly agentInstance: string }>(
     candidates: readonly Candidate[],
     now: number,
--- a/packages/request-plane/src/routing/upstream-router.ts
+++ b/packages/request-plane/src/routing/upstream-router.ts
@@ -17,7 +17,7 @@
 /** Time that a round trip to another region adds to a request. */
 const CROSS_REGION_ROUND_TRIP_MILLISECONDS = 60;
 
-/** What the router depends on. */
+/** Dependencies and settings of the router. */
 interface RouterDependencies {
   readonly members: MemberTable;
   readonly loads: LoadTable;
--- a/packages/request-plane/src/transport/agent-routes.ts
+++ b/packages/request-plane/src/transport/agent-routes.ts
@@ -15,7 +15,7 @@
 
 const MICROSECONDS_PER_MILLISECOND = 1000;
 
-/** What the handlers of an agent's calls depend on. */
+/** Dependencies of the handlers of calls to an agent. */
 interface AgentRouteDependencies {
   readonly runner: RequestRunner;
   readonly ledger: RunLedger;
@@ -33,7 +33,7 @@
   readonly meanServiceMicroseconds: number;
 }
 
-/** Load of an upstream as the fields of a message; undefined if none is here. */
+/** Load of a local upstream as the fields of a message; undefined if absent. */
 export function loadReportOf(
   registry: UpstreamRegistry,
   attempt: string,
--- a/packages/request-plane/src/transport/entry-routes.ts
+++ b/packages/request-plane/src/transport/entry-routes.ts
@@ -4,7 +4,7 @@
 
 import type { ClaimMemory } from '../claim/claim-memory.js';
 
-/** What the handlers of an entry's calls depend on. */
+/** Dependencies of the handlers of calls to an entry. */
 interface EntryRouteDependencies {
   readonly memory: ClaimMemory;
   readonly clock: Clock;
--- a/packages/request-plane/src/transport/peer-session.ts
+++ b/packages/request-plane/src/transport/peer-session.ts
@@ -43,7 +43,9 @@
     return session.request({ ...headers, ...pseudoHeaders }, options);
   }
 
-  /** Required by the library; callers detect dead peers by time-outs. */
+  /**
+   * Required by the library. Callers detect unresponsive peers by time-outs.
+   */
   public notifyResponseByteRead(): void {
     return undefined;
   }
--- a/packages/request-plane/src/transport/peer-transports.ts
+++ b/packages/request-plane/src/transport/peer-transports.ts
@@ -6,7 +6,7 @@
 import { KEY_FIELD } from './shared-keys.js';
 import type { SocketOpener } from './socket-opener.js';
 
-/** Largest message between processes, in bytes. */
+/** Maximum size of a message between processes. */
 export const MAXIMUM_MESSAGE_BYTES = 32 * 1024 * 1024;
 
 interface PeerConnection {
--- a/packages/request-plane/tests/agent/slot-gate.test.ts
+++ b/packages/request-plane/tests/agent/slot-gate.test.ts
@@ -44,8 +44,8 @@
         if (step.kind === 'enter') {
           const requestId = `request-${entered}`;
           entered += 1;
-          const given: string[] = [];
-          answers.set(requestId, given);
+          const requestAnswers: string[] = [];
+          answers.set(requestId, requestAnswers);
           const deadline = now + step.millisecondsToDeadline;
           gate.requestSlot(
             {
@@ -54,10 +54,10 @@
               teamWeight: 1,
               deadline,
               grant: () => {
-                given.push('granted');
+                requestAnswers.push('granted');
                 running += 1;
               },
-              refuse: () => given.push('refused'),
+              refuse: () => requestAnswers.push('refused'),
             },
             now,
           );
@@ -76,7 +76,7 @@
       gate.close('closed');
       const waiting = gate.queued;
       const twice = [...answers.values()].some(
-        requestAnswers => requestAnswers.length > 1,
+        answersOfRequest => answersOfRequest.length > 1,
       );
       return waiting === 0 && !twice;
     },
--- a/packages/request-plane/tests/claim/claim-exploration.test.ts
+++ b/packages/request-plane/tests/claim/claim-exploration.test.ts
@@ -132,7 +132,7 @@
 }
 
 t.test(
-  'no key runs twice under any order of messages, losses and changes',
+  'no key runs twice in any order of messages, losses and changes',
   async t => {
     let runs = 0;
     await fc.assert(
@@ -140,13 +140,13 @@
         fc.scheduler(),
         fc.array(operationArbitrary, { minLength: 4, maxLength: 14 }),
         fatesArbitrary,
-        async (scheduler, steps, fateList) => {
-          let used = 0;
+        async (scheduler, steps, fates) => {
+          let messageIndex = 0;
           const simulation = new ClaimSimulation({
             yieldControl: () => scheduler.schedule(Promise.resolve()),
             nextFate: (): MessageFate => {
-              used += 1;
-              return fateList[used % fateList.length] ?? 'delivered';
+              messageIndex += 1;
+              return fates[messageIndex % fates.length] ?? 'delivered';
             },
           });
           simulation.addEntry(0);
--- a/packages/request-plane/tests/claim/model/claim-simulation.ts
+++ b/packages/request-plane/tests/claim/model/claim-simulation.ts
@@ -27,7 +27,7 @@
 
 const START_MILLISECONDS = 10_000_000;
 
-/** Runs the real claimers, memories, registers and folds on fake messages. */
+/** Runs real claimers, memories, registers and folds on simulated messages. */
 export class ClaimSimulation {
   public readonly clock = new TickingClock(START_MILLISECONDS);
 
--- a/packages/request-plane/tests/membership/member-table.test.ts
+++ b/packages/request-plane/tests/membership/member-table.test.ts
@@ -57,13 +57,16 @@
   t.end();
 });
 
-t.test('an entry that received no heartbeat does not declare death', t => {
-  const far = table('far');
-  far.merge([agent], 0);
-  far.sweep(1_000_000);
-  t.equal(stateIn(far), 'alive');
-  t.end();
-});
+t.test(
+  'a process that received no heartbeat does not declare a member dead',
+  t => {
+    const far = table('far');
+    far.merge([agent], 0);
+    far.sweep(1_000_000);
+    t.equal(stateIn(far), 'alive');
+    t.end();
+  },
+);
 
 t.test(
   'a member that was declared dead while paused returns with a new incarnation',
@@ -82,7 +85,7 @@
   },
 );
 
-t.test('a leaving member stays leaving, whatever late reports say', t => {
+t.test('late reports do not change the state of a leaving member', t => {
   const one = table('one');
   one.applyHeartbeat({ ...agent, incarnation: 2, state: 'leaving' }, 0);
   one.merge([agent], 10);
@@ -111,6 +114,10 @@
   );
   t.equal(members.applyHeartbeat(agent, 3000).state, 'alive', 'once');
   members.merge([{ ...agent, state: 'dead', suspectedBy: ['two'] }], 9000);
-  t.equal(stateIn(members), 'dead', 'others are believed once heartbeats stop');
+  t.equal(
+    stateIn(members),
+    'dead',
+    'reports of others apply once heartbeats stop',
+  );
   t.end();
 });
--- a/packages/request-plane/tests/routing/routing.test.ts
+++ b/packages/request-plane/tests/routing/routing.test.ts
@@ -77,7 +77,7 @@
   t.end();
 });
 
-t.test('no upstream is left out when too many would be ejected', t => {
+t.test('all upstreams are returned when too many would be ejected', t => {
   const detector = new OutlierDetector(seededRandom(1));
   const all = ['a', 'b', 'c', 'd'].map(attempt => ({ attempt }));
   for (const attempt of ['a', 'b']) {
@@ -98,7 +98,7 @@
   t.end();
 });
 
-t.test('retries are limited to a share of successes', t => {
+t.test('retries are limited to a share of successful requests', t => {
   const budget = new RetryBudget();
   let taken = 0;
   while (budget.take()) {
--- a/packages/request-plane/tests/routing/upstream-router.test.ts
+++ b/packages/request-plane/tests/routing/upstream-router.test.ts
@@ -37,7 +37,7 @@
 function routerOf(
   members: readonly Member[],
   loads: LoadTable,
-  refusing = new UnreachableAgents(),
+  unreachableAgents = new UnreachableAgents(),
   clock = new ManualClock(1000),
 ): UpstreamRouter {
   const table = new MemberTable('entry', 'entry-run', {
@@ -51,7 +51,7 @@
     members: table,
     loads,
     outliers: new OutlierDetector(random),
-    unreachableAgents: refusing,
+    unreachableAgents,
     crossRegionBytes: new ByteBudget(() => 1000, 1000),
     clock,
     random,
@@ -85,10 +85,10 @@
   },
 );
 
-t.test('agents that refuse connections are excluded, however many', t => {
-  const refusing = new UnreachableAgents();
+t.test('any number of agents that refuse connections is excluded', t => {
+  const unreachableAgents = new UnreachableAgents();
   const members = ['a', 'b', 'c', 'd'].map(name => agent(name, 'here'));
-  const router = routerOf(members, new LoadTable(), refusing);
+  const router = routerOf(members, new LoadTable(), unreachableAgents);
   const chosen = (): readonly (string | undefined)[] =>
     Array.from(
       { length: 40 },
@@ -96,13 +96,13 @@
     );
   t.same([...new Set(chosen())].sort(), ['a', 'b', 'c', 'd']);
   for (const name of ['a', 'b', 'c']) {
-    refusing.recordRefusal(`${name}-run`, 1000);
+    unreachableAgents.recordRefusal(`${name}-run`, 1000);
   }
   t.same([...new Set(chosen())], ['d']);
-  refusing.recordAnswer('b-run');
+  unreachableAgents.recordAnswer('b-run');
   t.same([...new Set(chosen())].sort(), ['b', 'd']);
   for (const name of ['b', 'd']) {
-    refusing.recordRefusal(`${name}-run`, 1000);
+    unreachableAgents.recordRefusal(`${name}-run`, 1000);
   }
   t.equal(new Set(chosen()).size, 4, 'all are tried when all are excluded');
   t.end();
