refactor(jobs): second reading of the wording

`entry` meant both a process role and a task's state in variables; one thing had several terms (listed, seen; finish, end; faults, failures; place, position). Comments now say "number of", "maximum", "report".

--- a/packages/jobs/src/interference/batch-demand.ts
+++ b/packages/jobs/src/interference/batch-demand.ts
@@ -1,4 +1,4 @@
-/** What the tasks of a batch image would use on one minion. */
+/** Processor time that the tasks of a batch image would use on one minion. */
 export interface BatchDemand {
   /** Busy cores of all its tasks at full speed. */
   readonly cores: number;
--- a/packages/jobs/src/interference/decide-shares.ts
+++ b/packages/jobs/src/interference/decide-shares.ts
@@ -5,7 +5,7 @@
 /** Part of its bound up to which a serving task's tail latency may rise. */
 const BOUND_FRACTION = 0.88;
 
-/** A smaller estimated slowdown by one task is no different from noise. */
+/** A smaller estimated slowdown by one task may be noise and is ignored. */
 const MINIMUM_TASK_SLOWDOWN = 0.1;
 
 /**
@@ -19,13 +19,13 @@
 
 /**
  * Time for which a bound is exceeded before batch tasks are throttled. A
- * throttled task runs longer, so that its interference is only put off.
+ * throttled task runs longer, so that throttling only delays its interference.
  */
 const THROTTLE_DELAY_MILLISECONDS = 900;
 
 /**
- * A bound exceeded for this long means that the estimates miss the cause, so
- * that all batch tasks are throttled to a share of 0.
+ * A bound exceeded for this long shows that the estimates are wrong, so that
+ * all batch tasks are throttled to a share of 0.
  */
 const THROTTLE_ALL_DELAY_MILLISECONDS = 1600;
 
@@ -47,20 +47,22 @@
 /**
  * Decides at which share of full speed the tasks of each batch image run, so
  * that serving tasks whose bounds stay exceeded recover. The slowdown that a
- * serving task tolerates is granted to the images that interfere least first.
+ * serving task tolerates is assigned to images in order of their interference,
+ * the lowest first.
  *
- * @param batch - By image.
+ * @param batch - Demand by batch image.
+ * @returns Share of full speed by batch image, 0 to 1.
  */
 export function decideShares(
   serving: readonly ServingTask[],
   batch: ReadonlyMap<string, BatchDemand>,
   table: InterferenceTable,
 ): ReadonlyMap<string, number> {
-  const longest = Math.max(
+  const longestViolation = Math.max(
     0,
     ...serving.map(task => task.strainedMilliseconds),
   );
-  if (longest >= THROTTLE_ALL_DELAY_MILLISECONDS) {
+  if (longestViolation >= THROTTLE_ALL_DELAY_MILLISECONDS) {
     return new Map([...batch.keys()].map(image => [image, 0]));
   }
   const decided = new Map([...batch.keys()].map(image => [image, 1]));
@@ -68,14 +70,14 @@
     task => task.strainedMilliseconds >= THROTTLE_DELAY_MILLISECONDS,
   );
   for (const task of violating) {
-    for (const [image, share] of sharesBeside(task, batch, table)) {
+    for (const [image, share] of sharesFor(task, batch, table)) {
       decided.set(image, Math.min(share, decided.get(image) ?? 1));
     }
   }
   return decided;
 }
 
-function sharesBeside(
+function sharesFor(
   task: ServingTask,
   batch: ReadonlyMap<string, BatchDemand>,
   table: InterferenceTable,
--- a/packages/jobs/src/interference/image-statistics.ts
+++ b/packages/jobs/src/interference/image-statistics.ts
@@ -1,7 +1,10 @@
 import type { InterferenceRow } from './interference-row.js';
 import type { LowestTailLatency } from './lowest-tail-latency.js';
 
-/** What all minions have shown of images; kept when the leader changes. */
+/**
+ * Interference and lowest tail latencies of images, from the reports of all
+ * minions; handed over when the leader changes.
+ */
 export interface ImageStatistics {
   readonly harms: readonly InterferenceRow[];
   readonly lowestTails: readonly LowestTailLatency[];
--- a/packages/jobs/src/interference/interference-estimator.ts
+++ b/packages/jobs/src/interference/interference-estimator.ts
@@ -26,7 +26,7 @@
 }
 
 /**
- * Estimates how much batch images slow serving images down, by non-negative
+ * Estimates the slowdown of serving images by batch images, by non-negative
  * least squares over all observations with ridge regularization towards a
  * prior. It is solved by coordinate descent (Franc, Hlavac, Navara, "Sequential
  * coordinate-wise algorithm for the non-negative least squares problem", CAIP
--- a/packages/jobs/src/interference/interference-table.ts
+++ b/packages/jobs/src/interference/interference-table.ts
@@ -10,13 +10,13 @@
 /** An estimate from fewer observations is not reliable. */
 const MINIMUM_OBSERVATIONS = 5;
 
-/** Part of the estimate by which a change has to exceed the constant below. */
+/** A noticeable change exceeds this part of the estimate plus the value below. */
 const NOTICEABLE_FRACTION = 0.1;
 
 /** Slowdown per busy core; smaller changes are not sent to other processes. */
 const NOTICEABLE_SLOWDOWN = 0.002;
 
-/** How much batch images slow serving images down, by pair of images. */
+/** Slowdown of serving images by batch images, by pair of images. */
 export class InterferenceTable {
   /** Slowdown per busy core assumed of a pair that never shared a minion. */
   public readonly priorSlowdownPerCore = PRIOR_SLOWDOWN;
@@ -33,7 +33,7 @@
     return this.pairs.get(keyOf(serving, batch))?.harm ?? PRIOR_SLOWDOWN;
   }
 
-  /** Returns the same, or 0 while the pair has too few observations. */
+  /** Like `slowdownPerCore`, but 0 while the pair has too few observations. */
   public reliableSlowdownPerCore(serving: string, batch: string): number {
     const row = this.pairs.get(keyOf(serving, batch));
     return row !== undefined && isReliable(row) ? row.harm : 0;
@@ -46,8 +46,16 @@
     slowdownPerCore: number,
     observations: number,
   ): void {
-    const harm = Math.min(MAXIMUM_SLOWDOWN, Math.max(0, slowdownPerCore));
-    const row = { serving, filling: batch, harm, observations };
+    const boundedSlowdown = Math.min(
+      MAXIMUM_SLOWDOWN,
+      Math.max(0, slowdownPerCore),
+    );
+    const row = {
+      serving,
+      filling: batch,
+      harm: boundedSlowdown,
+      observations,
+    };
     this.pairs.set(keyOf(serving, batch), row);
   }
 
--- a/packages/jobs/src/interference/load-monitor.ts
+++ b/packages/jobs/src/interference/load-monitor.ts
@@ -4,7 +4,7 @@
 import type { TailLatencySample } from './tail-latency-sample.js';
 import { VersionedRows } from './versioned-rows.js';
 
-/** Tasks whose first sample is remembered. */
+/** Number of tasks whose time of the first sample is recorded. */
 const MAXIMUM_TRACKED_TASKS = 20_000;
 
 /** Samples of a task that are older than this are ignored. */
@@ -13,13 +13,13 @@
 /** Part of the lowest tail latency that is service time, not queueing. */
 const UNLOADED_FRACTION = 0.8;
 
-/** A tail latency above this part of its bound may come from an overload. */
+/** A tail latency above this part of its bound may be due to an overload. */
 const MAXIMUM_UNLOADED_BOUND_FRACTION = 0.5;
 
 /** The first samples of a task cover time before its start. */
 const WARM_UP_MILLISECONDS = 1200;
 
-/** Sample intervals by which a rising load is extrapolated. */
+/** Number of sample intervals by which a rising load is extrapolated. */
 const PREDICTED_INTERVALS = 1;
 
 const SAMPLE_INTERVAL_MILLISECONDS = 500;
@@ -85,7 +85,7 @@
     }
   }
 
-  /** Returns the tail latency that a task of the job has without neighbours. */
+  /** Returns the tail latency of a task of the job without interference. */
   public isolatedTailLatency(job: string, now: number): number {
     const samples = this.jobs.get(job);
     return samples === undefined ? 0 : lowestOf(samples, now);
--- a/packages/jobs/src/interference/queue-model.ts
+++ b/packages/jobs/src/interference/queue-model.ts
@@ -6,7 +6,7 @@
  * Kleinrock, "Queueing Systems", volume 1, 1975, M/M/1.
  */
 
-/** Returns the load of a task whose tail latency neighbours do not affect. */
+/** Returns the load of a task from its tail latency without interference. */
 export function loadOf(
   isolatedTailLatency: number,
   unloadedTailLatency: number,
--- a/packages/jobs/src/interference/update-estimates.ts
+++ b/packages/jobs/src/interference/update-estimates.ts
@@ -14,7 +14,7 @@
 
 /**
  * A tail latency that falls from above this part of its bound comes from a
- * backlog whose cause has ended, and says nothing of the present slowdown.
+ * backlog whose cause has ended, and does not show the present slowdown.
  */
 const BACKLOG_BOUND_FRACTION = 0.7;
 
@@ -29,8 +29,8 @@
 /**
  * Updates the estimates of loads and interference from what one minion lists.
  *
- * @param previousTailLatencies - Of the previous report, by task; this report
- * replaces them.
+ * @param previousTailLatencies - Tail latencies in milliseconds of the previous
+ * report, by task; replaced by those of this report.
  */
 export function updateEstimates(
   table: JobTable,
--- a/packages/jobs/src/interference/versioned-rows.ts
+++ b/packages/jobs/src/interference/versioned-rows.ts
@@ -3,25 +3,25 @@
 /** Beyond this number, the row that was set longest ago is evicted. */
 const MAXIMUM_ROWS = 20_000;
 
-interface Entry<Row> {
+interface VersionedRow<Row> {
   readonly row: Row;
-  /** The row as of the version below; later small changes are not in it. */
-  readonly versionedRow: Row;
+  /** The row at the version below; without later changes that are too small. */
+  readonly rowAtVersion: Row;
   readonly version: number;
 }
 
-/** Rows by key, which can be listed by the version of their last change. */
+/** Rows by key, with a version that rises with each noticeable change. */
 export class VersionedRows<Row> {
-  private readonly entries = new BoundedMap<Entry<Row>>(MAXIMUM_ROWS);
+  private readonly entries = new BoundedMap<VersionedRow<Row>>(MAXIMUM_ROWS);
 
-  private readonly isNoticeable: (versionedRow: Row, row: Row) => boolean;
+  private readonly isNoticeable: (rowAtVersion: Row, row: Row) => boolean;
 
   private newestVersion = 0;
 
   /**
-   * @param isNoticeable - Whether a change of a row deserves a new version.
+   * @param isNoticeable - Returns whether a change of a row gets a new version.
    */
-  public constructor(isNoticeable: (versionedRow: Row, row: Row) => boolean) {
+  public constructor(isNoticeable: (rowAtVersion: Row, row: Row) => boolean) {
     this.isNoticeable = isNoticeable;
   }
 
@@ -36,14 +36,14 @@
 
   public set(key: string, row: Row): void {
     const before = this.entries.get(key);
-    if (before !== undefined && !this.isNoticeable(before.versionedRow, row)) {
+    if (before !== undefined && !this.isNoticeable(before.rowAtVersion, row)) {
       this.entries.set(key, { ...before, row });
       return;
     }
     this.newestVersion += 1;
     this.entries.set(key, {
       row,
-      versionedRow: row,
+      rowAtVersion: row,
       version: this.newestVersion,
     });
   }
--- a/packages/jobs/src/model/agent-report.ts
+++ b/packages/jobs/src/model/agent-report.ts
@@ -5,7 +5,7 @@
 
 /** State of a minion at one moment, as its agent reports it. */
 export interface AgentReport {
-  /** Fencing token under which the lists were read. */
+  /** Fencing token under which the agent read the runs from the minion. */
   readonly fencingToken: number;
   /** Null while the agent has found no running minion. */
   readonly minion: MinionDescription | null;
--- a/packages/jobs/src/model/check-specification.ts
+++ b/packages/jobs/src/model/check-specification.ts
@@ -4,7 +4,7 @@
 
 const MAXIMUM_STEPS = 64;
 
-/** Returns why a job cannot be accepted; undefined if it can. */
+/** Returns the reason why a job is not valid; undefined if it is valid. */
 export function checkSpecification(
   specification: JobSpecification,
 ): string | undefined {
--- a/packages/jobs/src/model/minion-description.ts
+++ b/packages/jobs/src/model/minion-description.ts
@@ -9,6 +9,6 @@
   readonly capacity: Capacity;
   readonly labels: readonly string[];
   readonly draining: boolean;
-  /** Minimum time until the minion stops while it drains. */
+  /** Minimum time until a draining minion stops. */
   readonly remainingMilliseconds: number;
 }
--- a/packages/jobs/src/model/queue-settings.ts
+++ b/packages/jobs/src/model/queue-settings.ts
@@ -5,10 +5,10 @@
   readonly service: string;
   /** 0 is the most urgent. */
   readonly priority: number;
-  /** Runs of a task that may end as failed. */
+  /** Number of failed runs of a task after which its job fails. */
   readonly maximumAttempts: number;
-  /** Objective of a job, as a multiple of its longest chain of steps. */
+  /** Time objective of a job, as a multiple of its longest chain of steps. */
   readonly slackFactor: number;
-  /** Added to the objective of each job. */
+  /** Added to the time objective of each job. */
   readonly targetLatencyMilliseconds: number;
 }
--- a/packages/jobs/src/model/start-refusal.ts
+++ b/packages/jobs/src/model/start-refusal.ts
@@ -1,4 +1,4 @@
-/** A refused start; no run begins under its run number any more. */
+/** A refused start; no run can begin under its run number any more. */
 export interface StartRefusal {
   readonly task: string;
   readonly run: number;
--- a/packages/jobs/src/plan/candidate-minion.ts
+++ b/packages/jobs/src/plan/candidate-minion.ts
@@ -6,10 +6,13 @@
 
 /** Free capacity and tasks of one minion while a round of starts is planned. */
 export class CandidateMinion {
+  /** Free processor time. */
   public processorMillicores: number;
 
+  /** Free memory. */
   public memoryMegabytes: number;
 
+  /** Free accelerators. */
   public accelerators: number;
 
   /** Processor time left after the expected use of all tasks, batch included. */
@@ -37,33 +40,33 @@
     this.memoryMegabytes = capacity?.memoryMegabytes ?? 0;
     this.accelerators = capacity?.accelerators ?? 0;
     this.idleMillicores = this.processorMillicores;
-    for (const { entry } of minion.runs.values()) {
-      this.count(entry);
+    for (const { task } of minion.runs.values()) {
+      this.count(task);
     }
   }
 
   /** Returns a copy that can be changed independently. */
   public copy(): CandidateMinion {
     const copy = new CandidateMinion(this.minion);
-    this.planned.forEach(entry => {
-      copy.place(entry);
+    this.planned.forEach(task => {
+      copy.place(task);
     });
     return copy;
   }
 
   /** Counts a task that this round places on the minion. */
-  public place(entry: TaskEntry): void {
-    this.planned.push(entry);
-    this.count(entry);
+  public place(task: TaskEntry): void {
+    this.planned.push(task);
+    this.count(task);
   }
 
   /** Returns the number of tasks here of the same step and occurrence. */
-  public countTasksOfStep(entry: TaskEntry): number {
-    return this.tasksByStep.get(stepKey(entry)) ?? 0;
+  public countTasksOfStep(task: TaskEntry): number {
+    return this.tasksByStep.get(stepKey(task)) ?? 0;
   }
 
-  private count(entry: TaskEntry): void {
-    const { demand, specification } = entry;
+  private count(task: TaskEntry): void {
+    const { demand, specification } = task;
     this.processorMillicores -= demand.processorMillicores;
     this.memoryMegabytes -= demand.memoryMegabytes;
     this.accelerators -= demand.accelerators;
@@ -73,17 +76,17 @@
       ? processorMillicores * BUSY_SHARE_OF_SERVING
       : processorMillicores;
     if (isServing) {
-      this.serving.push(entry);
+      this.serving.push(task);
       this.servingMillicores += processorMillicores;
     } else if (specification.filling) {
       const before = this.batchMillicores.get(image) ?? 0;
       this.batchMillicores.set(image, before + processorMillicores);
     }
-    const key = stepKey(entry);
-    this.tasksByStep.set(key, this.countTasksOfStep(entry) + 1);
+    const key = stepKey(task);
+    this.tasksByStep.set(key, this.countTasksOfStep(task) + 1);
   }
 }
 
-function stepKey(entry: TaskEntry): string {
-  return `${entry.jobIdentifier}.${entry.occurrence}.${entry.step}`;
+function stepKey(task: TaskEntry): string {
+  return `${task.jobIdentifier}.${task.occurrence}.${task.step}`;
 }
--- a/packages/jobs/src/plan/choose-minion.ts
+++ b/packages/jobs/src/plan/choose-minion.ts
@@ -5,20 +5,20 @@
 import type { InterferencePredictor } from './interference-predictor.js';
 import { scoreMinion } from './score-minion.js';
 
-/** Bounds that a batch task may endanger while it can still wait. */
+/** Number of bounds that a batch task may endanger while it can still wait. */
 const MAXIMUM_ENDANGERED_BOUNDS_WHILE_WAITING = 0.8;
 
-/** Weight of an endangered bound, relative to that of a minion's idle share. */
+/** Weight of an endangered bound; the weight of a minion's idle share is 1. */
 const ENDANGERED_BOUND_WEIGHT = 3;
 
-/** Further endangered bounds do not lower the score of a minion. */
+/** Endangered bounds beyond this number do not lower the score of a minion. */
 const MAXIMUM_SCORED_BOUNDS = 4;
 
 /**
  * Chooses the minion with enough free capacity that scores best for the kind of
- * task, prefers the given rack and keeps batch tasks apart from serving tasks
- * that they are estimated to slow down. Meant for many equal minions that are
- * partly occupied.
+ * task, prefers the given rack and keeps batch tasks away from serving tasks
+ * that they are estimated to slow down. Intended for many equal minions that
+ * are partly occupied.
  *
  * @param mayWait - A batch task may wait for a moment with less interference.
  * @returns `undefined` if no minion is suitable now.
@@ -31,8 +31,8 @@
   predictor: InterferencePredictor,
   mayWait: boolean,
 ): ChosenMinion | undefined {
-  const waits = mayWait && task.specification.filling;
-  const maximumEndangeredBounds = waits
+  const canWait = mayWait && task.specification.filling;
+  const maximumEndangeredBounds = canWait
     ? MAXIMUM_ENDANGERED_BOUNDS_WHILE_WAITING
     : Number.POSITIVE_INFINITY;
   let best: ChosenMinion | undefined;
--- a/packages/jobs/src/plan/interference-predictor.ts
+++ b/packages/jobs/src/plan/interference-predictor.ts
@@ -6,10 +6,10 @@
 /** Part of its bound up to which a serving task's tail latency may rise. */
 const BOUND_FRACTION = 0.9;
 
-/** Loads vary; a batch task meets at least this load while it runs. */
+/** Loads vary; while a batch task runs, the load is assumed to reach this. */
 const MINIMUM_LOAD = 0.5;
 
-/** Part of the bound that stands in for an unknown unloaded tail latency. */
+/** Without an estimate, the unloaded tail latency is this part of the bound. */
 const DEFAULT_UNLOADED_FRACTION = 0.2;
 
 /** Predicts how much batch tasks slow serving tasks down. */
--- a/packages/jobs/src/plan/plan-starts.ts
+++ b/packages/jobs/src/plan/plan-starts.ts
@@ -10,10 +10,10 @@
 import type { Urgency } from './urgency.js';
 import { compareUrgency, urgencyOf } from './urgency.js';
 
-/** Longest wait for less interference; users treat a task as lost after 3 s. */
+/** Maximum wait for less interference; users treat a task as lost after 3 s. */
 const MAXIMUM_WAIT_MILLISECONDS = 2500;
 
-/** A job with less time left until its latest start does not wait. */
+/** Tasks of a job with less time left until its latest start do not wait. */
 const MINIMUM_SLACK_MILLISECONDS = 1000;
 
 /**
@@ -116,7 +116,7 @@
     candidate.place(task);
     starts.push({ task, minion: candidate.minion, endangeredBounds });
   }
-  return gang ? completeGang(job, tasks, starts, candidates) : starts;
+  return gang ? startsOfWholeGang(job, tasks, starts, candidates) : starts;
 }
 
 function preferredRack(
@@ -130,7 +130,8 @@
   return starts[0]?.minion.description?.labels.at(-1) ?? '';
 }
 
-function completeGang(
+/** Returns the starts of a gang and places them; none unless all members fit. */
+function startsOfWholeGang(
   job: JobEntry,
   tasks: readonly TaskEntry[],
   starts: readonly PlannedStart[],
--- a/packages/jobs/src/plan/score-minion.ts
+++ b/packages/jobs/src/plan/score-minion.ts
@@ -7,7 +7,7 @@
 /** Weight of the share of a minion that serving tasks request. */
 const SERVING_WEIGHT = 2;
 
-/** Weight of the idle share of minions with equally many serving tasks. */
+/** Weight of the idle share; decides between minions of equal serving share. */
 const IDLE_WEIGHT_OF_SERVING = 0.1;
 
 type TaskKind = 'serving' | 'filling' | 'plain';
@@ -18,8 +18,8 @@
 ) => number;
 
 /**
- * Scores of a minion by kind of task. Serving tasks share minions, so that
- * other minions are left where batch tasks interfere with no serving task.
+ * Score of a minion by kind of task. Serving tasks share minions, so that other
+ * minions are left on which batch tasks do not interfere with a serving task.
  */
 const PREFERENCES: Readonly<Record<TaskKind, Preference>> = {
   serving: (candidate, totalMillicores) =>
@@ -41,10 +41,10 @@
     1,
     description?.capacity.processorMillicores ?? 1,
   );
-  const isNear =
+  const isInPreferredRack =
     preferredRack !== '' && description?.labels.includes(preferredRack);
   const preference = PREFERENCES[kindOf(task)](candidate, totalMillicores);
-  return preference + (isNear ? RACK_BONUS : 0);
+  return preference + (isInPreferredRack ? RACK_BONUS : 0);
 }
 
 function kindOf({ specification }: TaskEntry): TaskKind {
--- a/packages/jobs/src/plan/urgency.ts
+++ b/packages/jobs/src/plan/urgency.ts
@@ -3,21 +3,23 @@
 
 /** How soon the tasks of a job have to start. */
 export interface Urgency {
-  /** The latest start has passed by the estimates. */
+  /** By the estimates, the latest start has passed. */
   readonly late: boolean;
   readonly priority: number;
   /** Latest start of the remaining steps for the job to be on time. */
   readonly latestStart: number;
 }
 
-/** Returns the urgency of a job by its objective and its estimates. */
+/** Returns the urgency of a job by its time objective and its estimates. */
 export function urgencyOf(job: JobEntry, now: number): Urgency {
   const { queue, specification } = job;
   const chains = chainMilliseconds(specification.steps);
-  const whole = Math.max(0, ...chains);
+  const longestChain = Math.max(0, ...chains);
   const remaining = remainingChain(job, chains);
   const dueAt =
-    startOf(job) + queue.slackFactor * whole + queue.targetLatencyMilliseconds;
+    startOf(job) +
+    queue.slackFactor * longestChain +
+    queue.targetLatencyMilliseconds;
   const latestStart = dueAt - remaining;
   return { late: now > latestStart, priority: queue.priority, latestStart };
 }
--- a/packages/jobs/src/reconcile/apply-report.ts
+++ b/packages/jobs/src/reconcile/apply-report.ts
@@ -10,21 +10,21 @@
 import { END_HANDLERS } from './end-handlers.js';
 import type { ReportOutcome } from './report-outcome.js';
 
-/** Time without starts for a minion that refused one. */
+/** Time for which a minion that refused a start gets no other one. */
 const REFUSAL_BACKOFF_MILLISECONDS = 400;
 
-/** Longest time without starts for a minion whose runs keep failing. */
+/** Maximum time without starts for a minion whose runs keep failing. */
 const MAXIMUM_BACKOFF_MILLISECONDS = 4000;
 
 /** Consecutive failed runs after which a minion gets no starts for a while. */
-const FAULTS_BEFORE_BACKOFF = 3;
+const FAILURES_BEFORE_BACKOFF = 3;
 
 /**
  * Reconciles the table with an agent's report on its minion.
  *
- * An assigned run that is neither listed nor ended has never begun if its order
- * was sent under an older fencing token than that of the lists, since the minion
- * refuses orders with an older token.
+ * An assigned run that the report contains neither as running nor as ended has
+ * never begun if its order was sent under an older fencing token than that of
+ * the report, since the minion refuses orders with an older token.
  */
 export function applyReport(
   table: JobTable,
@@ -82,7 +82,7 @@
   }
   END_HANDLERS[end.reason](job, task, end, now);
   if (task.specification.gang && end.reason === 'done') {
-    finishGang(table, task);
+    endGang(table, task);
   }
   job.endIfFinished(now);
   table.markChanged(task);
@@ -99,24 +99,24 @@
   end: RunEnd,
   now: number,
 ): boolean {
-  const counts =
+  const isAccepted =
     end.reason === 'done' &&
     task.phase === 'waiting' &&
     !task.specification.longRunning &&
     end.run === task.run;
-  if (counts) {
-    task.finish('done');
+  if (isAccepted) {
+    task.end('done');
     table.jobs.get(task.jobIdentifier)?.endIfFinished(now);
     table.markChanged(task);
   }
-  return counts;
+  return isAccepted;
 }
 
-function finishGang(table: JobTable, task: TaskEntry): void {
+function endGang(table: JobTable, task: TaskEntry): void {
   const job = table.jobs.get(task.jobIdentifier);
   const members = job?.occurrences.get(task.occurrence)?.[task.step] ?? [];
   for (const member of members) {
-    member.finish('done');
+    member.end('done');
   }
 }
 
@@ -125,10 +125,10 @@
   success: boolean,
   now: number,
 ): void {
-  minion.consecutiveFaults = success ? 0 : minion.consecutiveFaults + 1;
-  if (minion.consecutiveFaults >= FAULTS_BEFORE_BACKOFF) {
+  minion.consecutiveFailures = success ? 0 : minion.consecutiveFailures + 1;
+  if (minion.consecutiveFailures >= FAILURES_BEFORE_BACKOFF) {
     const backoff =
-      REFUSAL_BACKOFF_MILLISECONDS * 2 ** minion.consecutiveFaults;
+      REFUSAL_BACKOFF_MILLISECONDS * 2 ** minion.consecutiveFailures;
     minion.backoffUntil = now + Math.min(backoff, MAXIMUM_BACKOFF_MILLISECONDS);
   }
 }
@@ -161,8 +161,8 @@
   running: RunningTask,
   now: number,
 ): void {
-  if (task.seenRunningAt === 0) {
-    task.seenRunningAt = now;
+  if (task.firstListedAt === 0) {
+    task.firstListedAt = now;
     task.progressAt = now;
   }
   if (running.percent !== task.percent) {
@@ -199,27 +199,27 @@
     report.running.map(({ task, run }) => `${task}/${run}`),
   );
   const neverBegan: string[] = [];
-  for (const [key, { entry, run }] of minion.runs) {
-    if (listed.has(key) || mayStillBegin(entry, run, report)) {
+  for (const [key, { task, run }] of minion.runs) {
+    if (listed.has(key) || mayStillBegin(task, run, report)) {
       continue;
     }
     minion.runs.delete(key);
-    if (isCurrent(entry, minion, run)) {
-      entry.release(now);
-      table.markChanged(entry);
-      neverBegan.push(entry.name);
+    if (isCurrent(task, minion, run)) {
+      task.release(now);
+      table.markChanged(task);
+      neverBegan.push(task.name);
     }
   }
   return neverBegan;
 }
 
 function mayStillBegin(
-  entry: TaskEntry,
+  task: TaskEntry,
   run: number,
   report: AgentReport,
 ): boolean {
-  const current = entry.run === run && entry.phase === 'assigned';
-  return current && entry.orderToken >= report.fencingToken;
+  const current = task.run === run && task.phase === 'assigned';
+  return current && task.orderToken >= report.fencingToken;
 }
 
 function isCurrent(task: TaskEntry, minion: MinionEntry, run: number): boolean {
--- a/packages/jobs/src/reconcile/end-handlers.ts
+++ b/packages/jobs/src/reconcile/end-handlers.ts
@@ -35,7 +35,7 @@
     if (task.specification.longRunning) {
       task.release(now);
     } else {
-      task.finish('done');
+      task.end('done');
     }
   },
   failed: (job, task, end, now) => {
@@ -46,7 +46,7 @@
     }
     task.failedRuns += 1;
     if (task.failedRuns >= job.queue.maximumAttempts) {
-      task.finish('failed');
+      task.end('failed');
     } else {
       task.release(now + RESTART_DELAY_MILLISECONDS);
     }
--- a/packages/jobs/src/reconcile/expire-minions.ts
+++ b/packages/jobs/src/reconcile/expire-minions.ts
@@ -4,13 +4,13 @@
 /** The clock of a minion may be slower than the leader's by this factor. */
 const CLOCK_DRIFT_FACTOR = 1.02;
 
-/** Covers the transit of a lease grant and a minion that stops runs late. */
+/** Covers the transit time of a lease grant and the late stop of a run. */
 const EXPIRY_MARGIN_MILLISECONDS = 500;
 
 /** A minion whose lease has expired, and the tasks released from it. */
 export interface ExpiredMinion {
   readonly incarnation: string;
-  readonly freed: readonly TaskEntry[];
+  readonly releasedTasks: readonly TaskEntry[];
 }
 
 /**
@@ -24,15 +24,15 @@
   leaseMilliseconds: number,
   now: number,
 ): readonly ExpiredMinion[] {
-  const longest =
+  const expiryMilliseconds =
     leaseMilliseconds * CLOCK_DRIFT_FACTOR + EXPIRY_MARGIN_MILLISECONDS;
   return [...table.minions.values()]
     .filter(
       ({ connected, lastContactAt }) =>
-        !connected && now - lastContactAt > longest,
+        !connected && now - lastContactAt > expiryMilliseconds,
     )
     .map(({ incarnation }) => ({
       incarnation,
-      freed: table.removeMinion(incarnation, now),
+      releasedTasks: table.removeMinion(incarnation, now),
     }));
 }
--- a/packages/jobs/src/reconcile/find-stuck-runs.ts
+++ b/packages/jobs/src/reconcile/find-stuck-runs.ts
@@ -4,10 +4,10 @@
 /** A run without progress for this long is stuck. */
 const STUCK_TIMEOUT_MILLISECONDS = 2500;
 
-/** Longer, since a batch task may be throttled for its neighbours. */
+/** Longer, since a batch task may be throttled for the serving tasks. */
 const STUCK_BATCH_TIMEOUT_MILLISECONDS = 8000;
 
-/** A long-running task at this progress handles requests. */
+/** Progress at which a long-running task handles requests. */
 const READY_PERCENT = 100;
 
 /** Time without starts for a minion on which a run is stuck. */
@@ -23,13 +23,13 @@
     if (!minion.connected || minion.description?.draining === true) {
       continue;
     }
-    for (const { entry, run } of minion.runs.values()) {
-      if (entry.run === run && isStuck(entry, now)) {
+    for (const { task, run } of minion.runs.values()) {
+      if (task.run === run && isStuck(task, now)) {
         minion.backoffUntil = Math.max(
           minion.backoffUntil,
           now + STUCK_BACKOFF_MILLISECONDS,
         );
-        stuck.push(entry);
+        stuck.push(task);
       }
     }
   }
@@ -37,14 +37,14 @@
 }
 
 function isStuck(task: TaskEntry, now: number): boolean {
-  if (task.phase !== 'assigned' || task.seenRunningAt === 0 || task.stopping) {
+  if (task.phase !== 'assigned' || task.firstListedAt === 0 || task.stopping) {
     return false;
   }
   if (task.specification.longRunning && task.percent >= READY_PERCENT) {
     return false;
   }
-  const bound = task.specification.filling
+  const timeout = task.specification.filling
     ? STUCK_BATCH_TIMEOUT_MILLISECONDS
     : STUCK_TIMEOUT_MILLISECONDS;
-  return now - task.progressAt > bound;
+  return now - task.progressAt > timeout;
 }
--- a/packages/jobs/src/reconcile/tasks-to-move.ts
+++ b/packages/jobs/src/reconcile/tasks-to-move.ts
@@ -1,12 +1,13 @@
 import type { JobTable } from '../state/job-table.js';
 import type { TaskEntry } from '../state/task-entry.js';
 
-/** Time that a stop takes, with the transit of its order. */
+/** Time that a stop takes, including the transit time of its order. */
 const STOP_DURATION_MILLISECONDS = 700;
 
 /**
- * Returns the tasks to stop on draining minions: long-running ones at once, and
- * those that write checkpoints and would not end in time as late as is safe.
+ * Returns the tasks to stop on draining minions, so that they start again on
+ * other ones: long-running tasks at once, and tasks that write checkpoints and
+ * would not end in time as late as is safe.
  */
 export function tasksToMove(
   table: JobTable,
@@ -18,10 +19,10 @@
       continue;
     }
     const timeLeft = minion.description.remainingMilliseconds;
-    for (const { entry, run } of minion.runs.values()) {
-      const current = entry.run === run && entry.phase === 'assigned';
-      if (current && !entry.stopping && mustMove(entry, timeLeft, now)) {
-        moving.push(entry);
+    for (const { task, run } of minion.runs.values()) {
+      const current = task.run === run && task.phase === 'assigned';
+      if (current && !task.stopping && mustMove(task, timeLeft, now)) {
+        moving.push(task);
       }
     }
   }
@@ -33,10 +34,10 @@
   if (specification.longRunning) {
     return true;
   }
-  if (!specification.checkpointing || task.seenRunningAt === 0) {
+  if (!specification.checkpointing || task.firstListedAt === 0) {
     return false;
   }
-  const elapsed = now - task.seenRunningAt;
+  const elapsed = now - task.firstListedAt;
   const remaining =
     (elapsed / Math.max(1, task.percent)) * (100 - task.percent);
   return timeLeft <= STOP_DURATION_MILLISECONDS && remaining > timeLeft;
--- a/packages/jobs/src/records/apply-progress.ts
+++ b/packages/jobs/src/records/apply-progress.ts
@@ -16,7 +16,7 @@
 
 /**
  * Applies a stored record to the table. Runs that were on a minion count as
- * being there until its agent reports or its lease expires.
+ * still running there until its agent reports or its lease expires.
  *
  * @param now - Present time; the leases of minions whose agents have not
  * reported yet count from here.
--- a/packages/jobs/src/records/encode-progress.ts
+++ b/packages/jobs/src/records/encode-progress.ts
@@ -6,7 +6,7 @@
   TaskRow,
 } from './progress-record.js';
 
-const LETTERS: Readonly<Record<TaskPhase, TaskPhaseLetter>> = {
+const PHASE_LETTERS: Readonly<Record<TaskPhase, TaskPhaseLetter>> = {
   waiting: 'w',
   assigned: 'a',
   done: 'd',
@@ -37,7 +37,7 @@
     task.occurrence,
     task.step,
     task.index,
-    LETTERS[task.phase],
+    PHASE_LETTERS[task.phase],
     task.run,
     task.failedRuns,
     positionOf(task.incarnation, incarnations),
--- a/packages/jobs/src/state/job-entry.ts
+++ b/packages/jobs/src/state/job-entry.ts
@@ -10,10 +10,10 @@
 
   public endedAt = 0;
 
-  /** Whether the store has confirmed the end. */
+  /** Whether the store has confirmed the record of the end. */
   public endStored = false;
 
-  /** Whether a minion has listed a run of any task, or its end. */
+  /** Whether a minion has reported a run of any task, or its end. */
   public begun = false;
 
   public queue: QueueSettings;
@@ -85,7 +85,7 @@
     return Math.max(1, this.specification.repetitions);
   }
 
-  /** Ends the job if all its tasks are done or one has finally failed. */
+  /** Ends the job if all its tasks are done, or one has failed for good. */
   public endIfFinished(now: number): void {
     if (this.ended !== undefined) {
       return;
@@ -103,8 +103,8 @@
     }
   }
 
-  public end(how: 'completed' | 'failed' | 'cancelled', now: number): void {
-    this.ended = how;
+  public end(status: 'completed' | 'failed' | 'cancelled', now: number): void {
+    this.ended = status;
     this.endedAt = now;
   }
 }
--- a/packages/jobs/src/state/job-table.ts
+++ b/packages/jobs/src/state/job-table.ts
@@ -5,7 +5,7 @@
 import { splitTaskName } from './split-task-name.js';
 import type { TaskEntry } from './task-entry.js';
 
-/** State of the leader: jobs, minions and the jobs to store. */
+/** Jobs and minions of the leader, and the jobs with progress to store. */
 export class JobTable {
   public readonly jobs = new Map<string, JobEntry>();
 
@@ -26,12 +26,12 @@
 
   /** Returns the task of the given name. */
   public task(name: string): TaskEntry | undefined {
-    const place = splitTaskName(name);
-    return place === undefined
+    const parts = splitTaskName(name);
+    return parts === undefined
       ? undefined
       : this.jobs
-          .get(place.jobIdentifier)
-          ?.task(place.occurrence, place.step, place.index);
+          .get(parts.jobIdentifier)
+          ?.task(parts.occurrence, parts.step, parts.index);
   }
 
   /** Returns the minion of the given incarnation, created if needed. */
@@ -44,7 +44,7 @@
     return minion;
   }
 
-  /** Records that the progress of a task's job has to be stored. */
+  /** Marks the progress of a task's job to be stored. */
   public markChanged(task: TaskEntry): void {
     this.changed.add(task.jobIdentifier);
   }
@@ -56,25 +56,21 @@
       return [];
     }
     this.minions.delete(incarnation);
-    const freed = [...minion.runs.values()]
-      .filter(({ entry, run }) => isCurrent(entry, run, incarnation))
-      .map(({ entry }) => entry);
-    for (const entry of freed) {
-      entry.release(now);
-      this.markChanged(entry);
+    const released = [...minion.runs.values()]
+      .filter(({ task, run }) => isCurrent(task, run, incarnation))
+      .map(({ task }) => task);
+    for (const task of released) {
+      task.release(now);
+      this.markChanged(task);
     }
-    return freed;
+    return released;
   }
 }
 
-function isCurrent(
-  entry: TaskEntry,
-  run: number,
-  incarnation: string,
-): boolean {
+function isCurrent(task: TaskEntry, run: number, incarnation: string): boolean {
   return (
-    entry.phase === 'assigned' &&
-    entry.run === run &&
-    entry.incarnation === incarnation
+    task.phase === 'assigned' &&
+    task.run === run &&
+    task.incarnation === incarnation
   );
 }
--- a/packages/jobs/src/state/minion-entry.ts
+++ b/packages/jobs/src/state/minion-entry.ts
@@ -7,15 +7,15 @@
   /** Runs that are or may be on the minion, by task and run. */
   public readonly runs = new Map<string, MinionRun>();
 
-  /** Description by its agent; undefined until the agent has reported. */
+  /** Description sent by its agent; undefined until the agent has reported. */
   public description: MinionDescription | undefined;
 
   /** Name of the agent on its VM; empty until the agent has reported. */
   public agent = '';
 
   /**
-   * Whether the agent's stream is open and the agent has sent lists that it read
-   * under the fencing token of that stream.
+   * Whether the agent's stream is open and the agent has sent a report that it
+   * read from the minion under the fencing token of that stream.
    */
   public connected = false;
 
@@ -28,8 +28,8 @@
   /** Unix milliseconds before which the minion gets no new starts. */
   public backoffUntil = 0;
 
-  /** Runs that failed without a success in between. */
-  public consecutiveFaults = 0;
+  /** Number of failed runs since the last successful one. */
+  public consecutiveFailures = 0;
 
   public readonly incarnation: string;
 
@@ -39,8 +39,8 @@
   }
 
   /** Records that a run is or may be on the minion. */
-  public addRun(entry: TaskEntry, run: number): void {
-    this.runs.set(`${entry.name}/${run}`, { entry, run });
+  public addRun(task: TaskEntry, run: number): void {
+    this.runs.set(`${task.name}/${run}`, { task, run });
   }
 
   /** Records that a run is no longer on the minion. */
--- a/packages/jobs/src/state/minion-run.ts
+++ b/packages/jobs/src/state/minion-run.ts
@@ -2,6 +2,6 @@
 
 /** A run that is, or may be, on a minion. */
 export interface MinionRun {
-  readonly entry: TaskEntry;
+  readonly task: TaskEntry;
   readonly run: number;
 }
--- a/packages/jobs/src/state/split-task-name.ts
+++ b/packages/jobs/src/state/split-task-name.ts
@@ -1,13 +1,13 @@
 /** Parts of a task's name: its job, occurrence, step and index. */
-export interface TaskPlace {
+export interface TaskNameParts {
   readonly jobIdentifier: string;
   readonly occurrence: number;
   readonly step: number;
   readonly index: number;
 }
 
-/** Splits a task's name; undefined if it is not valid. */
-export function splitTaskName(name: string): TaskPlace | undefined {
+/** Splits a task's name into its parts; undefined if it is not valid. */
+export function splitTaskName(name: string): TaskNameParts | undefined {
   const [jobIdentifier, occurrence, step, index, ...rest] = name.split('.');
   const numbers = [occurrence, step, index].map(Number);
   if (
--- a/packages/jobs/src/state/task-entry.ts
+++ b/packages/jobs/src/state/task-entry.ts
@@ -22,24 +22,25 @@
   /** Fencing token of the agent's stream on which the start order is sent. */
   public orderToken = 0;
 
-  /** Unix milliseconds at which the current run was first listed; 0 if never. */
-  public seenRunningAt = 0;
+  /** Unix milliseconds of the first report of the current run; 0 for none. */
+  public firstListedAt = 0;
 
   /** Unix milliseconds at which the current run was assigned. */
   public assignedAt = 0;
 
-  /** Share of the work done as last listed, 0 to 100. */
+  /** Share of the work done according to the last report, 0 to 100. */
   public percent = 0;
 
   /** Unix milliseconds of the last change of the progress. */
   public progressAt = 0;
 
-  /** Unix milliseconds since which the task can start; 0 if it can not. */
+  /** Unix milliseconds since which the task can start; 0 if it cannot. */
   public waitingSince = 0;
 
   /** Unix milliseconds before which the task is not started again. */
   public notBefore = 0;
 
+  /** Whether a stop of the current run has been ordered. */
   public stopping = false;
 
   public readonly name: string;
@@ -92,7 +93,7 @@
     this.run = run;
     this.incarnation = incarnation;
     this.orderToken = orderToken;
-    this.seenRunningAt = 0;
+    this.firstListedAt = 0;
     this.waitingSince = 0;
     this.assignedAt = now;
     this.percent = 0;
@@ -100,7 +101,7 @@
     this.stopping = false;
   }
 
-  /** Removes the task from its minion, to be started again. */
+  /** Takes the task off its minion, so that it can be started again. */
   public release(notBefore: number): void {
     this.phase = 'waiting';
     this.clearAssignment();
@@ -108,7 +109,7 @@
   }
 
   /** Ends the task; it does not start again. */
-  public finish(phase: 'done' | 'failed'): void {
+  public end(phase: 'done' | 'failed'): void {
     this.phase = phase;
     this.clearAssignment();
   }
@@ -116,7 +117,7 @@
   private clearAssignment(): void {
     this.incarnation = '';
     this.orderToken = 0;
-    this.seenRunningAt = 0;
+    this.firstListedAt = 0;
     this.stopping = false;
   }
 }
--- a/packages/jobs/tests/plan/batch-wait.test.ts
+++ b/packages/jobs/tests/plan/batch-wait.test.ts
@@ -50,14 +50,17 @@
   t.end();
 });
 
-t.test('a batch task of a late job waits like one that has time', t => {
-  const { table, interference } = tableWithInterference();
-  addJob(table, 'f', [HEAVY], { slackFactor: 1 }, -60_000);
-  t.same(plan(table, 1, interference), []);
-  t.same(plan(table, 2400, interference), []);
-  t.same(plan(table, 2600, interference), ['f.0.0.0 on a']);
-  t.end();
-});
+t.test(
+  'a batch task of a late job waits like that of a job with time left',
+  t => {
+    const { table, interference } = tableWithInterference();
+    addJob(table, 'f', [HEAVY], { slackFactor: 1 }, -60_000);
+    t.same(plan(table, 1, interference), []);
+    t.same(plan(table, 2400, interference), []);
+    t.same(plan(table, 2600, interference), ['f.0.0.0 on a']);
+    t.end();
+  },
+);
 
 t.test('a batch task that does not interfere does not wait', t => {
   const { table, interference } = tableWithInterference();
--- a/packages/jobs/tests/plan/occurrences.test.ts
+++ b/packages/jobs/tests/plan/occurrences.test.ts
@@ -3,7 +3,7 @@
 import { addDueOccurrences } from '../../src/plan/add-due-occurrences.js';
 import type { JobEntry } from '../../src/state/job-entry.js';
 import { JobTable } from '../../src/state/job-table.js';
-import { addJob, QUEUE } from '../support/add-job.js';
+import { addJob, QUEUE_SETTINGS } from '../support/add-job.js';
 import { addMinion } from '../support/add-minion.js';
 import { makeStep } from '../support/make-step.js';
 import { plan } from '../support/plan.js';
@@ -19,7 +19,7 @@
       firstDueAt: 1000,
       intervalMilliseconds: 500,
     },
-    QUEUE,
+    QUEUE_SETTINGS,
     0,
   );
 }
@@ -48,12 +48,12 @@
   addDueOccurrences(job, 1500);
   t.same(plan(table, 1500), ['job.0.0.0 on a', 'job.1.0.0 on a']);
   for (const task of job.tasks()) {
-    task.finish('done');
+    task.end('done');
   }
   job.endIfFinished(1600);
   t.equal(job.ended, undefined, 'one occurrence is not due yet');
   addDueOccurrences(job, 2000);
-  job.task(2, 0, 0)?.finish('done');
+  job.task(2, 0, 0)?.end('done');
   job.endIfFinished(2100);
   t.equal(job.ended, 'completed');
   t.end();
--- a/packages/jobs/tests/plan/plan-starts.test.ts
+++ b/packages/jobs/tests/plan/plan-starts.test.ts
@@ -39,12 +39,12 @@
   t.end();
 });
 
-t.test('starts a step only after the steps that it names', t => {
+t.test('starts a step only after the steps in its `after` list', t => {
   const table = new JobTable();
   addMinion(table, 'a');
   const job = addJob(table, 'j', [makeStep(), makeStep({ after: [0] })]);
   t.same(plan(table), ['j.0.0.0 on a']);
-  firstTask(job).finish('done');
+  firstTask(job).end('done');
   t.same(plan(table), ['j.0.1.0 on a']);
   t.end();
 });
@@ -62,16 +62,19 @@
   t.end();
 });
 
-t.test('uses no minion that drains, backs off or is not connected', t => {
-  const table = new JobTable();
-  addMinion(table, 'draining', { draining: true });
-  addMinion(table, 'resting').backoffUntil = 10;
-  addMinion(table, 'silent').connected = false;
-  addJob(table, 'j', [makeStep()]);
-  t.same(plan(table, 9), []);
-  t.same(plan(table, 10), ['j.0.0.0 on resting']);
-  t.end();
-});
+t.test(
+  'starts nothing on a minion that drains, backs off or is disconnected',
+  t => {
+    const table = new JobTable();
+    addMinion(table, 'draining', { draining: true });
+    addMinion(table, 'resting').backoffUntil = 10;
+    addMinion(table, 'silent').connected = false;
+    addJob(table, 'j', [makeStep()]);
+    t.same(plan(table, 9), []);
+    t.same(plan(table, 10), ['j.0.0.0 on resting']);
+    t.end();
+  },
+);
 
 t.test('prefers the rack of the data', t => {
   const table = new JobTable();
@@ -84,7 +87,7 @@
   t.end();
 });
 
-t.test('starts a whole gang or nothing', t => {
+t.test('starts either all tasks of a gang or none', t => {
   const table = new JobTable();
   addMinion(table, 'a');
   addJob(table, 'g', [makeStep({ gang: true, taskCount: 5 })]);
@@ -109,7 +112,7 @@
   t.end();
 });
 
-t.test('keeps batch images from serving images that they slow down', t => {
+t.test('keeps batch tasks away from serving tasks that they slow down', t => {
   const table = new JobTable();
   const sensitive = addMinion(table, 'harmed');
   const other = addMinion(table, 'other');
--- a/packages/jobs/tests/plan/serving-placement.test.ts
+++ b/packages/jobs/tests/plan/serving-placement.test.ts
@@ -9,7 +9,7 @@
 
 const SERVING = { tailTargetMilliseconds: 50, longRunning: true };
 
-t.test('serving tasks share minions, so that others stay free', t => {
+t.test('serving tasks share minions, so that other minions have none', t => {
   const table = new JobTable();
   ['a', 'b', 'c'].forEach(name => addMinion(table, name));
   const serving = makeStep({ ...SERVING, image: 'frail', taskCount: 2 });
--- a/packages/jobs/tests/reconcile/apply-report.test.ts
+++ b/packages/jobs/tests/reconcile/apply-report.test.ts
@@ -28,7 +28,10 @@
   return { number: 1, task, run, reason, checkpoint: 'kept' };
 }
 
-function listed(task: string, run: number): AgentReport['running'][number] {
+function makeRunning(
+  task: string,
+  run: number,
+): AgentReport['running'][number] {
   return { task, run, checkpoint: '', percent: 5, gauge: 0 };
 }
 
@@ -135,46 +138,55 @@
   t.end();
 });
 
-t.test('unexpected runs are stopped, and counted until they end', t => {
-  const table = new JobTable();
-  const minion = addMinion(table, 'a');
-  const job = addJob(table, 'j', [makeStep()]);
-  const task = firstTask(job);
-  startOn(addMinion(table, 'b'), task);
-  const running = [listed(task.name, 9), listed('unknown.0.0.0', 1)];
-  const outcome = applyReport(table, minion, makeReport({ running }), 0);
-  t.same(outcome.stops, [
-    { task: task.name, run: 9 },
-    { task: 'unknown.0.0.0', run: 1 },
-  ]);
-  t.equal(new CandidateMinion(minion).processorMillicores, 3000);
-  t.end();
-});
+t.test(
+  'a run that is not assigned is stopped, and counted until it ends',
+  t => {
+    const table = new JobTable();
+    const minion = addMinion(table, 'a');
+    const job = addJob(table, 'j', [makeStep()]);
+    const task = firstTask(job);
+    startOn(addMinion(table, 'b'), task);
+    const running = [
+      makeRunning(task.name, 9),
+      makeRunning('unknown.0.0.0', 1),
+    ];
+    const outcome = applyReport(table, minion, makeReport({ running }), 0);
+    t.same(outcome.stops, [
+      { task: task.name, run: 9 },
+      { task: 'unknown.0.0.0', run: 1 },
+    ]);
+    t.equal(new CandidateMinion(minion).processorMillicores, 3000);
+    t.end();
+  },
+);
 
-t.test('a job runs once a run is listed, not when it is assigned', t => {
+t.test('a job runs once a run is reported, not when it is assigned', t => {
   const table = new JobTable();
   const minion = addMinion(table, 'a');
   const job = addJob(table, 'j', [makeStep()]);
   const task = firstTask(job);
   startOn(minion, task);
   t.equal(job.status, 'queued');
-  const running = [listed(task.name, 1)];
+  const running = [makeRunning(task.name, 1)];
   applyReport(table, minion, makeReport({ running }), 0);
   t.equal(job.status, 'running');
   t.end();
 });
 
-t.test('a refusal releases the task and keeps starts from the minion', t => {
-  const table = new JobTable();
-  const minion = addMinion(table, 'a');
-  const task = firstTask(addJob(table, 'j', [makeStep()]));
-  startOn(minion, task);
-  const refusals = [{ task: task.name, run: 1, reason: 'room' }];
-  applyReport(table, minion, makeReport({ refusals }), 50);
-  t.equal(task.phase, 'waiting');
-  t.ok(minion.backoffUntil > 50);
-  t.end();
-});
+t.test(
+  'a refusal releases the task, and the minion gets no starts for a while',
+  t => {
+    const table = new JobTable();
+    const minion = addMinion(table, 'a');
+    const task = firstTask(addJob(table, 'j', [makeStep()]));
+    startOn(minion, task);
+    const refusals = [{ task: task.name, run: 1, reason: 'room' }];
+    applyReport(table, minion, makeReport({ refusals }), 50);
+    t.equal(task.phase, 'waiting');
+    t.ok(minion.backoffUntil > 50);
+    t.end();
+  },
+);
 
 t.test('the success of one member completes the whole gang', t => {
   const table = new JobTable();
--- a/packages/jobs/tests/reconcile/minion-runs.test.ts
+++ b/packages/jobs/tests/reconcile/minion-runs.test.ts
@@ -45,7 +45,7 @@
   );
   for (const task of [plain, batch, longRunning]) {
     startOn(minion, task);
-    task.seenRunningAt = 1;
+    task.firstListedAt = 1;
     task.progressAt = 1;
   }
   longRunning.percent = 100;
@@ -64,15 +64,15 @@
   const longRunning = firstTask(
     addJob(table, 'l', [makeStep({ longRunning: true })]),
   );
-  const saved = firstTask(
+  const checkpointing = firstTask(
     addJob(table, 's', [makeStep({ checkpointing: true })]),
   );
   const plain = firstTask(addJob(table, 'p', [makeStep()]));
-  for (const task of [longRunning, saved, plain]) {
+  for (const task of [longRunning, checkpointing, plain]) {
     startOn(minion, task);
-    task.seenRunningAt = 1;
+    task.firstListedAt = 1;
     task.percent = 10;
   }
-  t.same(tasksToMove(table, 2000), [longRunning, saved]);
+  t.same(tasksToMove(table, 2000), [longRunning, checkpointing]);
   t.end();
 });
--- a/packages/jobs/tests/records/progress.test.ts
+++ b/packages/jobs/tests/records/progress.test.ts
@@ -18,7 +18,7 @@
   startOn(addMinion(before, 'b'), firstTask(job, 0, 1));
   firstTask(job, 0, 1).failedRuns = 1;
   startOn(before.getOrAddMinion('a', 0), firstTask(job, 0, 2));
-  firstTask(job, 0, 2).finish('done');
+  firstTask(job, 0, 2).end('done');
   const text = JSON.stringify(encodeProgress(job));
 
   const after = new JobTable();
--- a/packages/jobs/tests/support/add-job.ts
+++ b/packages/jobs/tests/support/add-job.ts
@@ -3,7 +3,8 @@
 import type { JobEntry } from '../../src/state/job-entry.js';
 import type { JobTable } from '../../src/state/job-table.js';
 
-export const QUEUE: QueueSettings = {
+/** Settings of the queue of test jobs. */
+export const QUEUE_SETTINGS: QueueSettings = {
   name: 'queue',
   service: 'service',
   priority: 0,
@@ -30,7 +31,7 @@
       firstDueAt: 0,
       intervalMilliseconds: 0,
     },
-    { ...QUEUE, ...queue },
+    { ...QUEUE_SETTINGS, ...queue },
     acceptedAt,
   );
 }
