--- a/packages/job-nodes/src/agent/agent-process.ts
+++ b/packages/job-nodes/src/agent/agent-process.ts
@@ -1,17 +1,17 @@
 import type { AgentOptions } from './agent-options.js';
 import { ImageMemory } from './image-memory.js';
-import { LeaderLink } from './leader-link.js';
+import { LeaderConnection } from './leader-connection.js';
 import { MinionDriver } from './minion-driver.js';
 
-/** The process that runs beside a minion and executes the leader's orders. */
+/** The process on a minion's VM that carries out the leader's orders. */
 export class AgentProcess {
   public readonly driver: MinionDriver;
 
-  private readonly link: LeaderLink;
+  private readonly leaderConnection: LeaderConnection;
 
   public constructor(options: AgentOptions) {
     const imageStatistics = new ImageMemory();
-    this.link = new LeaderLink({
+    this.leaderConnection = new LeaderConnection({
       agent: options.name,
       time: options.time,
       logger: options.logger('leader-link'),
@@ -20,7 +20,7 @@
       onMessage: message => {
         if (message.kind === 'welcome') {
           const sentAt = options.time.steady();
-          this.link.send({
+          this.leaderConnection.send({
             kind: 'images',
             sentAt,
             images: imageStatistics.statistics(),
@@ -35,23 +35,23 @@
       time: options.time,
       logger: options.logger('minion-driver'),
       onFenced: () => {
-        this.link.disconnect('the minion accepted a later leader');
+        this.leaderConnection.disconnect('the minion accepted a later leader');
       },
       report: report => {
         const sentAt = options.time.steady();
-        this.link.send({ kind: 'report', sentAt, report });
+        this.leaderConnection.send({ kind: 'report', sentAt, report });
       },
     });
   }
 
   /** Whether a stream to the leader is open. */
   public get connected(): boolean {
-    return this.link.connected;
+    return this.leaderConnection.connected;
   }
 
-  /** Starts following the leader and driving the minion. */
+  /** Connects to the leader and starts polling the minion. */
   public start(): void {
-    void this.link.run();
+    void this.leaderConnection.run();
     void this.driver.run();
   }
 }
--- a/packages/job-nodes/src/agent/fenced-error.ts
+++ b/packages/job-nodes/src/agent/fenced-error.ts
@@ -1,6 +1,6 @@
 import { StepError } from '@basilcourse/foundation/errors/step-error';
 
-/** The minion has seen a higher fencing token and rejects this one. */
+/** The minion has accepted a higher fencing token and rejects this one. */
 export class FencedError extends StepError {
   public override readonly name = 'FencedError';
 
--- a/packages/job-nodes/src/agent/image-memory.ts
+++ b/packages/job-nodes/src/agent/image-memory.ts
@@ -4,8 +4,8 @@
 import { VersionedRows } from '@basilcourse/jobs/interference/versioned-rows';
 
 /**
- * Keeps the image statistics that leaders sent: the agent throttles by them, and
- * returns them to the next leader, which starts without any.
+ * Stores the image statistics received from leaders. The agent throttles by them
+ * and sends them to the next leader, which starts without any.
  */
 export class ImageMemory {
   public readonly interference = new InterferenceTable();
@@ -14,7 +14,7 @@
     () => true,
   );
 
-  /** Applies changed rows. */
+  /** Stores changed rows from the leader. */
   public apply({ harms, lowestTails }: ImageStatistics): void {
     this.interference.applyRows(harms);
     for (const row of lowestTails) {
@@ -22,7 +22,7 @@
     }
   }
 
-  /** Returns all recorded rows. */
+  /** Returns all stored rows. */
   public statistics(): ImageStatistics {
     return {
       harms: this.interference.rowsSince(0),
--- a/packages/job-nodes/src/agent/leader-link.ts
+++ b/packages/job-nodes/src/agent/leader-connection.ts
@@ -7,32 +7,34 @@
 import type { LeaderMessage } from '../lines/leader-message.js';
 import { readLines } from '../lines/read-lines.js';
 import { pause } from '../time/pause.js';
-import type { LeaderLinkOptions } from './leader-link-options.js';
+import type { LeaderConnectionOptions } from './leader-connection-options.js';
 
 const HEARTBEAT_INTERVAL_MILLISECONDS = 500;
 
-/** The stream to a leader that sends nothing for this long is closed. */
-const SILENCE_TIMEOUT_MILLISECONDS = 1600;
+/** A stream on which nothing is received for this long is closed. */
+const RECEIVE_TIMEOUT_MILLISECONDS = 1600;
 
 const RETRY_DELAY_MILLISECONDS = 100;
 
 const MISDIRECTED_STATUS = 421;
 
-/** Keeps a stream open to the leader, whichever entry it is. */
-export class LeaderLink {
-  private readonly options: LeaderLinkOptions;
+/** Keeps a stream open to the entry that is the leader. */
+export class LeaderConnection {
+  private readonly options: LeaderConnectionOptions;
 
   private writeMessage: ((message: AgentMessage) => void) | undefined;
 
   private endStream: (reason: string) => void = () => undefined;
 
+  /** Addresses of entries that the leader last sent. */
   private entries: readonly string[] = [];
 
-  private candidate = 0;
+  private candidateIndex = 0;
 
-  private failures = 0;
+  /** Streams that ended since the last one that the leader accepted. */
+  private endedStreams = 0;
 
-  public constructor(options: LeaderLinkOptions) {
+  public constructor(options: LeaderConnectionOptions) {
     this.options = options;
   }
 
@@ -53,14 +55,14 @@
 
   /** Keeps a stream to the current leader until the process ends. */
   public async run(): Promise<void> {
-    let next: string | undefined;
+    let reportedLeader: string | undefined;
     for (;;) {
-      const address = next ?? (await this.nextCandidate());
-      next = undefined;
+      const address = reportedLeader ?? (await this.nextCandidate());
+      reportedLeader = undefined;
       if (address !== undefined) {
-        next = await this.connect(address);
+        reportedLeader = await this.connect(address);
       }
-      await pause(next === undefined ? RETRY_DELAY_MILLISECONDS : 1);
+      await pause(reportedLeader === undefined ? RETRY_DELAY_MILLISECONDS : 1);
     }
   }
 
@@ -68,12 +70,12 @@
     const entries = [
       ...new Set([...this.entries, ...this.options.configuredEntries()]),
     ];
-    this.candidate += 1;
-    if (this.failures > entries.length * 2) {
-      this.failures = 0;
+    this.candidateIndex += 1;
+    if (this.endedStreams > entries.length * 2) {
+      this.endedStreams = 0;
       return this.findLeaderInStore();
     }
-    return entries[this.candidate % Math.max(1, entries.length)];
+    return entries[this.candidateIndex % Math.max(1, entries.length)];
   }
 
   private async findLeaderInStore(): Promise<string | undefined> {
@@ -88,8 +90,8 @@
   }
 
   /**
-   * Keeps a stream to one process until it ends; resolves with the leader's
-   * address if the process reports another leader.
+   * Keeps a stream to one entry until it ends; resolves with the leader's
+   * address if the entry reports another leader.
    */
   private connect(address: string): Promise<string | undefined> {
     const { host, port } = splitAddress(address);
@@ -98,8 +100,14 @@
       let timer: NodeJS.Timeout | undefined;
       let heartbeat: NodeJS.Timeout | undefined;
       let ended = false;
-      const call = request({ host, port, path, method: 'POST', agent: false });
-      const end = (reason: string, next?: string): void => {
+      const clientRequest = request({
+        host,
+        port,
+        path,
+        method: 'POST',
+        agent: false,
+      });
+      const end = (reason: string, reportedLeader?: string): void => {
         if (ended) {
           return;
         }
@@ -107,27 +115,27 @@
         clearTimeout(timer);
         clearInterval(heartbeat);
         this.writeMessage = undefined;
-        this.failures += 1;
-        call.destroy();
+        this.endedStreams += 1;
+        clientRequest.destroy();
         this.options.logger.info('The stream to an entry has ended.', {
           address,
           reason,
-          next: next ?? '',
+          next: reportedLeader ?? '',
         });
-        resolve(next === address ? undefined : next);
+        resolve(reportedLeader === address ? undefined : reportedLeader);
       };
       const restartTimeout = (): void => {
         clearTimeout(timer);
         timer = setTimeout(() => {
           end('silence');
-        }, SILENCE_TIMEOUT_MILLISECONDS);
+        }, RECEIVE_TIMEOUT_MILLISECONDS);
       };
       this.endStream = end;
       restartTimeout();
-      call.on('error', error => {
+      clientRequest.on('error', error => {
         end(messageOf(error));
       });
-      call.on('response', response => {
+      clientRequest.on('response', response => {
         if (response.statusCode === MISDIRECTED_STATUS) {
           readLines(
             response,
@@ -138,9 +146,9 @@
           );
           return;
         }
-        this.failures = 0;
+        this.endedStreams = 0;
         this.writeMessage = message => {
-          call.write(`${JSON.stringify(message)}\n`);
+          clientRequest.write(`${JSON.stringify(message)}\n`);
         };
         heartbeat = setInterval(() => {
           const sentAt = this.options.time.steady();
@@ -155,7 +163,7 @@
           end,
         );
       });
-      call.flushHeaders();
+      clientRequest.flushHeaders();
     });
   }
 
--- a/packages/job-nodes/src/agent/lease-clock.ts
+++ b/packages/job-nodes/src/agent/lease-clock.ts
@@ -1,7 +1,7 @@
 /** A minion's clock may be slower than the agent's by this factor. */
-const SLOWEST_CLOCK_FACTOR = 1.02;
+const CLOCK_DRIFT_FACTOR = 1.02;
 
-/** A minion kills its runs at most this long after the lease has expired. */
+/** Maximum time from the expiry of a lease until the minion kills its runs. */
 const KILL_MARGIN_MILLISECONDS = 400;
 
 /** Converts the expiry of a lease from the agent's clock to the minion's. */
@@ -13,7 +13,7 @@
   /** Infinite while the minion may hold a lease that this agent did not send. */
   private latestExpiryAt = Number.POSITIVE_INFINITY;
 
-  /** Records a reading of the minion's clock that is not newer than `readAt`. */
+  /** Records the minion's clock; the agent received the value at `readAt`. */
   public recordClock(clock: number, readAt: number): void {
     this.minionClock = clock;
     this.readAt = readAt;
@@ -36,7 +36,7 @@
     }
     const latestExpiryAt =
       now +
-      (grantedUntil - now) * SLOWEST_CLOCK_FACTOR +
+      (grantedUntil - now) * CLOCK_DRIFT_FACTOR +
       KILL_MARGIN_MILLISECONDS;
     this.latestExpiryAt = Number.isFinite(this.latestExpiryAt)
       ? Math.max(this.latestExpiryAt, latestExpiryAt)
--- a/packages/job-nodes/src/agent/minion-client.ts
+++ b/packages/job-nodes/src/agent/minion-client.ts
@@ -31,12 +31,12 @@
   | { readonly kind: 'started' }
   | { readonly kind: 'refused'; readonly reason: string };
 
-/** A call that renews the lease and reads the lists. */
+/** Renews the lease, and reads the running tasks and ended runs. */
 interface Poll {
   readonly fencingToken: number;
   /** Expiry of the lease on the minion's clock; undefined leaves it as it is. */
   readonly expiresAt: number | undefined;
-  /** Ends up to this number are stored, and the minion can drop them. */
+  /** The leader has stored ends up to this number; the minion can drop them. */
   readonly endsThrough: number;
   /** Maximum time for which the answer waits for the end of a run. */
   readonly waitMilliseconds: number;
--- a/packages/job-nodes/src/agent/minion-driver.ts
+++ b/packages/job-nodes/src/agent/minion-driver.ts
@@ -6,21 +6,21 @@
 import { LeaseClock } from './lease-clock.js';
 import type { MinionDriverOptions } from './minion-driver-options.js';
 import type { MinionIncarnation } from './minion-incarnation.js';
-import { MinionLists } from './minion-lists.js';
 import { MinionVitals } from './minion-vitals.js';
 import { OrderRunner } from './order-runner.js';
 import { pollWait } from './poll-wait.js';
+import { PolledRuns } from './polled-runs.js';
 import { Throttler } from './throttler.js';
 
 const RETRY_DELAY_MILLISECONDS = 120;
 
-/** Sends orders to the minion, renews its lease, and reports its lists. */
+/** Sends orders to the minion, renews its lease, and reports its runs. */
 export class MinionDriver {
   private readonly options: MinionDriverOptions;
 
   private readonly lease = new LeaseClock();
 
-  private readonly lists = new MinionLists();
+  private readonly polled = new PolledRuns();
 
   private readonly vitals = new MinionVitals();
 
@@ -32,7 +32,7 @@
 
   private fencingToken = 0;
 
-  /** Highest token that the minion refused in favour of a higher one. */
+  /** Highest token that the minion refused after it had accepted a higher one. */
   private fencedToken = 0;
 
   private leaseMilliseconds = 0;
@@ -54,7 +54,7 @@
       logger: options.logger,
       expiry: () => this.expiry(),
       onStarted: (minion, order, token) => {
-        void this.throttler.started(minion, order, this.lists.running, token);
+        void this.throttler.started(minion, order, this.polled.running, token);
       },
       onRefusal: () => {
         this.sendReport();
@@ -62,11 +62,11 @@
     });
   }
 
-  /** Applies the minion's own description; undefined once it has departed. */
+  /** Applies a description of the minion; undefined once it has departed. */
   public updateMinion(minion: MinionIncarnation | undefined): void {
     const before = this.minion?.description.incarnation;
     if (before !== undefined && before !== minion?.description.incarnation) {
-      this.forgetIncarnation(before);
+      this.resetIncarnation(before);
     }
     const changed =
       minion?.description.draining !== this.minion?.description.draining;
@@ -114,7 +114,7 @@
         this.orders.stop(this.minion, message.stops);
         return;
       case 'settled':
-        this.settle(message);
+        this.handleSettled(message);
         return;
     }
   }
@@ -154,19 +154,19 @@
     const result = await client.poll(peer, {
       fencingToken,
       expiresAt: this.expiry(),
-      endsThrough: this.lists.endsThrough,
+      endsThrough: this.polled.endsThrough,
       waitMilliseconds: pollWait({
-        listsAreCurrent: this.lists.fencingToken === fencingToken,
+        listsAreCurrent: this.polled.fencingToken === fencingToken,
         leased: this.expiry() !== undefined,
-        throttling: this.throttler.needsFreshMeasurements(this.lists.running),
+        throttling: this.throttler.needsFreshMeasurements(this.polled.running),
       }),
     });
     if (this.minion?.description.incarnation !== peer.description.incarnation) {
       return;
     }
     this.lease.recordClock(result.clock, time.steady());
-    this.lists.apply(result.running, result.ends, fencingToken);
-    this.orders.resolveRevoked(this.lists.listedRuns(), requestedAt);
+    this.polled.apply(result.running, result.ends, fencingToken);
+    this.orders.resolveRevoked(this.polled.listedRuns(), requestedAt);
     this.sendReport();
     await this.throttler.apply(
       peer,
@@ -175,7 +175,7 @@
       time.steady(),
     );
     // While ends are not stored, a poll returns at once instead of waiting.
-    await this.lists.waitUntilSettled();
+    await this.polled.waitUntilEndsStored();
   }
 
   /** Returns the current minion if it is the given incarnation. */
@@ -184,7 +184,7 @@
     return same ? this.minion : undefined;
   }
 
-  /** Whether the minion has not refused the token; a refused one isn't reused. */
+  /** Returns whether the minion has not refused the current token. */
   private hasUsableToken(): boolean {
     return this.fencingToken > this.fencedToken;
   }
@@ -199,28 +199,28 @@
 
   private sendReport(): void {
     const { minion } = this;
-    const listsAreCurrent = this.lists.fencingToken === this.fencingToken;
+    const listsAreCurrent = this.polled.fencingToken === this.fencingToken;
     if (minion !== undefined && !listsAreCurrent) {
       return;
     }
     this.options.report({
       fencingToken: this.fencingToken,
       minion: minion?.description ?? null,
-      running: minion === undefined ? [] : this.lists.running,
-      ends: minion === undefined ? [] : this.lists.ends,
+      running: minion === undefined ? [] : this.polled.running,
+      ends: minion === undefined ? [] : this.polled.ends,
       refusals: this.orders.refusals(),
       gone: this.vitals.departed(),
     });
   }
 
-  private settle(
+  private handleSettled(
     message: Extract<LeaderMessage, { readonly kind: 'settled' }>,
   ): void {
     if (message.incarnation !== this.minion?.description.incarnation) {
       return;
     }
-    this.orders.settle(message.refusals);
-    this.lists.settle(message.endsThrough);
+    this.orders.removeStoredRefusals(message.refusals);
+    this.polled.removeStoredEnds(message.endsThrough);
   }
 
   private handleFailure(minion: MinionIncarnation, error: unknown): void {
@@ -229,7 +229,7 @@
       reason: messageOf(error),
     });
     const leaseExpired =
-      this.lists.fencingToken === this.fencingToken &&
+      this.polled.fencingToken === this.fencingToken &&
       this.lease.isExpired(this.options.time.steady());
     const same =
       this.minion?.description.incarnation === minion.description.incarnation;
@@ -238,11 +238,11 @@
     }
   }
 
-  private forgetIncarnation(incarnation: string): void {
+  private resetIncarnation(incarnation: string): void {
     this.fencedToken = 0;
     this.vitals.recordDeparture(incarnation);
     this.lease.reset();
-    this.lists.reset();
+    this.polled.reset();
     this.orders.reset(this.fencingToken);
     this.throttler.reset();
     this.options.logger.warn('A life of the minion is over.', { incarnation });
--- a/packages/job-nodes/src/agent/minion-vitals.ts
+++ b/packages/job-nodes/src/agent/minion-vitals.ts
@@ -2,26 +2,26 @@
 
 import { WrongMinionError } from './wrong-minion-error.js';
 
-/** Refused connections in a row that show that the minion's process ended. */
+/** Consecutive refused connections after which the process counts as ended. */
 const MINIMUM_CONSECUTIVE_REFUSALS = 3;
 
-/** Earlier incarnations that are reported as departed. */
+/** Number of earlier incarnations that are reported as departed. */
 const MAXIMUM_REPORTED_DEPARTURES = 16;
 
 /** Detects the end of a minion's incarnation from how calls to it fail. */
 export class MinionVitals {
-  private refusedInRow = 0;
+  private consecutiveRefusals = 0;
 
   private readonly departedIncarnations: string[] = [];
 
-  /** Incarnations of which nothing runs any more. */
+  /** Returns incarnations whose processes and runs have ended. */
   public departed(): readonly string[] {
     return this.departedIncarnations;
   }
 
   /** Records an answer of the minion. */
   public recordAnswer(): void {
-    this.refusedInRow = 0;
+    this.consecutiveRefusals = 0;
   }
 
   /**
@@ -34,22 +34,22 @@
       return true;
     }
     const refused = connectionRefused(error);
-    this.refusedInRow = refused ? this.refusedInRow + 1 : 0;
+    this.consecutiveRefusals = refused ? this.consecutiveRefusals + 1 : 0;
     return refused
-      ? this.refusedInRow >= MINIMUM_CONSECUTIVE_REFUSALS
+      ? this.consecutiveRefusals >= MINIMUM_CONSECUTIVE_REFUSALS
       : leaseExpired;
   }
 
   /** Records the end of an incarnation. */
   public recordDeparture(incarnation: string): void {
-    this.refusedInRow = 0;
+    this.consecutiveRefusals = 0;
     this.departedIncarnations.push(incarnation);
     if (this.departedIncarnations.length > MAXIMUM_REPORTED_DEPARTURES) {
       this.departedIncarnations.shift();
     }
   }
 
-  /** Records contact with an incarnation, even if recorded as departed. */
+  /** Records contact with an incarnation, which has not departed after all. */
   public recordContact(incarnation: string): void {
     const position = this.departedIncarnations.indexOf(incarnation);
     if (position >= 0) {
--- a/packages/job-nodes/src/agent/order-runner.ts
+++ b/packages/job-nodes/src/agent/order-runner.ts
@@ -8,7 +8,7 @@
 import type { MinionIncarnation } from './minion-incarnation.js';
 import type { OrderRunnerOptions } from './order-runner-options.js';
 
-/** A start without an answer is revoked after this many tries. */
+/** A start that gets no answer is revoked after this many tries. */
 const MAXIMUM_START_TRIES = 2;
 
 const RETRY_DELAY_MILLISECONDS = 60;
@@ -22,8 +22,8 @@
 }
 
 /**
- * Carries out starts and stops. Each start ends in the minion's lists or as a
- * refusal.
+ * Carries out starts and stops. Each start results in a run that the minion
+ * lists, or in a refusal.
  */
 export class OrderRunner {
   private readonly options: OrderRunnerOptions;
@@ -37,8 +37,8 @@
   private fencingToken = 0;
 
   /**
-   * Rises with each stream and each incarnation; orders of earlier ones are
-   * abandoned.
+   * Increases with each stream and each incarnation; orders of earlier
+   * generations are abandoned.
    */
   private generation = 0;
 
@@ -61,10 +61,10 @@
   }
 
   /**
-   * Counts revoked starts as refused if the lists show that they did not begin.
+   * Counts revoked starts as refused if a later poll does not list their runs.
    *
-   * @param listed - Task and run of everything that runs or has ended.
-   * @param requestedAt - When the lists were requested, on the steady clock.
+   * @param listed - `task/run` of each running task and ended run of a poll.
+   * @param requestedAt - Time of the poll, in monotonic milliseconds.
    */
   public resolveRevoked(
     listed: ReadonlySet<string>,
@@ -80,8 +80,8 @@
     }
   }
 
-  /** Removes refusals that the leader has applied. */
-  public settle(keys: readonly string[]): void {
+  /** Removes refusals that the leader has stored. */
+  public removeStoredRefusals(keys: readonly string[]): void {
     for (const key of keys) {
       this.refused.delete(key);
     }
@@ -98,7 +98,7 @@
     }
   }
 
-  /** Carries out stops that are not under way already. */
+  /** Carries out stops, except those that are already in progress. */
   public stop(
     minion: MinionIncarnation | undefined,
     stops: readonly StopOrder[],
--- a/packages/job-nodes/src/agent/poll-wait.ts
+++ b/packages/job-nodes/src/agent/poll-wait.ts
@@ -3,10 +3,10 @@
 /** While there is no lease to renew, so that a new one is given soon. */
 const UNLEASED_WAIT_MILLISECONDS = 150;
 
-/** While batch tasks are throttled by their neighbours' tail latencies. */
+/** While serving tasks run beside batch tasks, so that throttling is prompt. */
 const THROTTLING_WAIT_MILLISECONDS = 250;
 
-/** What the next poll of a minion depends on. */
+/** Conditions that determine how long a poll may wait. */
 export interface PollNeeds {
   /** The lists were read under the present fencing token. */
   readonly listsAreCurrent: boolean;
--- a/packages/job-nodes/src/agent/minion-lists.ts
+++ b/packages/job-nodes/src/agent/polled-runs.ts
@@ -1,24 +1,24 @@
 import type { RunEnd } from '@basilcourse/jobs/model/run-end';
 import type { RunningTask } from '@basilcourse/jobs/model/running-task';
 
-/** Maximum wait until ends are stored. */
-const SETTLE_TIMEOUT_MILLISECONDS = 200;
+/** Maximum time to wait until ends are stored. */
+const ENDS_STORED_TIMEOUT_MILLISECONDS = 200;
 
-/** Lists that the minion last returned, without ends the leader has stored. */
-export class MinionLists {
+/** Running tasks and ended runs of the last poll, without stored ends. */
+export class PolledRuns {
   public running: readonly RunningTask[] = [];
 
   public ends: readonly RunEnd[] = [];
 
-  /** Ends up to this number are stored. */
+  /** The leader has stored ends up to this number. */
   public endsThrough = 0;
 
-  /** Fencing token with which the lists were read; 0 before the first read. */
+  /** Fencing token of the last poll; 0 before the first one. */
   public fencingToken = 0;
 
-  private onSettled: () => void = () => undefined;
+  private onEndsStored: () => void = () => undefined;
 
-  /** Applies newly read lists. */
+  /** Applies the result of a poll. */
   public apply(
     running: readonly RunningTask[],
     ends: readonly RunEnd[],
@@ -29,37 +29,37 @@
     this.fencingToken = fencingToken;
   }
 
-  /** Task and run of everything that runs, or has ended and isn't stored yet. */
+  /** Returns `task/run` of each running task and of each end not stored yet. */
   public listedRuns(): ReadonlySet<string> {
     return new Set(
       [...this.running, ...this.ends].map(({ task, run }) => `${task}/${run}`),
     );
   }
 
-  /** Removes ends that are stored. */
-  public settle(endsThrough: number): void {
+  /** Removes ends that the leader has stored. */
+  public removeStoredEnds(endsThrough: number): void {
     this.endsThrough = Math.max(this.endsThrough, endsThrough);
     this.ends = this.ends.filter(({ number }) => number > this.endsThrough);
     if (this.ends.length === 0) {
-      this.onSettled();
+      this.onEndsStored();
     }
   }
 
   /** Waits until the ends are stored, or until the timeout. */
-  public async waitUntilSettled(): Promise<void> {
+  public async waitUntilEndsStored(): Promise<void> {
     if (this.ends.length === 0) {
       return;
     }
     await new Promise<void>(resolve => {
-      const timer = setTimeout(resolve, SETTLE_TIMEOUT_MILLISECONDS);
-      this.onSettled = () => {
+      const timer = setTimeout(resolve, ENDS_STORED_TIMEOUT_MILLISECONDS);
+      this.onEndsStored = () => {
         clearTimeout(timer);
         resolve();
       };
     });
   }
 
-  /** Clears the lists of an earlier incarnation. */
+  /** Clears the runs of an earlier incarnation. */
   public reset(): void {
     this.running = [];
     this.ends = [];
--- a/packages/job-nodes/src/agent/serving-strain.ts
+++ b/packages/job-nodes/src/agent/serving-strain.ts
@@ -2,7 +2,7 @@
 
 import type { ListedServingTask } from './listed-serving-task.js';
 
-/** A tail latency up to this part of its bound shows an empty queue. */
+/** A task's queue is empty at a tail latency up to this part of its bound. */
 const EMPTY_QUEUE_BOUND_FRACTION = 0.8;
 
 /** Tracks for how long serving tasks have violated their bounds. */
@@ -11,10 +11,10 @@
   private violatedSince: ReadonlyMap<string, number> = new Map();
 
   /**
-   * Adds to each task for how long its bound has been violated; a violation
-   * ends only once the queue of the task is empty.
+   * Returns the tasks with the duration of their current violations; a
+   * violation ends only once the queue of the task is empty.
    */
-  public add(
+  public withViolationDurations(
     serving: readonly ListedServingTask[],
     now: number,
   ): readonly ServingTask[] {
--- a/packages/job-nodes/src/agent/throttler.ts
+++ b/packages/job-nodes/src/agent/throttler.ts
@@ -12,7 +12,7 @@
 import { ServingStrain } from './serving-strain.js';
 import type { ThrottlerOptions } from './throttler-options.js';
 
-/** Measurements cover 500 ms; each of them leads to one decision. */
+/** Measurements cover 500 ms; shares are decided once per measurement. */
 const DECISION_INTERVAL_MILLISECONDS = 450;
 
 /** Tasks with recorded traits, and jobs with a recorded load. */
@@ -22,19 +22,19 @@
 
 const MILLICORES_PER_CORE = 1000;
 
-/** A run that reports this percentage has finished its start. */
+/** A serving task at this progress handles requests. */
 const STARTED_PERCENT = 100;
 
-/** Smallest change of a share that is written to the log. */
+/** Smaller changes of a share are not logged. */
 const MINIMUM_LOGGED_CHANGE = 0.1;
 
-/** Part of a bound that the unloaded tail latency is until one is reported. */
+/** Part of the bound assumed as the unloaded tail latency until one is sent. */
 const UNLOADED_FRACTION = 0.2;
 
-/** Assumed load of a job until one is reported. */
+/** Load of a job that is assumed until the leader sends one. */
 const UNKNOWN_LOAD = 0.5;
 
-/** Usage at this share or less does not show the usage at full speed. */
+/** The usage at full speed is estimated from the usage above this share only. */
 const MINIMUM_MEASURED_SHARE = 0.3;
 
 /** Throttles batch tasks while a serving task beside them exceeds its bound. */
@@ -52,7 +52,7 @@
   /** Share of full speed at which the tasks of each batch image run. */
   private shares: ReadonlyMap<string, number> = new Map();
 
-  private readonly strain = new ServingStrain();
+  private readonly violationTracker = new ServingStrain();
 
   private decidedAt = Number.NEGATIVE_INFINITY;
 
@@ -65,7 +65,7 @@
     this.traits.set(task, traits);
   }
 
-  /** Whether some task serves beside a batch one: measurements must be fresh. */
+  /** Returns whether serving tasks run beside batch tasks. */
   public needsFreshMeasurements(running: readonly RunningTask[]): boolean {
     return (
       running.some(run => this.isBatch(run)) &&
@@ -86,14 +86,14 @@
     }
   }
 
-  /** Decides the shares from fresh lists and sends changed ones to the minion. */
+  /** Decides the shares after a poll and sends changed ones to the minion. */
   public async apply(
     minion: MinionIncarnation,
     running: readonly RunningTask[],
     fencingToken: number,
     now: number,
   ): Promise<void> {
-    this.forgetEnded(running);
+    this.removeEnded(running);
     if (now - this.decidedAt >= DECISION_INTERVAL_MILLISECONDS) {
       this.decidedAt = now;
       this.decide(running, now);
@@ -106,7 +106,7 @@
     await Promise.all(changed.map(run => this.send(minion, run, fencingToken)));
   }
 
-  /** Throttles a task that has just been started, before it is listed. */
+  /** Throttles a task right after its start, before a poll lists it. */
   public async started(
     minion: MinionIncarnation,
     order: { readonly task: string; readonly run: number },
@@ -126,7 +126,7 @@
     const serving = this.servingTasks(running);
     const batchDemand = this.batchDemand(running);
     const shares = decideShares(
-      this.strain.add(serving, now),
+      this.violationTracker.withViolationDurations(serving, now),
       batchDemand,
       this.options.interference,
     );
@@ -226,7 +226,7 @@
     }
   }
 
-  private forgetEnded(running: readonly RunningTask[]): void {
+  private removeEnded(running: readonly RunningTask[]): void {
     const listed = new Set(running.map(keyOf));
     for (const key of this.sent.keys()) {
       if (!listed.has(key)) {
--- a/packages/job-nodes/src/configuration/configuration-holder.ts
+++ b/packages/job-nodes/src/configuration/configuration-holder.ts
@@ -1,13 +1,13 @@
 import type { QueueConfiguration } from './queue-configuration.js';
 
-/** Keeps the newest configuration received; ignores older ones. */
+/** Stores the newest configuration received; ignores older ones. */
 export class ConfigurationHolder {
   public current: QueueConfiguration | undefined;
 
   private readonly listeners: ((configuration: QueueConfiguration) => void)[] =
     [];
 
-  /** Adopts a configuration if it is newer; returns whether it was. */
+  /** Applies a configuration if it is newer; returns whether it is. */
   public offer(configuration: QueueConfiguration): boolean {
     if (configuration.version <= (this.current?.version ?? -1)) {
       return false;
--- a/packages/job-nodes/src/entry/gateway-answer.ts
+++ b/packages/job-nodes/src/entry/call-outcome.ts
@@ -1,7 +1,7 @@
 import type { JobAnswer } from '../leader/job-answer.js';
 
-/** Answer to a caller's request, or the reason why there is none. */
-export type GatewayAnswer =
+/** Outcome of a call: the leader's answer, or none in time. */
+export type CallOutcome =
   | Exclude<JobAnswer, { readonly kind: 'not-leading' | 'unknown' }>
-  /** No leader answered in time; with `sent`, one may have acted. */
+  /** No leader answered in time; if `sent`, one may have acted on the call. */
   | { readonly kind: 'unavailable'; readonly sent: boolean };
--- a/packages/job-nodes/src/entry/entry-process.ts
+++ b/packages/job-nodes/src/entry/entry-process.ts
@@ -24,7 +24,7 @@
 
 const WATCH_HEARTBEAT_INTERVAL_MILLISECONDS = 500;
 
-/** The process that callers connect to; one of all entries is the leader. */
+/** A process that callers connect to; one of the entries is the leader. */
 export class EntryProcess {
   public readonly configuration = new ConfigurationHolder();
 
@@ -103,7 +103,7 @@
     };
   }
 
-  /** Releases the leadership if this entry holds it. */
+  /** Resigns the leadership if this entry holds it. */
   public async resign(): Promise<void> {
     await this.leadership.resign();
   }
--- a/packages/job-nodes/src/entry/internal-server.ts
+++ b/packages/job-nodes/src/entry/internal-server.ts
@@ -114,7 +114,7 @@
   const agent = url.searchParams.get('agent') ?? '';
   response.writeHead(200);
   response.flushHeaders();
-  const session = leader.agents.attach(
+  const session = leader.agentStreams.attach(
     token => new AgentSession(agent, token, response, options.time.now()),
   );
   options.logger.info('An agent has joined.', {
@@ -126,18 +126,18 @@
     line => {
       const message = line as AgentMessage;
       if (message.kind === 'report') {
-        leader.agents.handleReport(session, message.report);
+        leader.agentStreams.handleReport(session, message.report);
       } else if (message.kind === 'images') {
-        leader.agents.adopt(message.images);
+        leader.agentStreams.adopt(message.images);
       }
-      leader.agents.renewLease(session, message.sentAt);
+      leader.agentStreams.renewLease(session, message.sentAt);
     },
     reason => {
       options.logger.info('The stream of an agent has ended.', {
         agent,
         reason,
       });
-      leader.agents.detach(session);
+      leader.agentStreams.detach(session);
       response.destroy();
     },
   );
--- a/packages/job-nodes/src/entry/job-gateway.ts
+++ b/packages/job-nodes/src/entry/job-gateway.ts
@@ -7,7 +7,7 @@
 import type { LeaderRecord } from '../leadership/leader-record.js';
 import type { CallMessage } from '../lines/call-message.js';
 import { pause } from '../time/pause.js';
-import type { GatewayAnswer } from './gateway-answer.js';
+import type { CallOutcome } from './call-outcome.js';
 import type { JobGatewayOptions } from './job-gateway-options.js';
 
 /** Delay before the leader is called again. */
@@ -21,7 +21,7 @@
 
 type TryAnswer = JobAnswer | { readonly kind: 'not-sent' | 'no-answer' };
 
-type FinalAnswer = Exclude<GatewayAnswer, { readonly kind: 'unavailable' }>;
+type FinalAnswer = Exclude<CallOutcome, { readonly kind: 'unavailable' }>;
 
 /** Answers after which the leader is called again. */
 const NOT_FINAL: ReadonlySet<TryAnswer['kind']> = new Set([
@@ -35,13 +35,13 @@
   return !NOT_FINAL.has(answer.kind);
 }
 
-/** Answer to one try, and the epoch of the leader that it was sent to. */
-interface Try {
+/** Answer to one try, and the epoch of the leader that was called. */
+interface TryResult {
   readonly epoch: number;
   readonly answer: TryAnswer;
 }
 
-/** Forwards callers' requests to the leader, whichever entry it is. */
+/** Forwards callers' requests to the entry that is the leader. */
 export class JobGateway {
   private readonly options: JobGatewayOptions;
 
@@ -54,12 +54,12 @@
    * deadline. Calls may be repeated, as a job is recognised by its identifier.
    *
    * A leader that did not answer a try may still act on it, so its refusal of a
-   * later try is not returned to the caller. The refusal of a later leader is:
-   * it has fenced off everything that earlier leaders had not stored.
+   * later try is not returned to the caller. The refusal of a later leader is
+   * returned, since that leader has fenced all writes of earlier leaders.
    *
-   * @param deadlineAt - On the steady clock.
+   * @param deadlineAt - In milliseconds of the monotonic clock.
    */
-  public async call(call: JobCall, deadlineAt: number): Promise<GatewayAnswer> {
+  public async call(call: JobCall, deadlineAt: number): Promise<CallOutcome> {
     const unansweredEpochs = new Set<number>();
     let sent = false;
     for (;;) {
@@ -67,13 +67,13 @@
       if (remaining <= 0) {
         return { kind: 'unavailable', sent };
       }
-      const { epoch, answer } = await this.askLeader(call, remaining);
+      const { epoch, answer } = await this.callLeader(call, remaining);
       if (answer.kind === 'no-answer') {
         unansweredEpochs.add(epoch);
       }
       sent ||= answer.kind === 'no-answer' || answer.kind === 'unknown';
-      const mayYetAct = unansweredEpochs.has(epoch);
-      if (isFinal(answer) && !(answer.kind === 'refused' && mayYetAct)) {
+      const mayStillAct = unansweredEpochs.has(epoch);
+      if (isFinal(answer) && !(answer.kind === 'refused' && mayStillAct)) {
         return answer;
       }
       await pause(Math.min(RETRY_DELAY_MILLISECONDS, Math.max(1, remaining)));
@@ -84,7 +84,10 @@
     return deadlineAt - RESPONSE_TIME_MILLISECONDS - this.options.time.steady();
   }
 
-  private async askLeader(call: JobCall, remaining: number): Promise<Try> {
+  private async callLeader(
+    call: JobCall,
+    remaining: number,
+  ): Promise<TryResult> {
     const local = this.options.localLeader();
     if (local !== undefined) {
       return { epoch: local.epoch, answer: await local.answer(call) };
@@ -94,11 +97,11 @@
       ? { epoch: 0, answer: { kind: 'not-sent' } }
       : {
           epoch: record.epoch,
-          answer: await this.askRemote(call, record, remaining),
+          answer: await this.callRemoteLeader(call, record, remaining),
         };
   }
 
-  private async askRemote(
+  private async callRemoteLeader(
     call: JobCall,
     { address, epoch }: LeaderRecord,
     remaining: number,
--- a/packages/job-nodes/src/entry/leader-monitor-options.ts
+++ b/packages/job-nodes/src/entry/leader-monitor-options.ts
@@ -9,7 +9,7 @@
   readonly ownAddress: string;
   readonly ownIncarnation: string;
   readonly leaderRecord: () => LeaderRecord | undefined;
-  /** Returns the entries to ask while the leader is unknown or unreachable. */
+  /** Returns the entries to query for the leader once a watch has ended. */
   readonly otherEntries: () => readonly string[];
   readonly onMessage: (message: WatchMessage) => void;
   /** Called when the leader's process of this incarnation has ended. */
--- a/packages/job-nodes/src/entry/leader-monitor.ts
+++ b/packages/job-nodes/src/entry/leader-monitor.ts
@@ -11,8 +11,8 @@
 import type { LeaderMonitorOptions } from './leader-monitor-options.js';
 import type { WatchMessage } from './watch-message.js';
 
-/** The stream to a process that sends nothing for this long is closed. */
-const SILENCE_TIMEOUT_MILLISECONDS = 1600;
+/** A stream on which nothing is received for this long is closed. */
+const RECEIVE_TIMEOUT_MILLISECONDS = 1600;
 
 const RETRY_DELAY_MILLISECONDS = 150;
 
@@ -20,8 +20,8 @@
 
 /**
  * Watches the leader's process over an open stream, so that its end is detected
- * at once, and receives leaders and configurations from other entries while the
- * store is unreachable.
+ * at once. Receives leader records and configurations from other entries, also
+ * while the store is unreachable.
  */
 export class LeaderMonitor {
   private readonly options: LeaderMonitorOptions;
@@ -46,7 +46,7 @@
         reason,
       });
       await this.probe(record);
-      await this.askAnotherEntry();
+      await this.queryAnotherEntry();
       await pause(RETRY_DELAY_MILLISECONDS);
     }
   }
@@ -56,20 +56,26 @@
     const path = `/watch?address=${encodeURIComponent(this.options.ownAddress)}`;
     return new Promise(resolve => {
       let timer: NodeJS.Timeout | undefined;
-      const call = request({ host, port, path, method: 'POST', agent: false });
+      const clientRequest = request({
+        host,
+        port,
+        path,
+        method: 'POST',
+        agent: false,
+      });
       const end = (reason: string): void => {
         clearTimeout(timer);
-        call.destroy();
+        clientRequest.destroy();
         resolve(reason);
       };
       const restartTimeout = (): void => {
         clearTimeout(timer);
         timer = setTimeout(() => {
           end('silence');
-        }, SILENCE_TIMEOUT_MILLISECONDS);
+        }, RECEIVE_TIMEOUT_MILLISECONDS);
       };
       restartTimeout();
-      call.on('response', response => {
+      clientRequest.on('response', response => {
         readLines(
           response,
           line => {
@@ -79,10 +85,10 @@
           end,
         );
       });
-      call.on('error', error => {
+      clientRequest.on('error', error => {
         end(messageOf(error));
       });
-      call.end();
+      clientRequest.end();
     });
   }
 
@@ -104,7 +110,7 @@
     }
   }
 
-  private async askAnotherEntry(): Promise<void> {
+  private async queryAnotherEntry(): Promise<void> {
     const entries = this.options
       .otherEntries()
       .filter(address => address !== this.options.ownAddress);
--- a/packages/job-nodes/src/entry/watch-message.ts
+++ b/packages/job-nodes/src/entry/watch-message.ts
@@ -1,7 +1,7 @@
 import type { QueueConfiguration } from '../configuration/queue-configuration.js';
 import type { LeaderRecord } from '../leadership/leader-record.js';
 
-/** Message of an entry to the entries that watch it, one message a line. */
+/** Message from an entry to the entries that watch it; one line of JSON. */
 export interface WatchMessage {
   readonly leader?: LeaderRecord;
   readonly configuration?: QueueConfiguration;
--- a/packages/job-nodes/src/http/serve-until-idle.ts
+++ b/packages/job-nodes/src/http/serve-until-idle.ts
@@ -5,21 +5,21 @@
 
 const POLL_INTERVAL_MILLISECONDS = 50;
 
-/** Deadlines of a stopping server, on the steady clock. */
-export interface StopTimes {
-  /** Callers are routed here until then, so idle connections stay open. */
+/** Deadlines of a server that shuts down, in monotonic milliseconds. */
+export interface ShutdownDeadlines {
+  /** Until then callers are routed here, so that idle connections stay open. */
   readonly closesIdleAt: number;
   /** The process ends then, even with open connections. */
   readonly endsAt: number;
 }
 
 /**
- * Continues to serve while the process stops: resolves once no caller is
- * connected and none is routed here any more, or at the end of the stop time.
+ * Continues to serve while the process shuts down: resolves once no caller is
+ * connected and none is routed here any more, or when the process must end.
  */
 export async function serveUntilIdle(
   server: Server,
-  { closesIdleAt, endsAt }: StopTimes,
+  { closesIdleAt, endsAt }: ShutdownDeadlines,
   time: TimeSource,
 ): Promise<void> {
   while (time.steady() < endsAt) {
--- a/packages/job-nodes/src/leader/agent-session.ts
+++ b/packages/job-nodes/src/leader/agent-session.ts
@@ -2,10 +2,10 @@
 
 import type { LeaderMessage } from '../lines/leader-message.js';
 
-/** With more unsent data than this, the agent counts as not reading. */
+/** With more unsent data than this, the agent is assumed not to read. */
 const MAXIMUM_UNSENT_BYTES = 1024 * 1024;
 
-/** The leader's side of the stream of one agent. */
+/** The leader's end of the stream of one agent. */
 export class AgentSession {
   /** Incarnation of the minion that the agent last reported; empty if none. */
   public incarnation = '';
--- a/packages/job-nodes/src/leader/agent-sessions.ts
+++ b/packages/job-nodes/src/leader/agent-sessions.ts
@@ -7,10 +7,10 @@
 
 import type { AgentSession } from './agent-session.js';
 
-/** A stream on which nothing was received for longer is closed. */
+/** A stream on which nothing was received for this long is closed. */
 const STREAM_TIMEOUT_MILLISECONDS = 2000;
 
-/** The open streams of agents, and the minions on the agents' VMs. */
+/** Tracks the open streams of agents and the minions on the agents' VMs. */
 export class AgentSessions {
   private readonly sessions = new Map<string, AgentSession>();
 
@@ -74,7 +74,7 @@
     this.sessions.clear();
   }
 
-  /** Returns the stream of the agent that drives a task's minion. */
+  /** Returns the stream of the agent on the VM of a task's minion. */
   public sessionFor(task: TaskEntry): AgentSession | undefined {
     const minion = this.table.minions.get(task.incarnation);
     const session = minion && this.sessions.get(minion.agent);
@@ -98,7 +98,7 @@
       .map(({ incarnation }) => incarnation);
   }
 
-  /** Tells whether the stream has reported this minion incarnation before. */
+  /** Returns whether the stream has reported this minion incarnation before. */
   public hasReportedIncarnation(
     session: AgentSession,
     report: AgentReport,
@@ -109,16 +109,16 @@
   /** Returns the recorded traits of the running tasks in a report. */
   public traitsFor({ running }: AgentReport): readonly TaskWithTraits[] {
     return running.flatMap(({ task }) => {
-      const entry = this.table.task(task);
-      return entry === undefined
+      const state = this.table.task(task);
+      return state === undefined
         ? []
-        : [{ task, traits: traitsOf(entry.specification) }];
+        : [{ task, traits: traitsOf(state.specification) }];
     });
   }
 
   /**
-   * Updates the minion from a report; returns nothing if the stream is closed
-   * or the agent has no minion.
+   * Updates the minion from a report; returns undefined if the stream is closed
+   * or the agent has no running minion.
    */
   public updateMinion(
     session: AgentSession,
@@ -175,11 +175,11 @@
   readonly traits: TaskTraits;
 }
 
-/** Lets stops be sent again: those sent on an earlier stream may be lost. */
+/** Marks stops to be sent again; those on an earlier stream may be lost. */
 function markStopsUnsent(minion: MinionEntry): void {
-  for (const { entry, run } of minion.runs.values()) {
-    if (entry.run === run) {
-      entry.stopping = false;
+  for (const { task, run } of minion.runs.values()) {
+    if (task.run === run) {
+      task.stopping = false;
     }
   }
 }
--- a/packages/job-nodes/src/leader/agent-stream-handler.ts
+++ b/packages/job-nodes/src/leader/agent-stream-handler.ts
@@ -45,8 +45,8 @@
   }
 
   /**
-   * Renews an agent's lease, which the agent counts from when it sent the
-   * message.
+   * Renews the lease of an agent's minion; it counts from the time at which the
+   * agent sent the message.
    */
   public renewLease(session: AgentSession, sentAt: number): void {
     const { state, options, isReady } = this.context;
@@ -56,7 +56,7 @@
     }
   }
 
-  /** Adopts the image statistics that an agent has from the last leader. */
+  /** Adopts the image statistics that an agent has from earlier leaders. */
   public adopt(images: ImageStatistics): void {
     this.context.state.interference.adopt(images);
   }
@@ -143,10 +143,10 @@
       session,
       report,
     )) {
-      const freed = state.table.removeMinion(incarnation, now);
+      const released = state.table.removeMinion(incarnation, now);
       options.logger.warn('A minion is gone.', {
         incarnation,
-        freed: freed.length,
+        freed: released.length,
         agent: session.agent,
       });
       this.onChange();
--- a/packages/job-nodes/src/leader/answer-call.ts
+++ b/packages/job-nodes/src/leader/answer-call.ts
@@ -13,8 +13,8 @@
 export interface AnswerContext {
   readonly state: LeaderState;
   readonly now: number;
-  /** The store has not answered an append in time. */
-  readonly storeBlocked: boolean;
+  /** The store has not answered an append before the timeout. */
+  readonly storeUnresponsive: boolean;
   readonly afterStored: (action: (stored: boolean) => void) => void;
 }
 
@@ -24,7 +24,7 @@
 
 type CancelCall = Extract<JobCall, { readonly kind: 'cancel' }>;
 
-/** Answers an entry's call, after what the answer states has been stored. */
+/** Answers an entry's call once the state that the answer reports is stored. */
 export async function answerCall(
   call: JobCall,
   context: AnswerContext,
@@ -45,7 +45,7 @@
   call: SubmitCall,
   context: AnswerContext,
 ): Promise<JobAnswer> {
-  const { state, now, storeBlocked } = context;
+  const { state, now, storeUnresponsive: storeBlocked } = context;
   if (!state.table.jobs.has(call.specification.identifier)) {
     if (storeBlocked) {
       return {
@@ -66,7 +66,7 @@
   });
 }
 
-/** A job's end is reported only once stored; this is awaited once per job. */
+/** Returns whether a job's end is stored; it is reported only then. */
 async function endIsStored(
   job: JobEntry,
   context: AnswerContext,
@@ -115,8 +115,8 @@
 function pending(queue: string, { state }: AnswerContext): JobAnswer {
   let count = 0;
   for (const job of state.table.jobs.values()) {
-    const waits = job.ended === undefined && !job.begun;
-    if (waits && job.specification.queue === queue) {
+    const isPending = job.ended === undefined && !job.begun;
+    if (isPending && job.specification.queue === queue) {
       count += 1;
     }
   }
--- a/packages/job-nodes/src/leader/interference-watch.ts
+++ b/packages/job-nodes/src/leader/interference-watch.ts
@@ -22,7 +22,7 @@
 
 const LOAD_RETENTION_MILLISECONDS = 10_000;
 
-/** What was sent to an agent on its current stream, and when. */
+/** Versions of the statistics last sent on a stream, and when. */
 interface SentState {
   readonly loadsSentAt: number;
   readonly imagesSentAt: number;
@@ -97,7 +97,7 @@
     this.loads.adopt(lowestTails);
   }
 
-  /** Sends what has changed since the last time, at most once per interval. */
+  /** Sends changed statistics, at most once per interval. */
   private sendImages(
     session: AgentSession,
     previous: SentState,
@@ -136,8 +136,8 @@
     const jobs = new Set(
       report.running
         .map(({ task }) => table.task(task))
-        .filter(entry => (entry?.specification.tailTargetMilliseconds ?? 0) > 0)
-        .map(entry => entry?.jobIdentifier ?? ''),
+        .filter(task => (task?.specification.tailTargetMilliseconds ?? 0) > 0)
+        .map(task => task?.jobIdentifier ?? ''),
     );
     const loads = [...jobs].map(job => {
       const unloadedTailLatency = this.loads.unloadedTailLatency(job);
--- a/packages/job-nodes/src/leader/leader-options.ts
+++ b/packages/job-nodes/src/leader/leader-options.ts
@@ -12,7 +12,7 @@
   readonly logger: PartLogger;
   /** Maximum duration of the lease of an agent's minion. */
   readonly leaseMilliseconds: number;
-  /** Tells whether this process's leadership lease is still valid. */
+  /** Returns whether this process's leadership lease is still valid. */
   readonly isValid: () => boolean;
   readonly onFenced: () => void;
   readonly observe: StepObserver;
--- a/packages/job-nodes/src/leader/leader-state.ts
+++ b/packages/job-nodes/src/leader/leader-state.ts
@@ -54,7 +54,7 @@
     this.configureJobs();
   }
 
-  /** Updates jobs to their queues' settings; those of removed queues stay. */
+  /** Applies the settings of queues to their jobs, where the queue exists. */
   public configureJobs(): void {
     for (const job of this.table.jobs.values()) {
       job.queue = this.queues.get(job.specification.queue) ?? job.queue;
@@ -67,7 +67,7 @@
     this.newJobs.push(this.table.add(specification, queue, acceptedAt));
   }
 
-  /** Returns the values to store, and clears the list of changes. */
+  /** Returns the values to store, and clears the recorded changes. */
   public collect(): readonly StoredValue[] {
     const values: StoredValue[] = [];
     for (const job of this.newJobs.splice(0)) {
@@ -106,19 +106,19 @@
     }
   }
 
-  /** Returns current runs of ended jobs to which no stop was sent yet. */
+  /** Returns the tasks of ended jobs whose runs have no stop order yet. */
   public runsOfEndedJobs(): readonly TaskEntry[] {
-    const runs: TaskEntry[] = [];
+    const tasks: TaskEntry[] = [];
     for (const minion of this.table.minions.values()) {
-      for (const { entry, run } of minion.runs.values()) {
-        const job = this.table.jobs.get(entry.jobIdentifier);
-        const current = entry.phase === 'assigned' && entry.run === run;
-        if (current && !entry.stopping && job?.ended !== undefined) {
-          runs.push(entry);
+      for (const { task, run } of minion.runs.values()) {
+        const job = this.table.jobs.get(task.jobIdentifier);
+        const current = task.phase === 'assigned' && task.run === run;
+        if (current && !task.stopping && job?.ended !== undefined) {
+          tasks.push(task);
         }
       }
     }
-    return runs;
+    return tasks;
   }
 
   /** Drops ended jobs whose retention time has passed. */
--- a/packages/job-nodes/src/leader/leader-statistics.ts
+++ b/packages/job-nodes/src/leader/leader-statistics.ts
@@ -5,6 +5,6 @@
   readonly jobs: number;
   /** Jobs of which no task has begun. */
   readonly waitingJobs: number;
-  /** Time since the append that the store has not yet answered; 0 for none. */
+  /** Time since the start of the unanswered append; 0 if there is none. */
   readonly pendingAppendMilliseconds: number;
 }
--- a/packages/job-nodes/src/leader/leader.ts
+++ b/packages/job-nodes/src/leader/leader.ts
@@ -31,7 +31,7 @@
   private readonly writer: StoreWriter;
 
   /** Handles the streams of agents. */
-  public readonly agents: AgentStreamHandler;
+  public readonly agentStreams: AgentStreamHandler;
 
   private readonly planner: StartPlanner;
 
@@ -59,7 +59,7 @@
       isReady: () => this.isReady(),
     };
     this.planner = new StartPlanner(context);
-    this.agents = new AgentStreamHandler(context, () => {
+    this.agentStreams = new AgentStreamHandler(context, () => {
       this.stopEndedJobs();
       this.planner.planSoon();
     });
@@ -89,7 +89,7 @@
     this.state.sessions.closeAll();
   }
 
-  /** Tells whether the state is loaded and this process still is the leader. */
+  /** Whether the state is loaded and this process still is the leader. */
   public isReady(): boolean {
     return this.loaded && !this.closed && this.options.isValid();
   }
@@ -107,7 +107,7 @@
     const answer = await answerCall(call, {
       state: this.state,
       now: this.options.time.now(),
-      storeBlocked: this.planner.isBlocked(),
+      storeUnresponsive: this.planner.isStoreUnresponsive(),
       afterStored: action => {
         this.writer.afterStored(action);
       },
@@ -116,7 +116,7 @@
     return answer;
   }
 
-  /** Applies a newer configuration: jobs take on their queue's new settings. */
+  /** Applies a newer configuration to the queues and their jobs. */
   public configure(configuration: QueueConfiguration): void {
     this.state.configure(configuration);
     this.planner.planSoon();
@@ -133,7 +133,7 @@
       agents: this.state.sessions.count,
       jobs: jobs.size,
       waitingJobs,
-      pendingAppendMilliseconds: this.writer.blockedMilliseconds(),
+      pendingAppendMilliseconds: this.writer.pendingMilliseconds(),
     };
   }
 
@@ -164,14 +164,14 @@
     const now = this.options.time.now();
     const { table } = this.state;
     const { leaseMilliseconds, logger } = this.options;
-    for (const { incarnation, freed } of expireMinions(
+    for (const { incarnation, releasedTasks } of expireMinions(
       table,
       leaseMilliseconds,
       now,
     )) {
       logger.warn('The lease of a silent minion is over.', {
         incarnation,
-        freed: freed.length,
+        freed: releasedTasks.length,
       });
     }
     this.state.sessions.closeUnresponsive(now);
--- a/packages/job-nodes/src/leader/load-table.ts
+++ b/packages/job-nodes/src/leader/load-table.ts
@@ -8,7 +8,7 @@
 import type { StoredValue } from '../store/stored-value.js';
 import { JOB_KEY_PREFIX, PROGRESS_KEY_PREFIX } from './record-keys.js';
 
-/** Fills an empty table from the stored values, without unreadable records. */
+/** Loads the stored values into an empty table; skips unreadable records. */
 export function loadTable(
   table: JobTable,
   values: readonly StoredValue[],
--- a/packages/job-nodes/src/leader/record-keys.ts
+++ b/packages/job-nodes/src/leader/record-keys.ts
@@ -1,5 +1,5 @@
-/** Precedes the identifier in the key of an accepted job. */
+/** Prefix of the key of an accepted job; the job's identifier follows. */
 export const JOB_KEY_PREFIX = 'job/';
 
-/** Precedes the identifier in the key of a job's progress. */
+/** Prefix of the key of a job's progress; the job's identifier follows. */
 export const PROGRESS_KEY_PREFIX = 'progress/';
--- a/packages/job-nodes/src/leader/send-starts.ts
+++ b/packages/job-nodes/src/leader/send-starts.ts
@@ -13,7 +13,7 @@
 /**
  * Sends the orders for starts that are stored. A start whose job has since
  * ended is reverted. A start whose agent has since opened another stream is not
- * sent; the agent's next report resolves it.
+ * sent; the agent's next report releases its task.
  */
 export function sendStarts(
   state: LeaderState,
--- a/packages/job-nodes/src/leader/start-planner.ts
+++ b/packages/job-nodes/src/leader/start-planner.ts
@@ -7,8 +7,8 @@
 /** Time for which changes are collected before starts are planned. */
 const PLAN_DELAY_MILLISECONDS = 8;
 
-/** While an append has gone unanswered for longer, no starts are planned. */
-const BLOCKED_MILLISECONDS = 600;
+/** No starts are planned while an append is unanswered for longer than this. */
+const STORE_WAIT_MILLISECONDS = 600;
 
 /** Plans starts; they are stored before their orders are sent. */
 export class StartPlanner {
@@ -35,7 +35,7 @@
     }
   }
 
-  /** Sends stored starts; while leadership is in doubt, they stay unsent. */
+  /** Sends stored starts if this process certainly is the leader. */
   public sendUnsent(): void {
     const { state, options, isReady } = this.context;
     if (this.unsentStarts.length > 0 && isReady()) {
@@ -43,9 +43,9 @@
     }
   }
 
-  /** Tells whether an append has been unanswered for too long. */
-  public isBlocked(): boolean {
-    return this.context.writer.blockedMilliseconds() > BLOCKED_MILLISECONDS;
+  /** Returns whether an append has been unanswered for too long. */
+  public isStoreUnresponsive(): boolean {
+    return this.context.writer.pendingMilliseconds() > STORE_WAIT_MILLISECONDS;
   }
 
   /** Stops planning. */
@@ -59,12 +59,12 @@
     if (!isReady()) {
       return;
     }
-    if (!this.isBlocked()) {
+    if (!this.isStoreUnresponsive()) {
       const now = options.time.now();
       const predictor = state.interference.predictor(now);
       this.assign(planStarts(state.table, predictor, now), now);
     }
-    writer.wake();
+    writer.startStoring();
   }
 
   private assign(starts: readonly PlannedStart[], now: number): void {
--- a/packages/job-nodes/src/leader/store-writer.ts
+++ b/packages/job-nodes/src/leader/store-writer.ts
@@ -5,14 +5,14 @@
 import type { StoreWriterOptions } from './store-writer-options.js';
 
 /** Time for which changes are collected before they are stored together. */
-const GATHER_DELAY_MILLISECONDS = 12;
+const COLLECT_DELAY_MILLISECONDS = 12;
 
 const RETRY_DELAY_MILLISECONDS = 60;
 
 /**
- * Stores changes in order, one append at a time, and then runs the actions that
- * wait for them. An append without an answer is retried under the same sequence
- * number until it is answered.
+ * Stores changes in order, one append at a time, and runs the actions that wait
+ * for them afterwards. An append without an answer is retried under the
+ * same sequence number until it is answered.
  */
 export class StoreWriter {
   private readonly options: StoreWriterOptions;
@@ -28,7 +28,7 @@
 
   private sequence = 0;
 
-  private callStartedAt = 0;
+  private appendStartedAt = 0;
 
   public constructor(options: StoreWriterOptions) {
     this.options = options;
@@ -44,18 +44,18 @@
       return;
     }
     this.actions.push(action);
-    this.wake();
+    this.startStoring();
   }
 
   /** Starts storing changes, unless that is in progress. */
-  public wake(): void {
+  public startStoring(): void {
     if (!this.running && !this.closed) {
       this.running = true;
       void this.run();
     }
   }
 
-  /** Stops; actions that still wait run with `false`. */
+  /** Stops; waiting actions run with `false`. */
   public close(): void {
     this.closed = true;
     const waiting = [
@@ -67,16 +67,16 @@
     });
   }
 
-  /** Time since the append that is not yet answered; 0 if there is none. */
-  public blockedMilliseconds(): number {
-    return this.callStartedAt === 0
+  /** Milliseconds since the unanswered append began; 0 if there is none. */
+  public pendingMilliseconds(): number {
+    return this.appendStartedAt === 0
       ? 0
-      : this.options.time.steady() - this.callStartedAt;
+      : this.options.time.steady() - this.appendStartedAt;
   }
 
   private async run(): Promise<void> {
     while (!this.closed) {
-      await pause(GATHER_DELAY_MILLISECONDS);
+      await pause(COLLECT_DELAY_MILLISECONDS);
       this.actionsInProgress = this.actions;
       this.actions = [];
       const values = this.options.collect();
@@ -96,11 +96,11 @@
 
   private async store(values: readonly StoredValue[]): Promise<boolean> {
     const { store, epoch, logger, time, onFenced } = this.options;
-    this.callStartedAt = time.steady();
+    this.appendStartedAt = time.steady();
     for (let tries = 1; !this.isClosed(); tries += 1) {
       try {
         const stored = await store.append(epoch, this.sequence, values);
-        this.callStartedAt = 0;
+        this.appendStartedAt = 0;
         this.sequence += 1;
         if (!stored) {
           this.close();
--- a/packages/job-nodes/src/leadership/leadership-options.ts
+++ b/packages/job-nodes/src/leadership/leadership-options.ts
@@ -4,7 +4,7 @@
 import type { TimeSource } from '../time/time-source.js';
 import type { LeaderRecord } from './leader-record.js';
 
-/** Identity of this process, and callbacks for changes of leadership. */
+/** Identity of this process, its dependencies, and leadership callbacks. */
 export interface LeadershipOptions {
   readonly name: string;
   readonly incarnation: string;
--- a/packages/job-nodes/src/leadership/leadership.ts
+++ b/packages/job-nodes/src/leadership/leadership.ts
@@ -12,7 +12,7 @@
 
 const FOLLOW_TIMEOUT_MILLISECONDS = 400;
 
-/** Follow timeout without a leader; shorter, so that a claim is not delayed. */
+/** Follow timeout without a leader; short, so that a claim is not delayed. */
 const VACANCY_TIMEOUT_MILLISECONDS = 50;
 
 const RETRY_DELAY_MILLISECONDS = 200;
@@ -27,7 +27,7 @@
   /** Newest record read or received. */
   public record: LeaderRecord | undefined;
 
-  /** Time by which candidates nearer to the log may claim earlier. */
+  /** Delay of a claim, by which candidates nearer to the log claim earlier. */
   private claimDelayMilliseconds = 0;
 
   private readonly options: LeadershipOptions;
@@ -49,13 +49,13 @@
 
   private terminatedIncarnation = '';
 
-  private newestRead = false;
+  private hasReadNewest = false;
 
   public constructor(options: LeadershipOptions) {
     this.options = options;
   }
 
-  /** Tells whether this process is the leader and its lease has not expired. */
+  /** Whether this process is the leader and its lease has not expired. */
   public isValid(): boolean {
     const { time } = this.options;
     return this.leading && time.steady() - this.renewedAt < LEASE_MILLISECONDS;
@@ -73,13 +73,13 @@
     }
   }
 
-  /** Stops acting as the leader, without a record to the log. */
+  /** Stops acting as the leader without appending a record to the log. */
   public relinquish(reason: string): void {
     if (!this.leading) {
       return;
     }
     this.leading = false;
-    this.newestRead = false;
+    this.hasReadNewest = false;
     this.options.logger.warn('This process leads no more.', { reason });
     this.options.onLost(reason);
   }
@@ -105,7 +105,7 @@
     }
   }
 
-  /** Resigns if this process is the leader, and never claims again. */
+  /** Resigns if this process is the leader; it never claims again. */
   public async resign(): Promise<void> {
     this.resigning = true;
     if (!this.leading || this.record === undefined) {
@@ -132,10 +132,10 @@
       await this.renew();
       return;
     }
-    if (!this.newestRead) {
+    if (!this.hasReadNewest) {
       await this.readNewest();
     } else {
-      this.applyPage(await this.options.log.follow(this.end, this.followFor()));
+      this.applyPage(await this.options.log.follow(this.end, this.waitTime()));
     }
     if (!this.resigning && this.shouldClaimNow()) {
       await this.claim();
@@ -152,10 +152,10 @@
       roundTripMilliseconds * CLAIM_DELAY_FACTOR,
     );
     this.applyPage(page);
-    this.newestRead = true;
+    this.hasReadNewest = true;
   }
 
-  private followFor(): number {
+  private waitTime(): number {
     const vacant = this.record?.resigned !== false || this.isLeaderTerminated();
     return vacant ? VACANCY_TIMEOUT_MILLISECONDS : FOLLOW_TIMEOUT_MILLISECONDS;
   }
@@ -179,13 +179,13 @@
   private async claim(): Promise<void> {
     const { name, incarnation: life, address, log, time } = this.options;
     // The claim's offset is unique and higher than that of any earlier claim;
-    // the newest record may be a late renewal that hides the newest claim.
+    // the newest record may be a late renewal that follows a newer claim.
     const epoch = this.end + 1;
     const record = { epoch, name, life, address, resigned: false };
     const sentAt = time.steady();
     const claimed = await log.claim(record, this.end);
     if (!claimed) {
-      this.newestRead = false;
+      this.hasReadNewest = false;
       return;
     }
     this.leading = true;
@@ -230,7 +230,7 @@
   }): void {
     if (page.record !== undefined) {
       this.applyRecord(page.record);
-    } else if (!this.newestRead) {
+    } else if (!this.hasReadNewest) {
       this.recordReadAt = this.options.time.steady();
     }
     this.end = page.end;
--- a/packages/job-nodes/src/metrics/observed-minion-client.ts
+++ b/packages/job-nodes/src/metrics/observed-minion-client.ts
@@ -5,7 +5,7 @@
 
 /**
  * Wraps a client so that the duration of its orders is observed. Polls are not
- * observed, as they wait on purpose.
+ * observed, as their answers are delayed on purpose.
  */
 export function observedMinionClient(
   client: MinionClient,
--- a/packages/job-nodes/src/metrics/timed.ts
+++ b/packages/job-nodes/src/metrics/timed.ts
@@ -2,7 +2,10 @@
 import type { ObservedStep } from './observed-step.js';
 import type { StepObserver } from './step-observer.js';
 
-/** Runs a step and observes its duration; an error counts as no answer. */
+/**
+ * Runs a step and observes its duration; an error counts as no answer and is
+ * rethrown.
+ */
 export async function timed<Result>(
   observe: StepObserver,
   time: TimeSource,
--- a/packages/job-nodes/src/store/leadership-log.ts
+++ b/packages/job-nodes/src/store/leadership-log.ts
@@ -9,12 +9,12 @@
     fromOffset: number,
     waitMilliseconds: number,
   ) => Promise<LeadershipPage>;
-  /** Appends only if the log still ends at the offset; true if appended. */
+  /** Appends if the log still ends at the offset; true if appended. */
   readonly claim: (
     record: LeaderRecord,
     expectedEnd: number,
   ) => Promise<boolean>;
-  /** Appends unless a higher epoch was seen; true if appended. */
+  /** Appends unless a higher epoch has been used; true if appended. */
   readonly renew: (record: LeaderRecord, sequence: number) => Promise<boolean>;
 }
 
--- a/packages/job-nodes/src/time/anchored-time.ts
+++ b/packages/job-nodes/src/time/anchored-time.ts
@@ -1,6 +1,6 @@
 import type { TimeSource } from './time-source.js';
 
-/** Returns a wall clock that is read once and then advanced monotonically. */
+/** Returns clocks; the wall clock is read once, then advances monotonically. */
 export function anchoredTime(): TimeSource {
   const anchor = Date.now() - performance.now();
   return {
--- a/packages/job-nodes/tests/agent/image-memory.test.ts
+++ b/packages/job-nodes/tests/agent/image-memory.test.ts
@@ -4,7 +4,7 @@
 
 const PAIR = { serving: 's', filling: 'f', harm: 0.2, observations: 30 };
 
-t.test('rows of all leaders are merged and returned to the next one', t => {
+t.test('rows from all leaders are merged for the next leader', t => {
   const memory = new ImageMemory();
   t.same(memory.statistics(), { harms: [], lowestTails: [] });
   memory.apply({
--- a/packages/job-nodes/tests/agent/lease-clock.test.ts
+++ b/packages/job-nodes/tests/agent/lease-clock.test.ts
@@ -2,7 +2,7 @@
 
 import { LeaseClock } from '../../src/agent/lease-clock.js';
 
-t.test('a lease never expires later on the minion clock than on ours', t => {
+t.test('a lease never expires later on the minion than on the agent', t => {
   const lease = new LeaseClock();
   t.equal(lease.expiryFor(5000, 0), undefined, 'the clock has not been read');
   lease.recordClock(70_000, 1000);
@@ -11,9 +11,13 @@
   t.end();
 });
 
-t.test('a lease counts as expired only after it has on a slow clock', t => {
+t.test('a lease counts as expired only once it has on the slowest clock', t => {
   const lease = new LeaseClock();
-  t.equal(lease.isExpired(1_000_000), false, 'an untracked one may exist');
+  t.equal(
+    lease.isExpired(1_000_000),
+    false,
+    'the minion may hold a lease of an earlier agent',
+  );
   lease.recordClock(0, 0);
   lease.expiryFor(1000, 0);
   t.equal(lease.isExpired(1400), false);
--- a/packages/job-nodes/tests/agent/minion-driver.test.ts
+++ b/packages/job-nodes/tests/agent/minion-driver.test.ts
@@ -38,7 +38,7 @@
 }
 
 /** Starts a driver of a minion that refuses tokens below the given one. */
-function startDriver(lowestToken: number): DriverHarness {
+function startDriver(minimumToken: number): DriverHarness {
   const reports: AgentReport[] = [];
   const polls: number[] = [];
   let fenced = 0;
@@ -54,7 +54,7 @@
     ) => {
       await pause(10);
       polls.push(poll.fencingToken);
-      if (poll.fencingToken < lowestToken) {
+      if (poll.fencingToken < minimumToken) {
         throw new FencedError('minion.look', 'm');
       }
       return { clock: 1, running: [], ends: [] };
@@ -98,26 +98,23 @@
   t.ok(polls.includes(5));
 });
 
-t.test(
-  'an incarnation is reported only once its lists have been read',
-  async t => {
-    const { driver, reports } = startDriver(0);
-    t.teardown(() => {
-      driver.stop();
-    });
-    sendWelcome(driver, 1);
-    driver.updateMinion(makeMinion(1));
-    await pause(120);
-    const before = reports.length;
-    t.ok(before > 0);
-    driver.updateMinion(makeMinion(2));
-    t.equal(reports.length, before, 'not before a poll of it');
-    await pause(200);
-    const last = reports.at(-1);
-    t.equal(last?.minion?.incarnation, 'agent|minion|2');
-    t.same(last?.gone, ['agent|minion|1']);
-  },
-);
+t.test('an incarnation is reported only after a poll of it', async t => {
+  const { driver, reports } = startDriver(0);
+  t.teardown(() => {
+    driver.stop();
+  });
+  sendWelcome(driver, 1);
+  driver.updateMinion(makeMinion(1));
+  await pause(120);
+  const before = reports.length;
+  t.ok(before > 0);
+  driver.updateMinion(makeMinion(2));
+  t.equal(reports.length, before, 'not before the minion was polled');
+  await pause(200);
+  const last = reports.at(-1);
+  t.equal(last?.minion?.incarnation, 'agent|minion|2');
+  t.same(last?.gone, ['agent|minion|1']);
+});
 
 t.test('a departed minion is reported at once', async t => {
   const { driver, reports } = startDriver(0);
--- a/packages/job-nodes/tests/agent/order-runner.test.ts
+++ b/packages/job-nodes/tests/agent/order-runner.test.ts
@@ -92,7 +92,7 @@
   return { runner, calls };
 }
 
-t.test('a refusal after a try without an answer is not trusted', async t => {
+t.test('a refusal after a try without an answer is not final', async t => {
   for (const reason of ['old', 'room', 'late']) {
     const { runner, calls } = createRunner(['none', reason], []);
     runner.start(makeMinion(), [ORDER]);
@@ -100,21 +100,21 @@
     t.same(runner.refusals(), [], `${reason}: the first try may have begun`);
     t.equal(calls.at(-1), 'stop stopped', `${reason}: the run is stopped`);
     runner.resolveRevoked(new Set([KEY]), performance.now());
-    t.same(runner.refusals(), [], `${reason}: the lists show that it began`);
+    t.same(runner.refusals(), [], `${reason}: the poll shows that it began`);
   }
 });
 
-t.test('a start that is not in the lists counts as refused', async t => {
+t.test('a revoked start that no poll lists counts as refused', async t => {
   const { runner } = createRunner(['none', 'room'], []);
   runner.start(makeMinion(), [ORDER]);
   await pause(200);
   runner.resolveRevoked(new Set(), performance.now() - 1000);
-  t.same(runner.refusals(), [], 'lists requested before the stop are ignored');
+  t.same(runner.refusals(), [], 'polls from before the stop are ignored');
   runner.resolveRevoked(new Set(), performance.now());
   t.equal(runner.refusals().length, 1);
 });
 
-t.test('a refusal of the first try is trusted', async t => {
+t.test('a refusal of the first try is final', async t => {
   const { runner, calls } = createRunner(['room'], []);
   runner.start(makeMinion(), [ORDER]);
   await pause(20);
@@ -123,7 +123,7 @@
 });
 
 t.test(
-  'a start is revoked however long the minion does not respond',
+  'a start is revoked, however long the minion does not respond',
   async t => {
     const unanswered: Answer[] = Array.from({ length: 6 }, () => 'none');
     const { runner } = createRunner(['none', 'none'], unanswered);
--- a/packages/job-nodes/tests/entry/job-gateway.test.ts
+++ b/packages/job-nodes/tests/entry/job-gateway.test.ts
@@ -10,14 +10,14 @@
 import type { JobCall } from '../../src/leader/job-call.js';
 import type { LeaderRecord } from '../../src/leadership/leader-record.js';
 import { anchoredTime } from '../../src/time/anchored-time.js';
-import { QUEUE } from '../support/job-simulation.js';
+import { QUEUE_SETTINGS } from '../support/job-simulation.js';
 import { makeSpecification, makeStep } from '../support/make-specification.js';
 import { quietLogger } from '../support/quiet-logger.js';
 
 const SUBMIT: JobCall = {
   kind: 'submit',
   specification: makeSpecification('job', [makeStep(1, 100)]),
-  queue: QUEUE,
+  queue: QUEUE_SETTINGS,
 };
 
 const REFUSED: JobAnswer = {
@@ -56,10 +56,16 @@
 }
 
 function makeRecord(address: string, epoch: number): LeaderRecord {
-  return { epoch, name: 'n', life: `life ${epoch}`, address, resigned: false };
+  return {
+    epoch,
+    name: 'n',
+    life: `incarnation ${epoch}`,
+    address,
+    resigned: false,
+  };
 }
 
-async function ask(
+async function callGateway(
   record: () => LeaderRecord | undefined,
   milliseconds: number,
 ): Promise<unknown> {
@@ -73,7 +79,7 @@
   return gateway.call(SUBMIT, time.steady() + milliseconds);
 }
 
-t.test('result of a call that no leader acts on', async t => {
+t.test('outcome of a call that no leader accepts', async t => {
   const closed = createServer().listen(0, '127.0.0.1');
   await new Promise(resolve => closed.once('listening', resolve));
   const { port } = closed.address() as AddressInfo;
@@ -99,13 +105,13 @@
   ];
   for (const [title, address, expected] of cases) {
     const record = address === undefined ? undefined : makeRecord(address, 1);
-    t.same(await ask(() => record, 400), expected, title);
+    t.same(await callGateway(() => record, 400), expected, title);
   }
 });
 
-t.test('no refusal is trusted after a try without an answer', async t => {
+t.test('a refusal after a try without an answer is not returned', async t => {
   const address = await startPeer(t, [NO_ANSWER, REFUSED]);
-  const answer = await ask(() => makeRecord(address, 1), 1800);
+  const answer = await callGateway(() => makeRecord(address, 1), 1800);
   t.same(answer, { kind: 'unavailable', sent: true });
 });
 
@@ -117,11 +123,11 @@
     tries += 1;
     return tries === 1 ? makeRecord(earlier, 1) : makeRecord(later, 2);
   };
-  t.same(await ask(record, 1800), REFUSED);
+  t.same(await callGateway(record, 1800), REFUSED);
 });
 
 t.test('an answer after a try without one ends the call', async t => {
   const address = await startPeer(t, [NO_ANSWER, { kind: 'accepted' }]);
-  const answer = await ask(() => makeRecord(address, 1), 1800);
+  const answer = await callGateway(() => makeRecord(address, 1), 1800);
   t.same(answer, { kind: 'accepted' });
 });
--- a/packages/job-nodes/tests/http/serve-until-idle.test.ts
+++ b/packages/job-nodes/tests/http/serve-until-idle.test.ts
@@ -17,7 +17,7 @@
    * Sends a request over a kept-alive connection; resolves with the whole
    * response body.
    */
-  readonly ask: () => Promise<string>;
+  readonly sendRequest: () => Promise<string>;
 }
 
 async function startServer(
@@ -43,7 +43,7 @@
     server.close();
   });
   const { port } = server.address() as AddressInfo;
-  const ask = (): Promise<string> =>
+  const sendRequest = (): Promise<string> =>
     new Promise((resolve, reject) => {
       get({ host: '127.0.0.1', port, agent }, answer => {
         let text = '';
@@ -55,7 +55,7 @@
         });
       }).on('error', reject);
     });
-  return { server, open, ask };
+  return { server, open, sendRequest };
 }
 
 const time = anchoredTime();
@@ -66,20 +66,20 @@
   endsIn: number,
 ): Promise<number> {
   const startedAt = time.steady();
-  const times = {
+  const deadlines = {
     closesIdleAt: startedAt + closesIdleIn,
     endsAt: startedAt + endsIn,
   };
-  await serveUntilIdle(server, times, time);
+  await serveUntilIdle(server, deadlines, time);
   return time.steady() - startedAt;
 }
 
 t.test('callers are served while they are still routed here', async t => {
   const served = await startServer(t, true);
-  await served.ask();
+  await served.sendRequest();
   const stopping = measureStop(served, 400, 3000);
   await pause(200);
-  t.equal(await served.ask(), 'whole', 'over the open connection');
+  t.equal(await served.sendRequest(), 'whole', 'over the open connection');
   const took = await stopping;
   t.ok(
     took >= 390 && took < 1500,
@@ -89,7 +89,7 @@
 
 t.test('a request in progress is answered first', async t => {
   const served = await startServer(t, false);
-  const answer = served.ask();
+  const answer = served.sendRequest();
   const stopping = measureStop(served, 100, 5000);
   await pause(600);
   served.open.forEach(response => response.end('whole'));
@@ -98,9 +98,9 @@
   t.ok(took >= 590 && took < 3000, `${took} ms`);
 });
 
-t.test('the stop deadline holds even with open connections', async t => {
+t.test('the shutdown deadline holds even with open connections', async t => {
   const served = await startServer(t, false);
-  const answer = served.ask().catch(() => 'cut');
+  const answer = served.sendRequest().catch(() => 'cut');
   const took = await measureStop(served, 100, 500);
   t.ok(took >= 490 && took < 1500, `${took} ms`);
   served.server.closeAllConnections();
--- a/packages/job-nodes/tests/leader/agent-sessions.test.ts
+++ b/packages/job-nodes/tests/leader/agent-sessions.test.ts
@@ -81,7 +81,7 @@
 });
 
 t.test(
-  'a lease renewed before the first report counts for the minion on its VM',
+  'contact before the first report renews the lease of the minion on the VM',
   t => {
     const table = new JobTable();
     const sessions = new AgentSessions(table);
--- a/packages/job-nodes/tests/leader/leader.test.ts
+++ b/packages/job-nodes/tests/leader/leader.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
 
 import { pause } from '../../src/time/pause.js';
-import { QUEUE } from '../support/job-simulation.js';
+import { QUEUE_SETTINGS } from '../support/job-simulation.js';
 import { openLeaderHarness, SPECIFICATION } from '../support/leader-harness.js';
 
 t.test('a start is sent only after it is stored', async t => {
@@ -64,7 +64,7 @@
   void harness.leader.answer({
     kind: 'submit',
     specification: { ...SPECIFICATION, identifier: 'earlier' },
-    queue: QUEUE,
+    queue: QUEUE_SETTINGS,
   });
   await pause(800);
   const answer = await harness.submit();
@@ -116,7 +116,7 @@
     const again = await first.leader.answer({
       kind: 'submit',
       specification: { ...SPECIFICATION, identifier: 'later' },
-      queue: QUEUE,
+      queue: QUEUE_SETTINGS,
     });
     t.same(again, { kind: 'unknown' }, 'the earlier leader accepts nothing');
   },
--- a/packages/job-nodes/tests/leadership/decide-claim.test.ts
+++ b/packages/job-nodes/tests/leadership/decide-claim.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 
-import type { ClaimView } from '../../src/leadership/decide-claim.js';
+import type { ClaimConditions } from '../../src/leadership/decide-claim.js';
 import { shouldClaim } from '../../src/leadership/decide-claim.js';
 
 const record = {
@@ -11,7 +11,7 @@
   resigned: false,
 };
 
-const view: ClaimView = {
+const conditions: ClaimConditions = {
   record,
   sinceRecordMilliseconds: 0,
   ownName: 'me',
@@ -20,7 +20,7 @@
   claimDelayMilliseconds: 100,
 };
 
-const CASES: readonly [string, Partial<ClaimView>, boolean][] = [
+const CASES: readonly [string, Partial<ClaimConditions>, boolean][] = [
   ['a leader whose record was just read', {}, false],
   [
     'a leader shortly before the timeout',
@@ -58,7 +58,7 @@
 
 t.test('when to claim leadership', t => {
   for (const [title, fields, claims] of CASES) {
-    t.equal(shouldClaim({ ...view, ...fields }), claims, title);
+    t.equal(shouldClaim({ ...conditions, ...fields }), claims, title);
   }
   t.end();
 });
--- a/packages/job-nodes/tests/leadership/leadership.test.ts
+++ b/packages/job-nodes/tests/leadership/leadership.test.ts
@@ -15,7 +15,7 @@
 ): Leadership {
   return new Leadership({
     name,
-    incarnation: `life of ${name}`,
+    incarnation: `incarnation of ${name}`,
     address: '127.0.0.1:1',
     log,
     time: anchoredTime(),
@@ -33,13 +33,13 @@
 }
 
 t.test(
-  'no two claims have the same epoch, even if a late renewal hides one',
+  'no two claims have the same epoch, even if a late renewal follows one',
   async t => {
     const log = new MemoryStore(seededRandom(1));
     const earlier: LeaderRecord = {
       epoch: 1,
       name: 'c',
-      life: 'life of c',
+      life: 'incarnation of c',
       address: '127.0.0.1:2',
       resigned: true,
     };
--- a/packages/job-nodes/tests/metrics/process-metrics.test.ts
+++ b/packages/job-nodes/tests/metrics/process-metrics.test.ts
@@ -44,7 +44,7 @@
 });
 
 t.test(
-  'calls are observed with their outcome, errors are rethrown',
+  'calls are observed with their outcome; errors are rethrown',
   async t => {
     const observations: string[] = [];
     const observe = (step: string, outcome: string): void => {
--- a/packages/job-nodes/tests/metrics/register-entry-gauges.test.ts
+++ b/packages/job-nodes/tests/metrics/register-entry-gauges.test.ts
@@ -14,7 +14,7 @@
   pendingAppendMilliseconds: 250,
 };
 
-t.test('gauges are served, and each metric is in the manual', async t => {
+t.test('gauges are served, and each metric is documented', async t => {
   const metrics = new ProcessMetrics();
   registerEntryGauges(metrics, () => STATISTICS);
   const text = await metrics.text();
--- a/packages/job-nodes/tests/support/fake-minion.ts
+++ b/packages/job-nodes/tests/support/fake-minion.ts
@@ -24,11 +24,11 @@
   readonly endsAt: number;
 }
 
-/** In-memory minion with the fencing, leases and end lists of a real one. */
+/** In-memory minion that fences orders, expires leases and lists ended runs. */
 export class FakeMinion implements MinionClient {
   public self: MinionIncarnation;
 
-  private readonly witness: RunChecker;
+  private readonly runChecker: RunChecker;
 
   private readonly faults: FakeMinionFaults;
 
@@ -50,11 +50,11 @@
 
   public constructor(
     name: string,
-    witness: RunChecker,
+    runChecker: RunChecker,
     faults: FakeMinionFaults,
     capacity: number,
   ) {
-    this.witness = witness;
+    this.runChecker = runChecker;
     this.faults = faults;
     this.self = makeMinion(name, 0, capacity);
     setInterval(() => {
@@ -65,7 +65,7 @@
   /** Ends this incarnation with all its runs, and begins another one. */
   public crash(): void {
     for (const run of this.runs.values()) {
-      this.witness.recordEnd(this.runOf(run), false);
+      this.runChecker.recordEnd(this.runOf(run), false);
     }
     this.runs.clear();
     this.highestRuns.clear();
@@ -103,7 +103,7 @@
     this.checkIncarnation(minion);
     this.checkToken('minion.stop', token);
     this.raiseHighestRun(task, run);
-    this.witness.record(this.runOf({ task, run }), `is stopped by ${token}`);
+    this.runChecker.record(this.runOf({ task, run }), `is stopped by ${token}`);
     if (this.runs.get(task)?.run === run) {
       await pause(STOP_DELAY_MILLISECONDS);
       this.end(task, run, 'stopped');
@@ -173,8 +173,8 @@
     this.runs.set(task, { task, run, endsAt });
     const observed = this.runOf({ task, run });
     const leaseLeft = Math.round(this.leaseUntil - performance.now());
-    this.witness.record(observed, `by ${token}, lease for ${leaseLeft}`);
-    this.witness.recordStart(observed);
+    this.runChecker.record(observed, `by ${token}, lease for ${leaseLeft}`);
+    this.runChecker.recordStart(observed);
     return { kind: 'started' };
   }
 
@@ -184,7 +184,7 @@
     this.leaseUntil = Math.max(before, expiresAt);
   }
 
-  /** Ends that are listed while the lease expires are not final. */
+  /** Marks the present ends as not final if the lease has expired. */
   private markLapsed(): void {
     if (performance.now() >= this.leaseUntil) {
       this.ends.forEach(({ number }) => this.lapsedEnds.add(number));
@@ -194,9 +194,9 @@
   private storeEnd({ number, task, run, reason }: RunEnd, token: number): void {
     const isFinal = !this.lapsedEnds.has(number);
     const observed = this.runOf({ task, run });
-    this.witness.record(observed, `stored by ${token}, final: ${isFinal}`);
+    this.runChecker.record(observed, `stored by ${token}, final: ${isFinal}`);
     if (reason === 'done' && isFinal) {
-      this.witness.recordedDone.add(task);
+      this.runChecker.acknowledgedTasks.add(task);
     }
   }
 
@@ -222,7 +222,7 @@
       return;
     }
     this.runs.delete(task);
-    this.witness.recordEnd(this.runOf(current), reason === 'done');
+    this.runChecker.recordEnd(this.runOf(current), reason === 'done');
     this.ends.push({ number: this.nextEnd, task, run, reason, checkpoint: '' });
     this.nextEnd += 1;
   }
--- a/packages/job-nodes/tests/support/job-simulation.ts
+++ b/packages/job-nodes/tests/support/job-simulation.ts
@@ -26,7 +26,8 @@
 
 const HEARTBEAT_INTERVAL_MILLISECONDS = 100;
 
-export const QUEUE = {
+/** Settings of the queue of all jobs. */
+export const QUEUE_SETTINGS = {
   name: 'queue',
   service: 'service',
   priority: 0,
@@ -91,7 +92,11 @@
   /** Submits a job, repeatedly and to each leader, until it is accepted. */
   public async submit(specification: JobSpecification): Promise<void> {
     this.specifications.set(specification.identifier, specification);
-    const call: JobCall = { kind: 'submit', specification, queue: QUEUE };
+    const call: JobCall = {
+      kind: 'submit',
+      specification,
+      queue: QUEUE_SETTINGS,
+    };
     while ((await this.callLeader(call)).kind !== 'accepted') {
       await pause(30);
     }
@@ -186,8 +191,8 @@
       report: report => {
         const { session, leader, driver: current } = vm;
         if (session?.open && current === driver) {
-          leader?.agents.handleReport(session, report);
-          leader?.agents.renewLease(session, this.time.steady());
+          leader?.agentStreams.handleReport(session, report);
+          leader?.agentStreams.renewLease(session, this.time.steady());
         }
       },
     });
@@ -202,7 +207,7 @@
         continue;
       }
       if (vm.session?.open) {
-        vm.leader?.agents.renewLease(vm.session, this.time.steady());
+        vm.leader?.agentStreams.renewLease(vm.session, this.time.steady());
       } else if (this.leader.isReady()) {
         this.connect(vm);
       }
@@ -226,14 +231,14 @@
       },
     });
     vm.leader = this.leader;
-    vm.session = vm.leader.agents.attach(
+    vm.session = vm.leader.agentStreams.attach(
       token => new AgentSession(vm.name, token, output, this.time.now()),
     );
   }
 
   private disconnect(vm: SimulatedVm): void {
     if (vm.session !== undefined) {
-      vm.leader?.agents.detach(vm.session);
+      vm.leader?.agentStreams.detach(vm.session);
       vm.session.close();
       vm.session = undefined;
     }
--- a/packages/job-nodes/tests/support/leader-harness.ts
+++ b/packages/job-nodes/tests/support/leader-harness.ts
@@ -9,7 +9,7 @@
 import { Leader } from '../../src/leader/leader.js';
 import type { LeaderMessage } from '../../src/lines/leader-message.js';
 import { anchoredTime } from '../../src/time/anchored-time.js';
-import { QUEUE } from './job-simulation.js';
+import { QUEUE_SETTINGS } from './job-simulation.js';
 import { makeSpecification, makeStep } from './make-specification.js';
 import { MemoryStore } from './memory-store.js';
 import { quietLogger } from './quiet-logger.js';
@@ -55,7 +55,7 @@
         ...lines.map(line => JSON.parse(line) as LeaderMessage),
       );
     });
-    this.session = this.leader.agents.attach(
+    this.session = this.leader.agentStreams.attach(
       token => new AgentSession('agent', token, output, this.time.now()),
     );
   }
@@ -64,7 +64,7 @@
     if (this.session === undefined) {
       return;
     }
-    this.leader.agents.handleReport(this.session, {
+    this.leader.agentStreams.handleReport(this.session, {
       fencingToken: this.session.fencingToken,
       minion: {
         incarnation: 'agent|minion|1',
@@ -91,7 +91,7 @@
     return this.leader.answer({
       kind: 'submit',
       specification: SPECIFICATION,
-      queue: QUEUE,
+      queue: QUEUE_SETTINGS,
     });
   }
 
--- a/packages/job-nodes/tests/support/memory-store.ts
+++ b/packages/job-nodes/tests/support/memory-store.ts
@@ -7,7 +7,7 @@
 import type { StoredValue } from '../../src/store/stored-value.js';
 import { pause } from '../../src/time/pause.js';
 
-/** In-memory form of the platform's store, whose answers can be lost. */
+/** In-memory replacement of the platform's store, whose answers can be lost. */
 export class MemoryStore implements JobStore, LeadershipLog {
   public unavailable = false;
 
--- a/packages/job-nodes/tests/support/run-checker.ts
+++ b/packages/job-nodes/tests/support/run-checker.ts
@@ -13,8 +13,8 @@
 
   public starts = 0;
 
-  /** Tasks whose completion has been acknowledged to a minion. */
-  public readonly recordedDone = new Set<string>();
+  /** Tasks whose completion was acknowledged to their minion as stored. */
+  public readonly acknowledgedTasks = new Set<string>();
 
   /** Recorded events of each task, in order. */
   private readonly histories = new Map<string, string[]>();
@@ -37,10 +37,10 @@
   public recordStart(run: ObservedRun): void {
     this.starts += 1;
     this.record(run, 'starts');
-    if (this.recordedDone.has(run.task)) {
+    if (this.acknowledgedTasks.has(run.task)) {
       const history = this.histories.get(run.task)?.join('; ') ?? '';
       this.violations.push(
-        `${run.task} starts after its end was recorded: ${history}`,
+        `${run.task} starts after its end was stored: ${history}`,
       );
     }
     for (const other of this.running.values()) {
@@ -94,7 +94,9 @@
       }
     }
     if (used > this.capacity) {
-      this.violations.push(`${minion} holds ${used} of ${this.capacity}`);
+      this.violations.push(
+        `${minion} uses ${used} of ${this.capacity} millicores`,
+      );
     }
   }
 }
--- a/packages/job-nodes/tests/support/simulated-vm.ts
+++ b/packages/job-nodes/tests/support/simulated-vm.ts
@@ -3,7 +3,7 @@
 import type { Leader } from '../../src/leader/leader.js';
 import type { FakeMinion } from './fake-minion.js';
 
-/** A VM of the simulation: a minion and its agent, which may be replaced. */
+/** A VM of the simulation: a minion, and its agent, which can be restarted. */
 export class SimulatedVm {
   public driver: MinionDriver | undefined;
 
