--- a/packages/proving/src/demo/main.ts
+++ b/packages/proving/src/demo/main.ts
@@ -16,11 +16,11 @@
 
 const REQUESTS = 400;
 
-const PAUSE_MILLISECONDS = 10;
+const REQUEST_INTERVAL_MILLISECONDS = 10;
 
 const JOBS = 12;
 
-const TIMELINE_ROWS = 40;
+const MAXIMUM_TIMELINE_LINES = 40;
 
 function print(line: string): void {
   process.stdout.write(`${line}\n`);
@@ -47,7 +47,9 @@
         agent,
       }),
     );
-    await new Promise(resolve => setTimeout(resolve, PAUSE_MILLISECONDS));
+    await new Promise(resolve =>
+      setTimeout(resolve, REQUEST_INTERVAL_MILLISECONDS),
+    );
   }
   const results = await Promise.all(sent);
   agent.destroy();
@@ -62,16 +64,18 @@
     ),
   ];
   const events = mergePages(nodes.map(({ core }) => core.events.since(0)));
-  const notable = events.filter(({ kind }) => !kind.startsWith('request-'));
-  const chosen = notable.slice(0, TIMELINE_ROWS);
-  for (const { timestamp, process: name, kind, text } of chosen) {
+  const schedulingEvents = events.filter(
+    ({ kind }) => !kind.startsWith('request-'),
+  );
+  const shown = schedulingEvents.slice(0, MAXIMUM_TIMELINE_LINES);
+  for (const { timestamp, process: name, kind, text } of shown) {
     const time = new Date(timestamp.wall).toISOString().slice(11, 23);
     print(`${time} ${name.padEnd(9)} ${kind.padEnd(18)} ${text}`);
   }
-  print(`... ${events.length - chosen.length} more events`);
+  print(`... ${events.length - shown.length} more events`);
 }
 
-async function run(): Promise<boolean> {
+async function runDemo(): Promise<boolean> {
   const random = seededRandom(SEED);
   const deployment = new Deployment({
     seed: SEED,
@@ -116,30 +120,30 @@
   );
   print(`service in reach: ${serving}`);
   const results = await sendAll(deployment);
-  await waitUntil(() => deployment.witness.finished >= JOBS, 12_000);
+  await waitUntil(() => deployment.executionRecorder.finished >= JOBS, 12_000);
   printTimeline(deployment);
   const count = (outcome: LoadResult['outcome']): number =>
     results.filter(entry => entry.outcome === outcome).length;
   const lost =
     REQUESTS - count('completed') - count('not-run') - count('unknown');
-  const { witness, requestWitness } = deployment;
-  const doubled =
-    requestWitness.duplicateRuns +
-    witness.violationCount +
-    witness.duplicateFinishes;
+  const { executionRecorder, requestRecorder } = deployment;
+  const duplicated =
+    requestRecorder.duplicateRuns +
+    executionRecorder.violationCount +
+    executionRecorder.duplicateFinishes;
   print(
-    `demo: requests ${count('completed')} completed, ${count('not-run')} not run, ${count('unknown')} unknown; batch jobs ${witness.finished} finished; ${lost} lost, ${doubled} doubled`,
+    `demo: requests ${count('completed')} completed, ${count('not-run')} not run, ${count('unknown')} unknown; batch jobs ${executionRecorder.finished} finished; ${lost} lost, ${duplicated} doubled`,
   );
   if (process.argv.includes('--stay')) {
     await stay(deployment, print);
   }
   await deployment.kill();
-  return lost === 0 && doubled === 0 && witness.finished === JOBS;
+  return lost === 0 && duplicated === 0 && executionRecorder.finished === JOBS;
 }
 
-run().then(
-  good => {
-    process.exit(good ? 0 : 1);
+runDemo().then(
+  passed => {
+    process.exit(passed ? 0 : 1);
   },
   (error: unknown) => {
     process.stderr.write(`${String(error)}\n`);
--- a/packages/proving/src/demo/stay.ts
+++ b/packages/proving/src/demo/stay.ts
@@ -2,13 +2,16 @@
 
 import type { Deployment } from '../deployment/deployment.js';
 
-/** Words that the demo takes while it stays. */
+/** Commands that the demo accepts on standard input with `--stay`. */
 const HELP =
   'kill agent N | replace agent N | kill vm N | log down | log up | end';
 
-type Handler = (deployment: Deployment, number: number) => Promise<void> | void;
+type CommandHandler = (
+  deployment: Deployment,
+  number: number,
+) => Promise<void> | void;
 
-const handlers: Readonly<Partial<Record<string, Handler>>> = {
+const handlers: Readonly<Partial<Record<string, CommandHandler>>> = {
   'kill agent': async (deployment, number) => {
     await deployment.vms[number - 1]?.agent?.kill();
   },
@@ -24,8 +27,8 @@
 };
 
 /**
- * Keeps a demo's deployment running for the operators' tool, and brings faults
- * about by lines of the standard input, until `end`.
+ * Keeps the demo's deployment running for the operators' tool and injects
+ * faults by commands on standard input, until `end`.
  */
 export async function stay(
   deployment: Deployment,
--- a/packages/proving/src/deployment/deployment-plan.ts
+++ b/packages/proving/src/deployment/deployment-plan.ts
@@ -3,7 +3,7 @@
 import type { RoutingPolicyName } from '@basilcourse/request-plane/routing/routing-policies';
 import type { Resources } from '@basilcourse/shared-state/records/resources';
 
-/** What a deployment of stand-ins and nodes in one process is made of. */
+/** Layout and behaviour of a deployment that runs in one process. */
 export interface DeploymentPlan {
   readonly seed: number;
   /** Availability zones, as region and zone. */
--- a/packages/proving/src/deployment/deployment-vm.ts
+++ b/packages/proving/src/deployment/deployment-vm.ts
@@ -4,7 +4,7 @@
 
 import type { UpstreamHost } from './upstream-host.js';
 
-/** One VM: a worker stand-in, its upstreams and the agent beside them. */
+/** One VM: a worker stand-in, its upstreams and the agent on the same VM. */
 export interface DeploymentVm {
   readonly worker: WorkerStandIn;
   readonly workerServer: JsonServer;
--- a/packages/proving/src/deployment/deployment.ts
+++ b/packages/proving/src/deployment/deployment.ts
@@ -24,26 +24,26 @@
 
 const LOOPBACK = '127.0.0.1:0';
 
-/** Stand-ins and nodes of a whole deployment in one process, on loopback. */
+/** Runs the stand-ins and nodes of a deployment in one process, on loopback. */
 export class Deployment {
   public readonly log: LogStandIn;
 
-  public readonly witness = new ExecutionRecorder();
+  public readonly executionRecorder = new ExecutionRecorder();
 
-  public readonly requestWitness = new RequestRecorder();
+  public readonly requestRecorder = new RequestRecorder();
 
   public readonly entries: EntryNode[] = [];
 
   public readonly vms: DeploymentVm[] = [];
 
-  /** Links between the regions; the log lies in the first zone's region. */
+  /** Links between the regions; the log is in the first zone's region. */
   public readonly links = new RegionLinks();
 
   private readonly logServer: JsonServer;
 
   private logAddress = '';
 
-  private started = 0;
+  private startedNodes = 0;
 
   public constructor(private readonly plan: DeploymentPlan) {
     this.log = new LogStandIn(systemClock, seededRandom(plan.seed));
@@ -52,7 +52,7 @@
 
   public async start(): Promise<void> {
     this.logAddress = await this.logServer.listen(LOOPBACK);
-    this.links.place(this.logAddress, this.placeOf(0).region);
+    this.links.registerAddress(this.logAddress, this.locationOf(0).region);
     for (let index = 0; index < this.plan.entries; index += 1) {
       await this.addEntry(index);
     }
@@ -61,7 +61,7 @@
     }
   }
 
-  /** Ends everything at once. */
+  /** Ends all nodes and stand-ins without a graceful stop. */
   public async kill(): Promise<void> {
     await Promise.all(this.entries.map(entry => entry.kill()));
     for (const vm of this.vms) {
@@ -72,11 +72,11 @@
     await this.logServer.close();
   }
 
-  /** Starts one more entry in the zone that falls to its number. */
+  /** Starts one more entry in the zone for its index. */
   public async addEntry(index: number): Promise<EntryNode> {
     const settings = {
       ...this.commonSettings(index),
-      name: `entry-${this.nextNumber()}`,
+      name: `entry-${this.nextNodeNumber()}`,
       role: 'entry' as const,
       worker: undefined,
     };
@@ -84,24 +84,24 @@
     const dependencies = this.dependencies(region);
     const entry = new EntryNode(createNodeCore(settings, dependencies));
     await entry.start();
-    this.links.place(entry.core.own.get().address, region);
+    this.links.registerAddress(entry.core.own.get().address, region);
     this.entries.push(entry);
     return entry;
   }
 
-  /** Stops an entry gracefully and forgets it. */
+  /** Stops an entry gracefully and removes it from the entries. */
   public async stopEntry(entry: EntryNode): Promise<void> {
     this.entries.splice(this.entries.indexOf(entry), 1);
     await entry.stop();
   }
 
-  /** Kills an entry and forgets it. */
+  /** Kills an entry and removes it from the entries. */
   public async killEntry(entry: EntryNode): Promise<void> {
     this.entries.splice(this.entries.indexOf(entry), 1);
     await entry.kill();
   }
 
-  /** Starts a new agent on a VM in place of the present one, if any. */
+  /** Ends the agent of a VM, if there is one, and starts a new one. */
   public async replaceAgent(index: number, graceful: boolean): Promise<void> {
     const vm = this.vms[index];
     if (vm === undefined) {
@@ -126,14 +126,14 @@
   }
 
   private async addVm(index: number): Promise<DeploymentVm> {
-    const place = this.placeOf(index);
+    const location = this.locationOf(index);
     const random = seededRandom(this.plan.seed + index);
     const host = new UpstreamHost({
-      witness: this.requestWitness,
+      requestRecorder: this.requestRecorder,
       random,
       behaviourOf: this.plan.upstreamBehaviour,
       agentAddress: () => this.vms[index]?.agent?.localAddress ?? '',
-      drained: attempt => {
+      onDrained: attempt => {
         worker.runner.completeStop(attempt);
       },
     });
@@ -141,15 +141,15 @@
       description: this.descriptionOf(index, ''),
       clock: systemClock,
       random,
-      recorder: this.witness,
+      recorder: this.executionRecorder,
       behaviour: this.plan.taskBehaviour,
       hooks: host,
     });
     const workerServer = createWorkerServer(worker);
     const workerAddress = await workerServer.listen(LOOPBACK);
-    this.links.place(workerAddress, place.region);
+    this.links.registerAddress(workerAddress, location.region);
     const agent = await this.startAgent(index, workerAddress);
-    return { worker, workerServer, workerAddress, host, agent, ...place };
+    return { worker, workerServer, workerAddress, host, agent, ...location };
   }
 
   private async startAgent(
@@ -167,7 +167,7 @@
     const dependencies = this.dependencies(region);
     const agent = new AgentNode(createNodeCore(settings, dependencies));
     await agent.start();
-    this.links.place(agent.core.own.get().address, region);
+    this.links.registerAddress(agent.core.own.get().address, region);
     return agent;
   }
 
@@ -175,7 +175,7 @@
     index: number,
     address: string,
   ): NonNullable<Settings['worker']> {
-    const { region, zone } = this.placeOf(index);
+    const { region, zone } = this.locationOf(index);
     return {
       worker: `worker-${index + 1}`,
       address,
@@ -186,7 +186,7 @@
     };
   }
 
-  private placeOf(index: number): DeploymentPlan['zones'][number] {
+  private locationOf(index: number): DeploymentPlan['zones'][number] {
     const { zones } = this.plan;
     return zones[index % zones.length] ?? { region: 'here', zone: 'here-1' };
   }
@@ -194,19 +194,19 @@
   private rackOf(index: number): string {
     const { zones, workersPerRack } = this.plan;
     const row = Math.floor(index / zones.length);
-    const { zone } = this.placeOf(index);
+    const { zone } = this.locationOf(index);
     return `${zone}-rack-${Math.floor(row / workersPerRack)}`;
   }
 
-  private nextNumber(): number {
-    this.started += 1;
-    return this.started;
+  private nextNodeNumber(): number {
+    this.startedNodes += 1;
+    return this.startedNodes;
   }
 
   private commonSettings(
     index: number,
   ): Omit<Settings, 'name' | 'role' | 'worker'> {
-    const { region, zone } = this.placeOf(index);
+    const { region, zone } = this.locationOf(index);
     return {
       region,
       availabilityZone: zone,
@@ -232,10 +232,10 @@
     const log = new HttpPlatformLog(logAddress);
     return {
       clock: systemClock,
-      random: seededRandom(this.plan.seed + this.nextNumber()),
+      random: seededRandom(this.plan.seed + this.nextNodeNumber()),
       identifiers: randomIdentifiers,
       log: links.logFrom(region, logAddress, log),
-      openSocket: links.opener(region),
+      openSocket: links.socketOpenerOf(region),
       workerAt: address =>
         links.workerFrom(region, address, new HttpPlatformWorker(address)),
       logger: createLogger('embedded', 'fatal'),
--- a/packages/proving/src/deployment/free-port.ts
+++ b/packages/proving/src/deployment/free-port.ts
@@ -1,10 +1,10 @@
 import { randomInt } from 'node:crypto';
 import { createServer } from 'node:net';
 
-/** Ports below those that the system gives out by itself. */
-const LOWEST_PORT = 18_000;
+/** Lower bound of a range below the ephemeral ports of the system. */
+const MINIMUM_PORT = 18_000;
 
-const HIGHEST_PORT = 30_000;
+const MAXIMUM_PORT = 30_000;
 
 function isFree(port: number): Promise<boolean> {
   return new Promise(resolve => {
@@ -20,10 +20,10 @@
   });
 }
 
-/** Finds a TCP port on loopback that is free and is not given out otherwise. */
+/** Finds a free TCP port on loopback outside the ephemeral range. */
 export async function freePort(): Promise<number> {
   for (;;) {
-    const port = randomInt(LOWEST_PORT, HIGHEST_PORT);
+    const port = randomInt(MINIMUM_PORT, MAXIMUM_PORT);
     if (await isFree(port)) {
       return port;
     }
--- a/packages/proving/src/deployment/note-in-force.ts
+++ b/packages/proving/src/deployment/note-in-force.ts
@@ -1,6 +1,6 @@
 import type { Node } from '@basilcourse/daemon/node/node';
 
-/** Tells whether a note is in force at a node. */
+/** Returns whether a node has accepted a release note into its state. */
 export function noteInForce(node: Node, note: string): boolean {
   const { verdicts } = node.core.state.fold.configuration;
   return [...verdicts.values()].some(
--- a/packages/proving/src/deployment/cuttable-socket.ts
+++ b/packages/proving/src/deployment/partitionable-socket.ts
@@ -5,19 +5,19 @@
 type WriteCallback = (error?: Error | null) => void;
 
 /**
- * A connection over a link that can be cut.
+ * A connection over a link that can be partitioned.
  *
- * While the link is cut nothing gets through in either direction and nothing
- * fails; after it what was sent before arrives late, as TCP would have it.
+ * During a partition no data passes in either direction and no call fails;
+ * afterwards the data sent meanwhile arrives late, as it does over TCP.
  */
-export class CuttableSocket extends Duplex {
-  private readonly held: (() => void)[] = [];
+export class PartitionableSocket extends Duplex {
+  private readonly heldActions: (() => void)[] = [];
 
   private readonly socket: Socket;
 
   public constructor(
     target: { readonly host: string; readonly port: number },
-    private readonly isCut: () => boolean,
+    private readonly isPartitioned: () => boolean,
   ) {
     super();
     this.socket = connect(target);
@@ -25,22 +25,22 @@
       this.emit('connect');
     });
     this.socket.on('data', (chunk: Buffer) => {
-      this.whenOpen(() => this.push(chunk));
+      this.holdWhilePartitioned(() => this.push(chunk));
     });
     this.socket.on('end', () => {
-      this.whenOpen(() => this.push(null));
+      this.holdWhilePartitioned(() => this.push(null));
     });
     this.socket.on('error', (error: Error) => {
-      this.whenOpen(() => this.destroy(error));
+      this.holdWhilePartitioned(() => this.destroy(error));
     });
     this.socket.on('close', () => {
-      this.whenOpen(() => this.destroy());
+      this.holdWhilePartitioned(() => this.destroy());
     });
   }
 
-  /** Lets through what was held while the link was cut. */
-  public release(): void {
-    for (const action of this.held.splice(0)) {
+  /** Runs the actions that were held during a partition. */
+  public releaseHeldActions(): void {
+    for (const action of this.heldActions.splice(0)) {
       action();
     }
   }
@@ -54,11 +54,11 @@
     _encoding: BufferEncoding,
     callback: WriteCallback,
   ): void {
-    this.whenOpen(() => this.socket.write(chunk, callback));
+    this.holdWhilePartitioned(() => this.socket.write(chunk, callback));
   }
 
   public override _final(callback: WriteCallback): void {
-    this.whenOpen(() => this.socket.end(callback));
+    this.holdWhilePartitioned(() => this.socket.end(callback));
   }
 
   public override _destroy(error: Error | null, callback: WriteCallback): void {
@@ -66,9 +66,9 @@
     callback(error);
   }
 
-  private whenOpen(action: () => void): void {
-    if (this.isCut() || this.held.length > 0) {
-      this.held.push(action);
+  private holdWhilePartitioned(action: () => void): void {
+    if (this.isPartitioned() || this.heldActions.length > 0) {
+      this.heldActions.push(action);
     } else {
       action();
     }
--- a/packages/proving/src/deployment/region-links.ts
+++ b/packages/proving/src/deployment/region-links.ts
@@ -3,39 +3,39 @@
 import type { PlatformWorker } from '@basilcourse/scheduler/platform/platform-worker';
 import type { PlatformLog } from '@basilcourse/shared-state/log/platform-log';
 
-import { CuttableSocket } from './cuttable-socket.js';
+import { PartitionableSocket } from './partitionable-socket.js';
 
-/** Links between the regions of a deployment, which can be cut. */
+/** Links between the regions of a deployment, which can be partitioned. */
 export class RegionLinks {
   private readonly regionOf = new Map<string, string>();
 
-  private readonly sockets = new Set<CuttableSocket>();
+  private readonly sockets = new Set<PartitionableSocket>();
 
-  private isCut = false;
+  private arePartitioned = false;
 
-  /** Tells in which region an address lies. */
-  public place(address: string, region: string): void {
+  /** Records the region of an address. */
+  public registerAddress(address: string, region: string): void {
     this.regionOf.set(address, region);
   }
 
-  /** Cuts every region off from all others. */
-  public cut(): void {
-    this.isCut = true;
+  /** Separates every region from all others. */
+  public partition(): void {
+    this.arePartitioned = true;
   }
 
   public heal(): void {
-    this.isCut = false;
+    this.arePartitioned = false;
     for (const socket of this.sockets) {
-      socket.release();
+      socket.releaseHeldActions();
     }
   }
 
-  /** Opens sockets of the processes of one region. */
-  public opener(region: string): SocketOpener {
+  /** Returns the function that opens sockets for processes of one region. */
+  public socketOpenerOf(region: string): SocketOpener {
     return target => {
       const address = `${target.host}:${target.port}`;
-      const socket = new CuttableSocket(target, () =>
-        this.separates(region, address),
+      const socket = new PartitionableSocket(target, () =>
+        this.isPartitionedFrom(region, address),
       );
       this.sockets.add(socket);
       socket.once('close', () => this.sockets.delete(socket));
@@ -43,7 +43,7 @@
     };
   }
 
-  /** The log as the processes of one region reach it. */
+  /** Returns the log as the processes of one region reach it. */
   public logFrom(
     region: string,
     address: string,
@@ -51,13 +51,17 @@
   ): PlatformLog {
     return {
       append: envelope =>
-        this.call('log.append', region, address, () => log.append(envelope)),
+        this.callAcross('log.append', region, address, () =>
+          log.append(envelope),
+        ),
       read: (from, maximum) =>
-        this.call('log.read', region, address, () => log.read(from, maximum)),
+        this.callAcross('log.read', region, address, () =>
+          log.read(from, maximum),
+        ),
     };
   }
 
-  /** A worker as the processes of one region reach it. */
+  /** Returns a worker as the processes of one region reach it. */
   public workerFrom(
     region: string,
     address: string,
@@ -66,7 +70,7 @@
     const call = <Answer>(
       step: string,
       action: () => Promise<Answer>,
-    ): Promise<Answer> => this.call(step, region, address, action);
+    ): Promise<Answer> => this.callAcross(step, region, address, action);
     return {
       sync: command => call('worker.sync', () => worker.sync(command)),
       start: command => call('worker.start', () => worker.start(command)),
@@ -76,19 +80,23 @@
     };
   }
 
-  private separates(region: string, address: string): boolean {
+  private isPartitionedFrom(region: string, address: string): boolean {
     const other = this.regionOf.get(address);
-    return this.isCut && other !== undefined && other !== region;
+    return this.arePartitioned && other !== undefined && other !== region;
   }
 
-  private async call<Answer>(
+  private async callAcross<Answer>(
     step: string,
     region: string,
     address: string,
     action: () => Promise<Answer>,
   ): Promise<Answer> {
-    if (this.separates(region, address)) {
-      throw new PeerUnreachableError(step, address, 'the regions are cut');
+    if (this.isPartitionedFrom(region, address)) {
+      throw new PeerUnreachableError(
+        step,
+        address,
+        'the regions are partitioned',
+      );
     }
     return action();
   }
--- a/packages/proving/src/deployment/upstream-host.ts
+++ b/packages/proving/src/deployment/upstream-host.ts
@@ -6,19 +6,19 @@
 import type { TaskHooks } from '@basilcourse/platform-stand-in/worker/task-hooks';
 import type { StartCommand } from '@basilcourse/scheduler/platform/start-command';
 
-const ANNOUNCE_MILLISECONDS = 500;
+const ANNOUNCE_INTERVAL_MILLISECONDS = 500;
 
 const ANNOUNCE_TIMEOUT_MILLISECONDS = 1000;
 
-/** Parts of the upstreams of one VM. */
-interface HostParts {
-  readonly witness: RequestRecorder;
+/** Dependencies of the upstreams of one VM. */
+interface HostDependencies {
+  readonly requestRecorder: RequestRecorder;
   readonly random: RandomSource;
   readonly behaviourOf: (attempt: string) => UpstreamBehaviour;
   /** Local address of the agent on the VM; empty while there is none. */
   readonly agentAddress: () => string;
-  /** Told when the graceful end of an attempt is complete. */
-  readonly drained: (attempt: string) => void;
+  /** Called when the graceful end of an attempt is complete. */
+  readonly onDrained: (attempt: string) => void;
 }
 
 interface HostedUpstream {
@@ -33,7 +33,7 @@
 export class UpstreamHost implements TaskHooks {
   private readonly hosted = new Map<string, HostedUpstream>();
 
-  public constructor(private readonly parts: HostParts) {}
+  public constructor(private readonly dependencies: HostDependencies) {}
 
   public get upstreams(): readonly UpstreamStandIn[] {
     return [...this.hosted.values()].map(({ upstream }) => upstream);
@@ -41,43 +41,43 @@
 
   public readonly onStarted = (command: StartCommand): void => {
     if (command.role === 'service') {
-      void this.begin(command);
+      void this.startUpstream(command);
     }
   };
 
-  /** Lets an upstream announce that it leaves; it finishes what it has. */
-  public async leave(attempt: string): Promise<void> {
-    const known = this.hosted.get(attempt);
-    if (known !== undefined) {
-      this.hosted.set(attempt, { ...known, leaving: true });
+  /** Announces that an upstream leaves; it finishes the requests it has. */
+  public async announceLeaving(attempt: string): Promise<void> {
+    const hosted = this.hosted.get(attempt);
+    if (hosted !== undefined) {
+      this.hosted.set(attempt, { ...hosted, leaving: true });
       await this.announce(attempt);
     }
   }
 
   public readonly onStopping = (attempt: string): void => {
-    const known = this.hosted.get(attempt);
-    if (known === undefined) {
+    const hosted = this.hosted.get(attempt);
+    if (hosted === undefined) {
       return;
     }
-    void this.leave(attempt).then(() => {
-      known.upstream.whenIdle(() => {
-        this.parts.drained(attempt);
+    void this.announceLeaving(attempt).then(() => {
+      hosted.upstream.whenIdle(() => {
+        this.dependencies.onDrained(attempt);
       });
     });
   };
 
   public readonly onStopped = (attempt: string): void => {
-    const known = this.hosted.get(attempt);
-    if (known === undefined) {
+    const hosted = this.hosted.get(attempt);
+    if (hosted === undefined) {
       return;
     }
-    clearInterval(known.timer);
+    clearInterval(hosted.timer);
     this.hosted.delete(attempt);
-    void this.send(known, true);
-    void known.upstream.kill();
+    void this.sendAnnouncement(hosted, true);
+    void hosted.upstream.kill();
   };
 
-  /** Ends all upstreams without a word, as when the VM dies. */
+  /** Ends all upstreams without an announcement, as when the VM is lost. */
   public async killAll(): Promise<void> {
     const all = [...this.hosted.values()];
     this.hosted.clear();
@@ -87,35 +87,38 @@
     await Promise.all(all.map(({ upstream }) => upstream.kill()));
   }
 
-  private async begin(command: StartCommand): Promise<void> {
-    const { behaviourOf, witness, random } = this.parts;
+  private async startUpstream(command: StartCommand): Promise<void> {
+    const { behaviourOf, requestRecorder, random } = this.dependencies;
     const { attempt, slots } = command;
     const behaviour = behaviourOf(attempt);
     const upstream = new UpstreamStandIn(
       attempt,
       slots,
       behaviour,
-      witness,
+      requestRecorder,
       random,
     );
     const address = await upstream.listen();
     const timer = setInterval(() => {
       void this.announce(attempt);
-    }, ANNOUNCE_MILLISECONDS);
+    }, ANNOUNCE_INTERVAL_MILLISECONDS);
     const hosted = { command, upstream, address, timer, leaving: false };
     this.hosted.set(attempt, hosted);
     await this.announce(attempt);
   }
 
   private async announce(attempt: string): Promise<void> {
-    const known = this.hosted.get(attempt);
-    if (known !== undefined) {
-      await this.send(known, false);
+    const hosted = this.hosted.get(attempt);
+    if (hosted !== undefined) {
+      await this.sendAnnouncement(hosted, false);
     }
   }
 
-  private async send(hosted: HostedUpstream, left: boolean): Promise<void> {
-    const address = this.parts.agentAddress();
+  private async sendAnnouncement(
+    hosted: HostedUpstream,
+    left: boolean,
+  ): Promise<void> {
+    const address = this.dependencies.agentAddress();
     if (address === '') {
       return;
     }
--- a/packages/proving/src/deployment/wait-until.ts
+++ b/packages/proving/src/deployment/wait-until.ts
@@ -1,6 +1,6 @@
-const POLL_MILLISECONDS = 25;
+const POLL_INTERVAL_MILLISECONDS = 25;
 
-/** Waits until a condition holds; false when the time is over before. */
+/** Waits until a condition holds; returns false on time-out. */
 export async function waitUntil(
   condition: () => boolean,
   timeoutMilliseconds: number,
@@ -10,7 +10,9 @@
     if (performance.now() > deadline) {
       return false;
     }
-    await new Promise(resolve => setTimeout(resolve, POLL_MILLISECONDS));
+    await new Promise(resolve =>
+      setTimeout(resolve, POLL_INTERVAL_MILLISECONDS),
+    );
   }
   return true;
 }
--- a/packages/proving/src/invariants/apply-fault.ts
+++ b/packages/proving/src/invariants/apply-fault.ts
@@ -1,29 +1,33 @@
-import type { SteppedProcess } from '../stepped/stepped-process.js';
-import type { SteppedRun } from '../stepped/stepped-run.js';
+import type { SimulatedProcess } from '../simulation/simulated-process.js';
+import type { SimulationRun } from '../simulation/simulation-run.js';
 import type { Fault, FaultKind } from './fault.js';
 import { noteHeader } from './scenario-note.js';
 
-/** Brings one fault about. */
-type FaultHandler = (run: SteppedRun, target: number) => Promise<void> | void;
+/** Injects one fault; `target` selects the worker or process. */
+type FaultHandler = (
+  run: SimulationRun,
+  target: number,
+) => Promise<void> | void;
 
-const MOST_PROCESSES = 4;
+const MAXIMUM_PROCESSES = 4;
 
-const LOST_SHARE = 0.3;
+/** Share of calls whose answer is lost or that are refused. */
+const FAILED_CALL_SHARE = 0.3;
 
-function workerIndex(run: SteppedRun, target: number): number {
+function workerIndex(run: SimulationRun, target: number): number {
   return target % run.workers.length;
 }
 
-function processAt(
-  run: SteppedRun,
+function aliveProcessAt(
+  run: SimulationRun,
   target: number,
-): SteppedProcess | undefined {
+): SimulatedProcess | undefined {
   const alive = run.processes.filter(({ isAlive }) => isAlive);
   return alive[target % Math.max(1, alive.length)];
 }
 
-async function publishOn(
-  run: SteppedRun,
+async function publishNote(
+  run: SimulationRun,
   name: string,
   body: (revision: number) => string,
 ): Promise<void> {
@@ -32,16 +36,16 @@
     const { revision } = fold.configuration;
     await run.publish(`${noteHeader(name, revision)}${body(revision)}`);
   } catch {
-    // The operator's tool reports that the log is down; nothing is published.
+    // The log does not answer, so that the operator cannot publish the note.
   }
 }
 
-async function cancelHalf(run: SteppedRun): Promise<void> {
-  await publishOn(run, 'cancel', () => '');
+async function cancelHalfOfJobs(run: SimulationRun): Promise<void> {
+  await publishNote(run, 'cancel', () => '');
   const fold = await run.readFold().catch(() => undefined);
   const jobs = [...(fold?.configuration.jobs.keys() ?? [])];
   const half = jobs.slice(0, Math.ceil(jobs.length / 2));
-  await publishOn(run, 'cancel-half', () =>
+  await publishNote(run, 'cancel-half', () =>
     half.map(job => `\n[withdraw-job ${job}]\n`).join(''),
   );
 }
@@ -61,38 +65,38 @@
   },
   'lose-worker-answers': (run, target) => {
     const worker = run.workers[workerIndex(run, target)];
-    worker?.setFaults({ lostAnswerShare: LOST_SHARE });
+    worker?.setFaults({ lostAnswerShare: FAILED_CALL_SHARE });
   },
   'break-worker': (run, target) => {
     const worker = run.workers[workerIndex(run, target)];
     worker?.setFaults({ failEveryStart: true });
   },
   'kill-process': async (run, target) => {
-    await processAt(run, target)?.kill();
+    await aliveProcessAt(run, target)?.kill();
   },
   'add-process': run => {
     const alive = run.processes.filter(({ isAlive }) => isAlive);
-    if (alive.length < MOST_PROCESSES) {
+    if (alive.length < MAXIMUM_PROCESSES) {
       run.addProcess();
     }
   },
   'pause-process': (run, target) => {
-    processAt(run, target)?.pause();
+    aliveProcessAt(run, target)?.pause();
   },
   'resume-process': (run, target) => {
-    processAt(run, target)?.resume();
+    aliveProcessAt(run, target)?.resume();
   },
   'cut-process-from-log': (run, target) => {
-    processAt(run, target)?.setCutOff(true);
+    aliveProcessAt(run, target)?.setCutOffFromLog(true);
   },
   'heal-process': (run, target) => {
-    processAt(run, target)?.setCutOff(false);
-    processAt(run, target)?.setCutWorkers(new Set());
+    aliveProcessAt(run, target)?.setCutOffFromLog(false);
+    aliveProcessAt(run, target)?.setUnreachableWorkers(new Set());
   },
   'cut-process-from-workers': (run, target) => {
     const names = run.workers.map(({ name }) => name);
-    const cut = names.filter((_, index) => index % 2 === target % 2);
-    processAt(run, target)?.setCutWorkers(new Set(cut));
+    const unreachable = names.filter((_, index) => index % 2 === target % 2);
+    aliveProcessAt(run, target)?.setUnreachableWorkers(new Set(unreachable));
   },
   'log-down': run => {
     run.log.setFaults({ down: true });
@@ -102,13 +106,13 @@
   },
   'lose-log-answers': run => {
     run.log.setFaults({
-      lostAnswerShare: LOST_SHARE,
-      refusedShare: LOST_SHARE,
+      lostAnswerShare: FAILED_CALL_SHARE,
+      refusedShare: FAILED_CALL_SHARE,
     });
   },
-  'cancel-jobs': cancelHalf,
+  'cancel-jobs': cancelHalfOfJobs,
   'add-urgent-job': (run, target) =>
-    publishOn(
+    publishNote(
       run,
       `urgent-${target}`,
       revision => `
@@ -134,35 +138,38 @@
   },
   'drain-worker': (run, target) => {
     const { name } = run.workers[workerIndex(run, target)] ?? { name: '' };
-    return publishOn(run, `drain-${target}`, () => `\n[drain ${name}]\n`);
+    return publishNote(run, `drain-${target}`, () => `\n[drain ${name}]\n`);
   },
   'restore-worker': (run, target) => {
     const { name } = run.workers[workerIndex(run, target)] ?? { name: '' };
-    return publishOn(run, `restore-${target}`, () => `\n[restore ${name}]\n`);
+    return publishNote(run, `restore-${target}`, () => `\n[restore ${name}]\n`);
   },
 };
 
-/** Brings one fault about in a run. */
-export async function applyFault(run: SteppedRun, fault: Fault): Promise<void> {
+/** Injects one fault into a simulation run. */
+export async function applyFault(
+  run: SimulationRun,
+  fault: Fault,
+): Promise<void> {
   await handlers[fault.kind](run, fault.target);
 }
 
-/** Takes all faults back, so that the run can come to its end. */
-export async function healAll(run: SteppedRun): Promise<void> {
+/** Ends all faults, so that the remaining work of the run can finish. */
+export async function healAll(run: SimulationRun): Promise<void> {
   run.log.setFaults({ down: false, lostAnswerShare: 0, refusedShare: 0 });
   for (const [index, worker] of run.workers.entries()) {
     worker.setFaults({ failEveryStart: false, lostAnswerShare: 0 });
     run.replaceWorker(index);
   }
   for (const process of run.processes) {
-    process.setCutOff(false);
-    process.setCutWorkers(new Set());
+    process.setCutOffFromLog(false);
+    process.setUnreachableWorkers(new Set());
     process.resume();
   }
   if (!run.processes.some(({ isAlive }) => isAlive)) {
     run.addProcess();
   }
-  await publishOn(run, 'restore-all', () =>
+  await publishNote(run, 'restore-all', () =>
     run.workers.map(({ name }) => `\n[restore ${name}]\n`).join(''),
   );
 }
--- a/packages/proving/src/invariants/fault.ts
+++ b/packages/proving/src/invariants/fault.ts
@@ -1,4 +1,4 @@
-/** Kinds of faults that a scenario brings about. */
+/** Kinds of faults that a scenario injects. */
 export type FaultKind =
   | 'kill-worker'
   | 'replace-worker'
@@ -22,11 +22,11 @@
   | 'drain-worker'
   | 'restore-worker';
 
-/** One fault at one moment of a scenario. */
+/** One fault at a given time of a scenario. */
 export interface Fault {
-  /** Seconds after the start. */
+  /** Seconds after the start of the run. */
   readonly at: number;
   readonly kind: FaultKind;
-  /** Number of the worker or process that it strikes. */
+  /** Selects the affected worker or process, modulo their number. */
   readonly target: number;
 }
--- a/packages/proving/src/invariants/invariant-broken-error.ts
+++ b/packages/proving/src/invariants/invariant-broken-error.ts
@@ -1,6 +1,6 @@
 import { StepError } from '@basilcourse/foundation/errors/step-error';
 
-/** A promise of the brief was broken in a run. */
+/** Thrown when a simulation run violates an invariant. */
 export class InvariantBrokenError extends StepError {
   public override readonly name = 'InvariantBrokenError';
 
--- a/packages/proving/src/invariants/invariants.ts
+++ b/packages/proving/src/invariants/invariants.ts
@@ -2,16 +2,16 @@
 import { fits } from '@basilcourse/shared-state/resources/fits';
 import { stateDigest } from '@basilcourse/shared-state/snapshot/state-digest';
 
-import type { SteppedRun } from '../stepped/stepped-run.js';
+import type { SimulationRun } from '../simulation/simulation-run.js';
 
-/** Returns how the promise is broken; empty while it holds. */
-export type Invariant = (run: SteppedRun, fold: StateFold) => string;
+/** Describes the violation of an invariant; empty while it holds. */
+export type Invariant = (run: SimulationRun, fold: StateFold) => string;
 
-function firstViolation(run: SteppedRun, kind: string): string {
-  return run.witness.violations.find(entry => entry.kind === kind)?.text ?? '';
+function firstViolation(run: SimulationRun, kind: string): string {
+  return run.recorder.violations.find(entry => entry.kind === kind)?.text ?? '';
 }
 
-function assignedOverSize(fold: StateFold): string {
+function overassignedWorker(fold: StateFold): string {
   for (const worker of fold.scheduling.workers.values()) {
     const { worker: name, resources } = worker.description;
     if (!fits(worker.assigned, resources)) {
@@ -21,7 +21,7 @@
   return '';
 }
 
-function finishedTaskRuns(run: SteppedRun, fold: StateFold): string {
+function runningFinishedTask(run: SimulationRun, fold: StateFold): string {
   for (const { name, runner } of run.workers) {
     for (const { command } of runner.tasks) {
       if (fold.scheduling.tasks.get(command.task)?.finished === true) {
@@ -32,13 +32,13 @@
   return '';
 }
 
-function statesDiffer(run: SteppedRun): string {
+function divergedState(run: SimulationRun): string {
   const digests = new Map<number, string>();
   for (const { name, state } of run.processes) {
     const { next } = state.fold;
     const digest = stateDigest(state.fold);
-    const known = digests.get(next) ?? digest;
-    if (known !== digest) {
+    const expected = digests.get(next) ?? digest;
+    if (expected !== digest) {
       return `${name} differs from another process at offset ${next}`;
     }
     digests.set(next, digest);
@@ -46,23 +46,23 @@
   return '';
 }
 
-function oneActiveAttempt(fold: StateFold): string {
-  const seen = new Set<string>();
+function duplicateActiveAttempt(fold: StateFold): string {
+  const tasks = new Set<string>();
   for (const attempt of fold.scheduling.attempts.values()) {
-    if (seen.has(attempt.task)) {
+    if (tasks.has(attempt.task)) {
       return `${attempt.task} has two active attempts`;
     }
-    seen.add(attempt.task);
+    tasks.add(attempt.task);
   }
   return '';
 }
 
-/** The promises of the brief that hold at every moment, by name. */
+/** Invariants of the scheduler that must hold at all times, by name. */
 export const invariants: Readonly<Record<string, Invariant>> = {
   'no-worker-over-its-size': run => firstViolation(run, 'overcommitted'),
-  'no-worker-assigned-over-its-size': (_run, fold) => assignedOverSize(fold),
+  'no-worker-assigned-over-its-size': (_run, fold) => overassignedWorker(fold),
   'no-task-in-two-places': run => firstViolation(run, 'doubled'),
-  'one-active-attempt': (_run, fold) => oneActiveAttempt(fold),
-  'finished-work-does-not-run': finishedTaskRuns,
-  'same-offset-same-state': statesDiffer,
+  'one-active-attempt': (_run, fold) => duplicateActiveAttempt(fold),
+  'finished-work-does-not-run': runningFinishedTask,
+  'same-offset-same-state': divergedState,
 };
--- a/packages/proving/src/invariants/main.ts
+++ b/packages/proving/src/invariants/main.ts
@@ -8,9 +8,9 @@
 
 const DEFAULT_RUNS = 100;
 
-const TIMELINE_ROWS = 80;
+const MAXIMUM_TIMELINE_LINES = 80;
 
-async function run(seed: number, runs: number): Promise<boolean> {
+async function checkRuns(seed: number, runs: number): Promise<boolean> {
   const startedAt = performance.now();
   const property = fc.asyncProperty(scenarioArbitrary, async scenario => {
     await runScenario(scenario);
@@ -33,7 +33,7 @@
     [
       `Broken after ${details.numRuns} runs in ${seconds} s: ${error.message}`,
       `Shrunk to: ${JSON.stringify(details.counterexample?.[0])}`,
-      ...timeline.slice(-TIMELINE_ROWS),
+      ...timeline.slice(-MAXIMUM_TIMELINE_LINES),
       `Repeat: npm run check-invariants -- --seed ${seed} --runs ${runs}`,
       '',
     ].join('\n'),
@@ -47,9 +47,9 @@
     runs: { type: 'string', default: String(DEFAULT_RUNS) },
   },
 });
-run(Number(values.seed), Number(values.runs)).then(
-  holds => {
-    process.exit(holds ? 0 : 1);
+checkRuns(Number(values.seed), Number(values.runs)).then(
+  passed => {
+    process.exit(passed ? 0 : 1);
   },
   (error: unknown) => {
     process.stderr.write(`${String(error)}\n`);
--- a/packages/proving/src/invariants/run-scenario.ts
+++ b/packages/proving/src/invariants/run-scenario.ts
@@ -1,22 +1,22 @@
 import { seededBehaviour } from '@basilcourse/platform-stand-in/worker/seeded-behaviour';
 import { jobTask } from '@basilcourse/shared-state/scheduling/task-names';
 
-import { SteppedRun } from '../stepped/stepped-run.js';
+import { SimulationRun } from '../simulation/simulation-run.js';
 import { applyFault, healAll } from './apply-fault.js';
 import { InvariantBrokenError } from './invariant-broken-error.js';
 import { invariants } from './invariants.js';
 import type { Scenario } from './scenario.js';
 import { scenarioNote } from './scenario-note.js';
 
-const SECOND_MILLISECONDS = 1000;
+const MILLISECONDS_PER_SECOND = 1000;
 
-/** Length of the part with faults. */
-const FAULTY_SECONDS = 62;
+/** Length of the part of a run in which faults are injected. */
+const FAULT_PHASE_SECONDS = 62;
 
-/** Time in which all work must finish after the faults were taken back. */
-const RECOVERY_SECONDS = 400;
+/** Time within which all work must finish once the faults have ended. */
+const RECOVERY_TIMEOUT_SECONDS = 400;
 
-async function check(run: SteppedRun): Promise<void> {
+async function checkInvariants(run: SimulationRun): Promise<void> {
   const fold = await run.readFold().catch(() => undefined);
   if (fold === undefined) {
     return;
@@ -29,7 +29,7 @@
   }
 }
 
-async function unfinishedJobs(run: SteppedRun): Promise<readonly string[]> {
+async function unfinishedJobs(run: SimulationRun): Promise<readonly string[]> {
   const { configuration, scheduling } = await run.readFold();
   return [...configuration.jobs.keys()].filter(job => {
     const task = jobTask(job, configuration.jobsSince.get(job) ?? 0);
@@ -37,23 +37,23 @@
   });
 }
 
-async function missingMinions(run: SteppedRun): Promise<number> {
+async function missingMinions(run: SimulationRun): Promise<number> {
   const { configuration, scheduling } = await run.readFold();
   let missing = 0;
   for (const service of configuration.services.values()) {
-    const present = scheduling
+    const assigned = scheduling
       .attemptsOf(`service/${service.name}`)
       .filter(({ state }) => state === 'assigned');
-    missing += service.minions - present.length;
+    missing += service.minions - assigned.length;
   }
   return missing;
 }
 
-async function recover(run: SteppedRun): Promise<void> {
+async function awaitRecovery(run: SimulationRun): Promise<void> {
   await healAll(run);
-  for (let second = 0; second < RECOVERY_SECONDS; second += 1) {
-    await run.advance(SECOND_MILLISECONDS);
-    await check(run);
+  for (let second = 0; second < RECOVERY_TIMEOUT_SECONDS; second += 1) {
+    await run.advance(MILLISECONDS_PER_SECOND);
+    await checkInvariants(run);
     const unfinished = await unfinishedJobs(run);
     if (unfinished.length === 0 && (await missingMinions(run)) === 0) {
       return;
@@ -63,14 +63,21 @@
   const missing = await missingMinions(run);
   throw new InvariantBrokenError(
     'work-finishes',
-    `after ${RECOVERY_SECONDS} s unfinished: ${unfinished.join(', ')}; minions missing: ${missing}`,
+    `jobs not finished ${RECOVERY_TIMEOUT_SECONDS} s after the faults ended: ${unfinished.join(', ')}; minions missing: ${missing}`,
     run.timeline(),
   );
 }
 
-/** Runs a scenario with the faults, checks all invariants, then recovery. */
-export async function runScenario(scenario: Scenario): Promise<SteppedRun> {
-  const run = new SteppedRun({
+/**
+ * Runs a scenario: injects its faults and checks all invariants every second,
+ * then ends the faults and waits until all jobs have finished and all minions
+ * are assigned.
+ *
+ * @throws {InvariantBrokenError} When an invariant is violated or work does not
+ * finish after the faults.
+ */
+export async function runScenario(scenario: Scenario): Promise<SimulationRun> {
+  const run = new SimulationRun({
     seed: scenario.seed,
     processes: 2,
     workers: scenario.workers,
@@ -79,20 +86,20 @@
     workerSize: { processors: 16, memoryGigabytes: 62, accelerators: 0 },
     behaviour: seededBehaviour(scenario.seed),
     placement: 'least-harm',
-    // No agents take part that would give the shares back.
+    // The simulation has no agents, which would raise the shares again.
     throttlesStarts: false,
     logFaults: {},
   });
   try {
     await run.publish(scenarioNote(scenario.jobs));
-    for (let second = 0; second < FAULTY_SECONDS; second += 1) {
+    for (let second = 0; second < FAULT_PHASE_SECONDS; second += 1) {
       for (const fault of scenario.faults.filter(({ at }) => at === second)) {
         await applyFault(run, fault);
       }
-      await run.advance(SECOND_MILLISECONDS);
-      await check(run);
+      await run.advance(MILLISECONDS_PER_SECOND);
+      await checkInvariants(run);
     }
-    await recover(run);
+    await awaitRecovery(run);
     return run;
   } finally {
     await run.end();
--- a/packages/proving/src/invariants/scenario-arbitrary.ts
+++ b/packages/proving/src/invariants/scenario-arbitrary.ts
@@ -3,12 +3,12 @@
 import type { Fault, FaultKind } from './fault.js';
 import type { Scenario } from './scenario.js';
 
-const LONGEST_SECONDS = 60;
+const MAXIMUM_FAULT_SECONDS = 60;
 
-const MOST_FAULTS = 12;
+const MAXIMUM_FAULTS = 12;
 
-/** Faults that are drawn together, so that they meet often. */
-const themes: readonly (readonly FaultKind[])[] = [
+/** Kinds drawn together, so that related faults often coincide in a run. */
+const faultGroups: readonly (readonly FaultKind[])[] = [
   ['cut-process-from-log', 'cut-process-from-workers', 'heal-process'],
   [
     'pause-process',
@@ -38,22 +38,24 @@
   ],
 ];
 
-const allKinds = [...new Set(themes.flat())];
+const allFaultKinds = [...new Set(faultGroups.flat())];
 
-function faultsOf(kinds: readonly FaultKind[]): fc.Arbitrary<readonly Fault[]> {
+function faultsOfKinds(
+  kinds: readonly FaultKind[],
+): fc.Arbitrary<readonly Fault[]> {
   const fault = fc.record({
-    at: fc.integer({ min: 0, max: LONGEST_SECONDS }),
+    at: fc.integer({ min: 0, max: MAXIMUM_FAULT_SECONDS }),
     kind: fc.constantFrom(...kinds),
     target: fc.integer({ min: 0, max: 5 }),
   });
-  return fc.array(fault, { maxLength: MOST_FAULTS });
+  return fc.array(fault, { maxLength: MAXIMUM_FAULTS });
 }
 
 const faultsArbitrary = fc
-  .constantFrom(...themes, allKinds)
-  .chain(kinds => faultsOf(kinds));
+  .constantFrom(...faultGroups, allFaultKinds)
+  .chain(kinds => faultsOfKinds(kinds));
 
-/** Scenarios with up to a dozen faults within a minute. */
+/** Generates scenarios with up to twelve faults within a minute. */
 export const scenarioArbitrary: fc.Arbitrary<Scenario> = fc.record({
   seed: fc.integer({ min: 1, max: 1_000_000 }),
   workers: fc.integer({ min: 2, max: 6 }),
--- a/packages/proving/src/invariants/scenario-note.ts
+++ b/packages/proving/src/invariants/scenario-note.ts
@@ -1,4 +1,4 @@
-/** Release note that a scenario starts with. */
+/** Release note that is published at the start of a scenario. */
 export function scenarioNote(jobs: number): string {
   const sections = Array.from(
     { length: jobs },
@@ -39,7 +39,7 @@
 ${sections.join('')}`;
 }
 
-/** Header of a later note. */
+/** Header of a release note that is published later in the scenario. */
 export function noteHeader(name: string, basedOn: number): string {
   return `
 [note]
--- a/packages/proving/src/invariants/scenario.ts
+++ b/packages/proving/src/invariants/scenario.ts
@@ -1,6 +1,6 @@
 import type { Fault } from './fault.js';
 
-/** A run with faults, drawn from a seed. */
+/** Input of a simulation run with faults. */
 export interface Scenario {
   readonly seed: number;
   readonly workers: number;
--- a/packages/proving/src/load/count-outcomes.ts
+++ b/packages/proving/src/load/count-outcomes.ts
@@ -1,6 +1,6 @@
 import type { LoadResult } from './load-result.js';
 
-/** Requests of a load by outcome. */
+/** Number of requests of a load for each outcome. */
 export type OutcomeCounts = Readonly<Record<LoadResult['outcome'], number>>;
 
 /** Counts the outcomes of a load. */
--- a/packages/proving/src/load/keyed-result.ts
+++ b/packages/proving/src/load/keyed-result.ts
@@ -1,6 +1,6 @@
 import type { LoadResult } from './load-result.js';
 
-/** One answered request of a load with its key. */
+/** Result of one request of a load, with its idempotency key; empty without. */
 export interface KeyedResult extends LoadResult {
   readonly key: string;
   readonly number: number;
--- a/packages/proving/src/load/load-result.ts
+++ b/packages/proving/src/load/load-result.ts
@@ -1,8 +1,8 @@
-/** What became of one request of a load, as its caller saw it. */
+/** Result of one request of a load, as its caller received it. */
 export interface LoadResult {
   /**
    * `crossed`: the answer belongs to another request; `broken`: the connection
-   * ended without a whole answer.
+   * ended before the answer was complete.
    */
   readonly outcome: 'completed' | 'not-run' | 'unknown' | 'crossed' | 'broken';
   readonly requestId: string;
--- a/packages/proving/src/load/run-load.ts
+++ b/packages/proving/src/load/run-load.ts
@@ -5,18 +5,21 @@
 import type { KeyedResult } from './keyed-result.js';
 import { sendRequest } from './send-request.js';
 
-/** An open load: requests leave at their times, answered or not. */
+/**
+ * An open-loop load: requests are sent at their arrival times, whether earlier
+ * ones have been answered or not.
+ */
 export interface LoadPlan {
   readonly requests: number;
   readonly requestsPerSecond: number;
   readonly path: string;
   readonly timeoutMilliseconds: number;
   /**
-   * Requests that wait for their answers at once; further ones leave late.
-   * Without a bound the speed of the machine decides how many a fault hits.
+   * Maximum number of unanswered requests; further ones are sent late. Without
+   * a bound, the number that a fault affects depends on the machine's speed.
    */
   readonly maximumInFlight?: number;
-  /** Share of requests that are unrepeatable and carry a key. */
+  /** Share of requests that are unrepeatable and carry an idempotency key. */
   readonly unrepeatableShare: number;
   /** Chooses the address of an entry for a request. */
   readonly addressOf: (request: number) => string;
@@ -25,11 +28,11 @@
   readonly beforeRequest?: (request: number) => void;
 }
 
-const SOCKETS = 512;
+const MAXIMUM_SOCKETS = 512;
 
-const SECOND_MILLISECONDS = 1000;
+const MILLISECONDS_PER_SECOND = 1000;
 
-async function sendOne(
+async function sendNumbered(
   plan: LoadPlan,
   agent: Agent,
   number: number,
@@ -50,29 +53,30 @@
   return { ...result, key, number };
 }
 
-/** Sends a load with exponential gaps and waits for all answers. */
+/** Sends a load with exponential inter-arrival times and awaits all answers. */
 export async function runLoad(plan: LoadPlan): Promise<readonly KeyedResult[]> {
-  const agent = new Agent({ keepAlive: true, maxSockets: SOCKETS });
+  const agent = new Agent({ keepAlive: true, maxSockets: MAXIMUM_SOCKETS });
   const sent: Promise<KeyedResult>[] = [];
-  const open = new Set<Promise<KeyedResult>>();
-  const maximum = plan.maximumInFlight ?? Number.POSITIVE_INFINITY;
+  const inFlight = new Set<Promise<KeyedResult>>();
+  const maximumInFlight = plan.maximumInFlight ?? Number.POSITIVE_INFINITY;
   const startedAt = performance.now();
-  let due = 0;
+  let dueMilliseconds = 0;
   for (let number = 0; number < plan.requests; number += 1) {
-    const gap = -Math.log(1 - plan.random.next());
-    due += (gap * SECOND_MILLISECONDS) / plan.requestsPerSecond;
-    const wait = startedAt + due - performance.now();
-    if (wait > 1) {
-      await new Promise(resolve => setTimeout(resolve, wait));
+    const exponentialGap = -Math.log(1 - plan.random.next());
+    dueMilliseconds +=
+      (exponentialGap * MILLISECONDS_PER_SECOND) / plan.requestsPerSecond;
+    const waitMilliseconds = startedAt + dueMilliseconds - performance.now();
+    if (waitMilliseconds > 1) {
+      await new Promise(resolve => setTimeout(resolve, waitMilliseconds));
     }
-    while (open.size >= maximum) {
-      await Promise.race(open);
+    while (inFlight.size >= maximumInFlight) {
+      await Promise.race(inFlight);
     }
     plan.beforeRequest?.(number);
-    const result = sendOne(plan, agent, number);
+    const result = sendNumbered(plan, agent, number);
     sent.push(result);
-    open.add(result);
-    void result.finally(() => open.delete(result));
+    inFlight.add(result);
+    void result.finally(() => inFlight.delete(result));
   }
   const results = await Promise.all(sent);
   agent.destroy();
--- a/packages/proving/src/load/send-request.ts
+++ b/packages/proving/src/load/send-request.ts
@@ -15,8 +15,8 @@
   readonly agent: Agent;
 }
 
-/** Sends one request as a caller would, and checks that the answer is its own. */
-export function sendRequest(load: LoadRequest): Promise<LoadResult> {
+/** Sends one request as a caller and checks that the answer echoes its body. */
+export function sendRequest(loadRequest: LoadRequest): Promise<LoadResult> {
   const startedAt = performance.now();
   return new Promise(resolve => {
     const finish = (
@@ -28,14 +28,16 @@
     };
     const outgoing = request(
       {
-        ...splitAddress(load.address),
+        ...splitAddress(loadRequest.address),
         method: 'POST',
-        path: load.path,
-        agent: load.agent,
+        path: loadRequest.path,
+        agent: loadRequest.agent,
         headers: {
-          ...load.headers,
-          'content-length': Buffer.byteLength(load.body),
-          'basilcourse-timeout-milliseconds': String(load.timeoutMilliseconds),
+          ...loadRequest.headers,
+          'content-length': Buffer.byteLength(loadRequest.body),
+          'basilcourse-timeout-milliseconds': String(
+            loadRequest.timeoutMilliseconds,
+          ),
         },
       },
       answer => {
@@ -51,7 +53,10 @@
           if (!answer.complete) {
             finish('broken', id);
           } else if (outcome === 'completed') {
-            finish(isOwn(text, load.body) ? 'completed' : 'crossed', id);
+            finish(
+              echoesBody(text, loadRequest.body) ? 'completed' : 'crossed',
+              id,
+            );
           } else {
             finish(outcome === 'not-run' ? 'not-run' : 'unknown', id);
           }
@@ -61,11 +66,11 @@
     outgoing.on('error', () => {
       finish('broken', '');
     });
-    outgoing.end(load.body);
+    outgoing.end(loadRequest.body);
   });
 }
 
-function isOwn(answer: string, body: string): boolean {
+function echoesBody(answer: string, body: string): boolean {
   try {
     const parsed = JSON.parse(answer) as { readonly echo?: unknown };
     return parsed.echo === body;
--- a/packages/proving/src/measure/capacity/slope-of.ts
+++ b/packages/proving/src/measure/capacity/fit-line.ts
@@ -1,15 +1,15 @@
-/** A straight line through measured points. */
-export interface MeasuredLine {
+/** A straight line fitted to measured points. */
+export interface FittedLine {
   readonly slope: number;
   /** Value of the line at a size. */
-  readonly at: (size: number) => number;
+  readonly valueAt: (size: number) => number;
 }
 
-/** Least-squares line through points of sizes and values. */
-export function slopeOf(
+/** Fits a line to points of sizes and values by least squares. */
+export function fitLine(
   sizes: readonly number[],
   values: readonly number[],
-): MeasuredLine {
+): FittedLine {
   const count = Math.max(1, sizes.length);
   const meanSize = sizes.reduce((sum, size) => sum + size, 0) / count;
   const meanValue = values.reduce((sum, value) => sum + value, 0) / count;
@@ -20,5 +20,5 @@
     variance += (size - meanSize) ** 2;
   }
   const slope = variance === 0 ? 0 : covariance / variance;
-  return { slope, at: size => meanValue + slope * (size - meanSize) };
+  return { slope, valueAt: size => meanValue + slope * (size - meanSize) };
 }
--- a/packages/proving/src/measure/capacity/measure-capacity.ts
+++ b/packages/proving/src/measure/capacity/measure-capacity.ts
@@ -1,19 +1,19 @@
-import { measureDecisionCost } from '../colocation/decision-cost.js';
+import { measureDecisionCost } from '../colocation/measure-decision-cost.js';
 import { markdownTable } from '../markdown-table.js';
 import type { Measurement } from '../measurement.js';
-import type { FleetFigures } from '../shared-state/fleet-measure.js';
-import { measureFleet } from '../shared-state/fleet-measure.js';
-import type { FoldFigures } from '../shared-state/fold-measure.js';
-import { measureFold } from '../shared-state/fold-measure.js';
+import type { FleetMetrics } from '../shared-state/measure-fleet.js';
+import { measureFleet } from '../shared-state/measure-fleet.js';
+import type { FoldMetrics } from '../shared-state/measure-fold.js';
+import { measureFold } from '../shared-state/measure-fold.js';
 import { WORKERS_PER_CELL } from '../shared-state/synthetic-log.js';
 import { TARGET } from '../shared-state/target.js';
-import { slopeOf } from './slope-of.js';
+import { fitLine } from './fit-line.js';
 
-const SHARES = [0.1, 0.5, 1];
+const TARGET_SHARES = [0.1, 0.5, 1];
 
-const FLEETS = [15, 60];
+const FLEET_AGENTS = [15, 60];
 
-/** Passes of a holder, as its daemon makes them. */
+/** Planning passes of a cell's holder: one every 150 ms, as in the daemon. */
 const PASSES_PER_SECOND = 1000 / 150;
 
 const RENEWALS_PER_SECOND = 4 / 2.5;
@@ -28,17 +28,17 @@
   return total / CELLS;
 }
 
-function sizeRows(folds: readonly FoldFigures[]): readonly string[][] {
+function sizeRows(folds: readonly FoldMetrics[]): readonly string[][] {
   const tasks = folds.map(fold => fold.tasks);
-  const heap = slopeOf(
+  const heap = fitLine(
     tasks,
     folds.map(fold => fold.heapMegabytes),
   );
-  const snapshot = slopeOf(
+  const snapshot = fitLine(
     tasks,
     folds.map(fold => fold.snapshotBytes),
   );
-  const read = slopeOf(
+  const read = fitLine(
     tasks,
     folds.map(fold => fold.readMilliseconds),
   );
@@ -46,13 +46,13 @@
     [
       'entry: state',
       `${(heap.slope * 1024).toFixed(2)} KB a task`,
-      `${heap.at(TASKS).toFixed(0)} MB of heap`,
+      `${heap.valueAt(TASKS).toFixed(0)} MB of heap`,
       'every entry folds the whole log',
     ],
     [
       'entry: snapshot',
       `${snapshot.slope.toFixed(0)} bytes a task`,
-      `${(snapshot.at(TASKS) / BYTES_PER_MEGABYTE).toFixed(1)} MB, read in ${read.at(TASKS).toFixed(0)} ms`,
+      `${(snapshot.valueAt(TASKS) / BYTES_PER_MEGABYTE).toFixed(1)} MB, read in ${read.valueAt(TASKS).toFixed(0)} ms`,
       'chunked records under a lease',
     ],
   ];
@@ -60,15 +60,16 @@
 
 function holderRows(): readonly string[][] {
   const cost = measureDecisionCost(WORKERS_PER_CELL);
-  const starts = perCell(TARGET.startsPerSecond);
-  const idle = (cost.microsecondsPerIdlePass * PASSES_PER_SECOND) / 1e6;
-  const placing = (cost.microsecondsPerPlacement * starts) / 1e6;
-  const share = ((idle + placing) * 100).toFixed(2);
+  const startsPerSecond = perCell(TARGET.startsPerSecond);
+  const idleShare = (cost.microsecondsPerIdlePass * PASSES_PER_SECOND) / 1e6;
+  const placementShare =
+    (cost.microsecondsPerPlacement * startsPerSecond) / 1e6;
+  const percentage = ((idleShare + placementShare) * 100).toFixed(2);
   return [
     [
       'holder of a cell: decisions',
       `${cost.microsecondsPerPlacement.toFixed(0)} µs a placement, ${cost.microsecondsPerIdlePass.toFixed(0)} µs a pass`,
-      `${share} % of a core at ${starts.toFixed(1)} starts/s`,
+      `${percentage} % of a core at ${startsPerSecond.toFixed(1)} starts/s`,
       `${CELLS} cells of ${WORKERS_PER_CELL} workers, one lease each`,
     ],
     [
@@ -80,41 +81,41 @@
   ];
 }
 
-function nodeRows(fleets: readonly FleetFigures[]): readonly string[][] {
-  const last = fleets.at(-1);
+function nodeRows(fleets: readonly FleetMetrics[]): readonly string[][] {
+  const largestFleet = fleets.at(-1);
   const agents = fleets.map(fleet => fleet.agents);
-  const longest = slopeOf(
+  const spread = fitLine(
     agents,
-    fleets.map(fleet => fleet.inForceLongest),
+    fleets.map(fleet => fleet.inForceMaximumMilliseconds),
   );
   return [
     [
       'agent: heartbeats and relay',
-      `${(last?.idleBytesPerAgent ?? 0).toFixed(0)} bytes/s, no slope with the fleet`,
-      `${((last?.idleBytesPerAgent ?? 0) / 1024).toFixed(1)} KB/s`,
+      `${(largestFleet?.idleBytesPerSecondPerAgent ?? 0).toFixed(0)} bytes/s, no slope with the fleet`,
+      `${((largestFleet?.idleBytesPerSecondPerAgent ?? 0) / 1024).toFixed(1)} KB/s`,
       'three home entries by rendezvous hashing',
     ],
     [
       'any node: processor, idle',
-      `${((last?.idleProcessorPerNode ?? 0) * 100).toFixed(2)} % of a core at ${last?.agents ?? 0} agents`,
+      `${((largestFleet?.idleProcessorSharePerNode ?? 0) * 100).toFixed(2)} % of a core at ${largestFleet?.agents ?? 0} agents`,
       'share of a whole process of many nodes',
       'one task for each peer',
     ],
     [
       'spread of a note',
-      `${longest.slope.toFixed(1)} ms an agent on one machine`,
-      `${longest.at(TARGET.workers).toFixed(0)} ms by that line; ${last?.inForceLongest.toFixed(0) ?? ''} ms measured`,
+      `${spread.slope.toFixed(1)} ms an agent on one machine`,
+      `${spread.valueAt(TARGET.workers).toFixed(0)} ms by that line; ${largestFleet?.inForceMaximumMilliseconds.toFixed(0) ?? ''} ms measured`,
       'one reader of the log a zone, streams to the rest',
     ],
   ];
 }
 
-/** Works out what each role costs at the target size from measured slopes. */
+/** Extrapolates the measured cost of each role to the target size. */
 export const measureCapacity: Measurement = async print => {
   measureFold(0.1);
-  const folds = SHARES.map(measureFold);
-  const fleets: FleetFigures[] = [];
-  for (const agents of FLEETS) {
+  const folds = TARGET_SHARES.map(measureFold);
+  const fleets: FleetMetrics[] = [];
+  for (const agents of FLEET_AGENTS) {
     fleets.push(await measureFleet(agents));
   }
   print(
--- a/packages/proving/src/measure/colocation/colocation-case.ts
+++ b/packages/proving/src/measure/colocation/colocation-case.ts
@@ -4,8 +4,8 @@
 export interface ColocationCase {
   readonly name: string;
   readonly placement: ScorerName;
-  /** Knows the harm of every pair from the start. */
+  /** Starts with exact estimates of the interference of every pair of kinds. */
   readonly oracle: boolean;
-  /** Batch tasks beside a service that is too slow are throttled. */
+  /** Throttles batch tasks next to a service that exceeds its target. */
   readonly throttles: boolean;
 }
--- a/packages/proving/src/measure/colocation/colocation-note.ts
+++ b/packages/proving/src/measure/colocation/colocation-note.ts
@@ -1,4 +1,4 @@
-/** Sizes of one deployment of the brief. */
+/** Sizes of one reference deployment. */
 export interface DeploymentSizes {
   readonly name: string;
   readonly workers: number;
@@ -7,7 +7,7 @@
   readonly latencyWeight: number;
 }
 
-/** The two deployments of the brief. */
+/** The two reference deployments. */
 export const DEPLOYMENTS: readonly DeploymentSizes[] = [
   {
     name: 'Jadranski Trag',
@@ -25,13 +25,16 @@
   },
 ];
 
-/** Kinds of the batch jobs; pairs differ in the harm that they do. */
+/** Task kinds of the batch jobs; the interference differs for each pair. */
 export const JOB_KINDS = ['reconcile', 'history', 'feed', 'grade'] as const;
 
-/** Jobs that a deployment runs, about three for each free place. */
+/** Batch jobs of a deployment, between three and four for each free slot. */
 export const JOBS = 120;
 
-/** Release note of one deployment: a quarter for the service, rest for jobs. */
+/**
+ * Release note of one deployment: the service takes a quarter of the processors
+ * of each worker, batch jobs the rest.
+ */
 export function colocationNote(sizes: DeploymentSizes): string {
   const processors = sizes.processors / 4;
   const memory = sizes.memoryGigabytes / 5;
@@ -73,7 +76,7 @@
 ${jobs.join('')}`;
 }
 
-/** A note with one urgent job. */
+/** Release note with one urgent job. */
 export function urgentNote(
   sizes: DeploymentSizes,
   number: number,
--- a/packages/proving/src/measure/colocation/measure-colocation.ts
+++ b/packages/proving/src/measure/colocation/measure-colocation.ts
@@ -2,9 +2,9 @@
 import type { Measurement } from '../measurement.js';
 import { percentile } from '../percentile.js';
 import type { ColocationCase } from './colocation-case.js';
-import type { ColocationFigures } from './colocation-figures.js';
+import type { ColocationMetrics } from './colocation-metrics.js';
 import { DEPLOYMENTS } from './colocation-note.js';
-import { measureDecisionCost } from './decision-cost.js';
+import { measureDecisionCost } from './measure-decision-cost.js';
 import { runCase } from './run-case.js';
 
 const SEEDS = [11, 12];
@@ -33,54 +33,56 @@
   { name: 'separate', placement: 'separate', oracle: false, throttles: false },
 ];
 
-const WORKERS_FOR_COST = [11, 40, 110, 1100];
+const DECISION_COST_WORKERS = [11, 40, 110, 1100];
 
 function sum(
-  figures: readonly ColocationFigures[],
-  read: (one: ColocationFigures) => number,
+  metrics: readonly ColocationMetrics[],
+  read: (result: ColocationMetrics) => number,
 ): number {
-  return figures.reduce((total, one) => total + read(one), 0);
+  return metrics.reduce((total, result) => total + read(result), 0);
 }
 
 function rowOf(
   deployment: string,
   name: string,
-  figures: readonly ColocationFigures[],
+  metrics: readonly ColocationMetrics[],
   oracleSeconds: number,
 ): readonly string[] {
-  const seconds = sum(figures, one => one.batchSeconds);
-  const finished = sum(figures, one => one.finishedJobs);
-  const urgent = figures.flatMap(one => one.urgentStartSeconds);
-  const mean = (read: (one: ColocationFigures) => number): number =>
-    sum(figures, read) / figures.length;
+  const seconds = sum(metrics, result => result.batchSeconds);
+  const finished = sum(metrics, result => result.finishedJobs);
+  const urgent = metrics.flatMap(result => result.urgentStartSeconds);
+  const mean = (read: (result: ColocationMetrics) => number): number =>
+    sum(metrics, read) / metrics.length;
   return [
     deployment,
     name,
-    mean(one => one.serviceHighPercentile).toFixed(2),
-    mean(one => one.serviceMean).toFixed(3),
+    mean(result => result.serviceSlowdownPercentile).toFixed(2),
+    mean(result => result.serviceMeanSlowdown).toFixed(3),
     `${((seconds / oracleSeconds) * 100).toFixed(0)} %`,
     String(finished),
-    (sum(figures, one => one.evictions) / Math.max(1, finished)).toFixed(3),
-    `${(mean(one => one.lostShare) * 100).toFixed(1)} %`,
+    (sum(metrics, result => result.evictions) / Math.max(1, finished)).toFixed(
+      3,
+    ),
+    `${(mean(result => result.lostShare) * 100).toFixed(1)} %`,
     percentile(urgent, 0.99).toFixed(2),
-    String(sum(figures, one => one.violations)),
+    String(sum(metrics, result => result.violations)),
   ];
 }
 
-/** Measures placement and control beside services against baselines. */
+/** Compares placement and throttling next to services with baselines. */
 export const measureColocation: Measurement = async print => {
   const rows = [];
   for (const sizes of DEPLOYMENTS) {
     let oracleSeconds = 1;
-    for (const one of cases) {
-      const figures = [];
+    for (const colocationCase of cases) {
+      const metrics = [];
       for (const seed of SEEDS) {
-        figures.push(await runCase(one, sizes, seed));
+        metrics.push(await runCase(colocationCase, sizes, seed));
       }
-      if (one.oracle) {
-        oracleSeconds = sum(figures, figure => figure.batchSeconds);
+      if (colocationCase.oracle) {
+        oracleSeconds = sum(metrics, result => result.batchSeconds);
       }
-      rows.push(rowOf(sizes.name, one.name, figures, oracleSeconds));
+      rows.push(rowOf(sizes.name, colocationCase.name, metrics, oracleSeconds));
     }
   }
   print(`seeds ${SEEDS.join(', ')}; slowdown 1 is as fast as alone`);
@@ -102,7 +104,7 @@
     ]),
   );
   print('');
-  const costs = WORKERS_FOR_COST.map(measureDecisionCost);
+  const costs = DECISION_COST_WORKERS.map(measureDecisionCost);
   print(
     markdownTable([
       [
--- a/packages/proving/src/measure/colocation/decision-cost.ts
+++ b/packages/proving/src/measure/colocation/measure-decision-cost.ts
@@ -8,25 +8,29 @@
 
 const PASSES = 5;
 
-const JOBS_WAITING = 200;
+const WAITING_JOBS = 200;
 
 const TASKS_PER_WORKER = 14;
 
-/** Cost of decisions for one cell of a number of workers. */
+/** Cost of planning passes over one cell with a number of workers. */
 export interface DecisionCost {
   readonly workers: number;
   readonly microsecondsPerPlacement: number;
   readonly microsecondsPerIdlePass: number;
 }
 
-function foldOf(size: FleetSize, placed: FleetSize): StateFold {
+function foldOf(size: FleetSize, placedSize: FleetSize): StateFold {
   const fold = new StateFold();
   const log = syntheticLog(size);
   for (const record of log) {
     fold.apply(record);
   }
   const workers = [...fold.scheduling.workers.keys()];
-  const bodies = placementsOf(placed, fold.scheduling.ownerCell, () => workers);
+  const bodies = placementsOf(
+    placedSize,
+    fold.scheduling.ownerCell,
+    () => workers,
+  );
   for (const [index, body] of bodies.entries()) {
     fold.apply({
       offset: log.length + index,
@@ -47,7 +51,7 @@
   readonly placements: number;
   readonly milliseconds: number;
 } {
-  const question = {
+  const planInput = {
     cell: 'region/0',
     configuration: fold.configuration,
     scheduling: fold.scheduling,
@@ -58,18 +62,18 @@
     scorer: 'least-harm' as const,
   };
   const startedAt = performance.now();
-  const decisions = planCell(question, 1);
+  const decisions = planCell(planInput, 1);
   const milliseconds = performance.now() - startedAt;
   const placements = decisions.filter(({ type }) => type === 'place').length;
   return { placements, milliseconds };
 }
 
-/** Measures passes over one cell with and without waiting jobs. */
+/** Measures planning passes over one cell with and without waiting jobs. */
 export function measureDecisionCost(workers: number): DecisionCost {
   const running = workers * TASKS_PER_WORKER;
   const minions = Math.floor(running / 2);
   const jobs = running - minions;
-  const size = { workers, cells: 1, minions, jobs: jobs + JOBS_WAITING };
+  const size = { workers, cells: 1, minions, jobs: jobs + WAITING_JOBS };
   const waiting = foldOf(size, { workers, cells: 1, minions, jobs });
   const idle = foldOf({ ...size, jobs }, { workers, cells: 1, minions, jobs });
   timePass(waiting);
@@ -78,15 +82,16 @@
   let milliseconds = 0;
   let idleMilliseconds = 0;
   for (let pass = 0; pass < PASSES; pass += 1) {
-    const busy = timePass(waiting);
-    placements += busy.placements;
-    milliseconds += busy.milliseconds;
+    const waitingPass = timePass(waiting);
+    placements += waitingPass.placements;
+    milliseconds += waitingPass.milliseconds;
     idleMilliseconds += timePass(idle).milliseconds;
   }
-  const placing = Math.max(0, milliseconds - idleMilliseconds);
+  const placementMilliseconds = Math.max(0, milliseconds - idleMilliseconds);
   return {
     workers,
-    microsecondsPerPlacement: (placing / Math.max(1, placements)) * 1000,
+    microsecondsPerPlacement:
+      (placementMilliseconds / Math.max(1, placements)) * 1000,
     microsecondsPerIdlePass: (idleMilliseconds / PASSES) * 1000,
   };
 }
--- a/packages/proving/src/measure/colocation/run-case.ts
+++ b/packages/proving/src/measure/colocation/run-case.ts
@@ -2,10 +2,10 @@
 import type { TaskBehaviour } from '@basilcourse/platform-stand-in/worker/task-behaviour';
 import type { WorkloadEstimator } from '@basilcourse/scheduler/learning/workload-estimator';
 
-import { SteppedRun } from '../../stepped/stepped-run.js';
+import { SimulationRun } from '../../simulation/simulation-run.js';
 import { percentile } from '../percentile.js';
 import type { ColocationCase } from './colocation-case.js';
-import type { ColocationFigures } from './colocation-figures.js';
+import type { ColocationMetrics } from './colocation-metrics.js';
 import type { DeploymentSizes } from './colocation-note.js';
 import { colocationNote, JOB_KINDS, urgentNote } from './colocation-note.js';
 import { RunSamples } from './run-samples.js';
@@ -15,46 +15,52 @@
 
 const WARM_UP_SECONDS = 30;
 
-const URGENT_EVERY_SECONDS = 30;
+const URGENT_JOB_INTERVAL_SECONDS = 30;
 
-const TEACHING_ROUNDS = 60;
+const TRAINING_ROUNDS = 60;
 
-function teach(learner: WorkloadEstimator, behaviour: TaskBehaviour): void {
+function trainEstimator(
+  estimator: WorkloadEstimator,
+  behaviour: TaskBehaviour,
+): void {
   const kinds = ['label', ...JOB_KINDS];
-  for (let round = 0; round < TEACHING_ROUNDS; round += 1) {
-    for (const sufferer of kinds) {
-      for (const neighbour of kinds) {
-        const harm = behaviour.interference(sufferer, neighbour);
-        const beside = [{ taskKind: neighbour, share: 1 }];
-        learner.interference.observe(sufferer, beside, harm);
+  for (let round = 0; round < TRAINING_ROUNDS; round += 1) {
+    for (const affectedKind of kinds) {
+      for (const neighbourKind of kinds) {
+        const interference = behaviour.interference(
+          affectedKind,
+          neighbourKind,
+        );
+        const neighbours = [{ taskKind: neighbourKind, share: 1 }];
+        estimator.interference.observe(affectedKind, neighbours, interference);
       }
     }
   }
 }
 
-async function urgentStarts(
-  run: SteppedRun,
-  published: ReadonlyMap<string, number>,
+async function urgentStartDelays(
+  run: SimulationRun,
+  publishedAtByJob: ReadonlyMap<string, number>,
 ): Promise<readonly number[]> {
   const fold = await run.readFold();
-  const starts: number[] = [];
-  for (const [job, at] of published) {
+  const delays: number[] = [];
+  for (const [job, at] of publishedAtByJob) {
     const since = fold.configuration.jobsSince.get(job) ?? 0;
     const task = `job/${job}@${since}#1`;
     const startedAt = run.startedAt(task);
-    starts.push(((startedAt ?? run.clock.now()) - at) / 1000);
+    delays.push(((startedAt ?? run.clock.now()) - at) / 1000);
   }
-  return starts;
+  return delays;
 }
 
 /** Runs one case on one deployment with one seed. */
 export async function runCase(
-  one: ColocationCase,
+  colocationCase: ColocationCase,
   sizes: DeploymentSizes,
   seed: number,
-): Promise<ColocationFigures> {
+): Promise<ColocationMetrics> {
   const behaviour = seededBehaviour(seed);
-  const run = new SteppedRun({
+  const run = new SimulationRun({
     seed,
     processes: 1,
     workers: sizes.workers,
@@ -66,13 +72,13 @@
       accelerators: 0,
     },
     behaviour,
-    placement: one.placement,
-    throttlesStarts: one.throttles,
+    placement: colocationCase.placement,
+    throttlesStarts: colocationCase.throttles,
     logFaults: {},
   });
-  if (one.oracle) {
+  if (colocationCase.oracle) {
     for (const process of run.processes) {
-      teach(process.holder.learner, behaviour);
+      trainEstimator(process.holder.learner, behaviour);
     }
   }
   const samples = new RunSamples();
@@ -80,35 +86,35 @@
   const published = new Map<string, number>();
   await run.publish(colocationNote(sizes));
   for (let second = 0; second < RUN_SECONDS; second += 1) {
-    if (second > 0 && second % URGENT_EVERY_SECONDS === 0) {
+    if (second > 0 && second % URGENT_JOB_INTERVAL_SECONDS === 0) {
       const { revision } = (await run.readFold()).configuration;
       await run.publish(urgentNote(sizes, second, revision));
       published.set(`urgent-${second}`, run.clock.now());
     }
     await run.advance(1000);
     for (const worker of run.workers) {
-      if (one.throttles) {
+      if (colocationCase.throttles) {
         await throttle.step(worker);
       }
-      samples.take(worker, second >= WARM_UP_SECONDS);
+      samples.sample(worker, second >= WARM_UP_SECONDS);
     }
   }
   const fold = await run.readFold();
   const tasks = [...fold.scheduling.tasks.values()];
   const evictions = tasks.reduce((sum, task) => sum + task.evictions, 0);
   const finishedJobs = tasks.filter(({ finished }) => finished).length;
-  const urgentStartSeconds = await urgentStarts(run, published);
+  const urgentStartSeconds = await urgentStartDelays(run, published);
   await run.end();
   const { slowdowns, batchSeconds } = samples;
   const total = slowdowns.reduce((sum, slowdown) => sum + slowdown, 0);
   return {
-    serviceHighPercentile: percentile(slowdowns, 0.99),
-    serviceMean: total / Math.max(1, slowdowns.length),
+    serviceSlowdownPercentile: percentile(slowdowns, 0.99),
+    serviceMeanSlowdown: total / Math.max(1, slowdowns.length),
     batchSeconds,
     finishedJobs,
     evictions,
     lostShare: samples.lostSeconds() / Math.max(1, batchSeconds),
     urgentStartSeconds,
-    violations: run.witness.violationCount,
+    violations: run.recorder.violationCount,
   };
 }
--- a/packages/proving/src/measure/colocation/throttle-loop.ts
+++ b/packages/proving/src/measure/colocation/throttle-loop.ts
@@ -7,22 +7,29 @@
 
 const SERVICE_MILLISECONDS = 100;
 
-/** The agents' control beside the services, on the run's clock. */
+/**
+ * Throttles batch tasks next to services by the agents' rules, as a simulation
+ * has no agents.
+ */
 export class ThrottleLoop {
-  private readonly gauges = new Map<string, ServiceTimeWindows>();
+  private readonly serviceTimesByWorker = new Map<string, ServiceTimeWindows>();
 
   public constructor(private readonly latencyWeight: number) {}
 
   public async step(worker: WorkerStandIn): Promise<void> {
-    const gauge = this.gauges.get(worker.name) ?? new ServiceTimeWindows();
-    this.gauges.set(worker.name, gauge);
+    const serviceTimes =
+      this.serviceTimesByWorker.get(worker.name) ?? new ServiceTimeWindows();
+    this.serviceTimesByWorker.set(worker.name, serviceTimes);
     const services = worker.runner.tasks.filter(
       ({ command }) => command.role === 'service',
     );
     for (const { command } of services) {
       const slowdown = worker.runner.slowdownOf(command.attempt);
       for (let request = 0; request < 20; request += 1) {
-        gauge.observe(command.attempt, SERVICE_MILLISECONDS * (1 + slowdown));
+        serviceTimes.observe(
+          command.attempt,
+          SERVICE_MILLISECONDS * (1 + slowdown),
+        );
       }
     }
     const direction = decideThrottle({
@@ -31,12 +38,12 @@
         attempt: command.attempt,
         targetMilliseconds: SERVICE_MILLISECONDS * 1.1,
       })),
-      serviceTimes: gauge,
+      serviceTimes,
     });
     if (direction === 'keep') {
       return;
     }
-    gauge.reset();
+    serviceTimes.reset();
     const batch = worker.runner.tasks.filter(
       ({ command }) => command.role === 'job',
     );
--- a/packages/proving/src/measure/main.ts
+++ b/packages/proving/src/measure/main.ts
@@ -14,8 +14,8 @@
 const name = process.argv[2] ?? '';
 const measurement = measurements[name];
 if (measurement === undefined) {
-  const known = Object.keys(measurements).join(', ');
-  process.stderr.write(`Measure one of ${known}.\n`);
+  const names = Object.keys(measurements).join(', ');
+  process.stderr.write(`Measure one of ${names}.\n`);
   process.exitCode = 2;
 } else {
   measurement(line => process.stdout.write(`${line}\n`)).then(
--- a/packages/proving/src/measure/markdown-table.ts
+++ b/packages/proving/src/measure/markdown-table.ts
@@ -1,8 +1,8 @@
-/** Writes rows as a Markdown table; the first row is the head. */
+/** Formats rows as a Markdown table; the first row is the header. */
 export function markdownTable(rows: readonly (readonly string[])[]): string {
-  const [head = [], ...body] = rows;
+  const [header = [], ...body] = rows;
   const line = (cells: readonly string[]): string => `| ${cells.join(' | ')} |`;
-  return [line(head), line(head.map(() => '---')), ...body.map(line)].join(
+  return [line(header), line(header.map(() => '---')), ...body.map(line)].join(
     '\n',
   );
 }
--- a/packages/proving/src/measure/percentile.ts
+++ b/packages/proving/src/measure/percentile.ts
@@ -1,4 +1,4 @@
-/** Value at a quantile from 0 to 1 of unsorted numbers; 0 without any. */
+/** Returns the value at a quantile from 0 to 1; 0 when there are no values. */
 export function percentile(
   values: readonly number[],
   quantile: number,
--- a/packages/proving/src/measure/request-path/label-note.ts
+++ b/packages/proving/src/measure/request-path/label-note.ts
@@ -1,4 +1,4 @@
-/** Release note with one service of a number of minions. */
+/** Release note with one service that has a number of minions. */
 export function labelNote(minions: number): string {
   return `
 [note]
--- a/packages/proving/src/measure/request-path/added-time.ts
+++ b/packages/proving/src/measure/request-path/measure-added-latency.ts
@@ -18,12 +18,18 @@
 
 const TIMEOUT_MILLISECONDS = 1000;
 
-const PATIENCE_MILLISECONDS = 30_000;
+const WAIT_TIMEOUT_MILLISECONDS = 30_000;
 
 const DIRECT_REQUESTS = 2000;
 
-/** Median of requests sent one after the other, in milliseconds. */
-async function sequential(address: string, path: string): Promise<number> {
+/**
+ * Median latency of sequential requests in milliseconds, without the first half,
+ * which warms up the path.
+ */
+async function medianOfSequentialRequests(
+  address: string,
+  path: string,
+): Promise<number> {
   const agent = new Agent({ keepAlive: true });
   const times: number[] = [];
   for (let number = 0; number < DIRECT_REQUESTS; number += 1) {
@@ -41,8 +47,8 @@
   return percentile(times.slice(DIRECT_REQUESTS / 2), 0.5);
 }
 
-/** Measures what the path adds to a call, in one run with a direct call. */
-export async function measureAddedTime(): Promise<readonly string[]> {
+/** Measures the latency that entry and agent add to a direct call. */
+export async function measureAddedLatency(): Promise<readonly string[]> {
   const behaviour = {
     serviceMilliseconds: () => 0,
     slowdownFactor: () => 1,
@@ -56,7 +62,10 @@
     new RequestRecorder(),
     seededRandom(SEED),
   );
-  const direct = await sequential(await upstream.listen(), '/print');
+  const direct = await medianOfSequentialRequests(
+    await upstream.listen(),
+    '/print',
+  );
   await upstream.kill();
   const deployment = new Deployment({
     seed: SEED,
@@ -72,7 +81,7 @@
   await deployment.start();
   const [entry] = deployment.entries;
   if (entry === undefined) {
-    throw new Error('no entry');
+    throw new Error('the deployment has no entry');
   }
   await publish(entry, labelNote(1));
   await waitUntil(
@@ -80,17 +89,20 @@
       entry.core.members
         .ofRole('agent')
         .flatMap(({ member }) => member.upstreams).length > 0,
-    PATIENCE_MILLISECONDS,
+    WAIT_TIMEOUT_MILLISECONDS,
+  );
+  const processorBefore = process.cpuUsage();
+  const throughEntry = await medianOfSequentialRequests(
+    entry.callersAddress,
+    '/labels/print',
   );
-  const before = process.cpuUsage();
-  const through = await sequential(entry.callersAddress, '/labels/print');
-  const { user, system } = process.cpuUsage(before);
-  const processor = (user + system) / DIRECT_REQUESTS;
+  const { user, system } = process.cpuUsage(processorBefore);
+  const processorMicroseconds = (user + system) / DIRECT_REQUESTS;
   await deployment.kill();
   return [
     direct.toFixed(2),
-    through.toFixed(2),
-    (through - direct).toFixed(2),
-    processor.toFixed(0),
+    throughEntry.toFixed(2),
+    (throughEntry - direct).toFixed(2),
+    processorMicroseconds.toFixed(0),
   ];
 }
--- a/packages/proving/src/measure/request-path/measure-request-path.ts
+++ b/packages/proving/src/measure/request-path/measure-request-path.ts
@@ -11,8 +11,8 @@
 import { markdownTable } from '../markdown-table.js';
 import type { Measurement } from '../measurement.js';
 import { percentile } from '../percentile.js';
-import { measureAddedTime } from './added-time.js';
 import { labelNote } from './label-note.js';
+import { measureAddedLatency } from './measure-added-latency.js';
 import type { RequestCase } from './request-case.js';
 
 const SEED = 31;
@@ -22,8 +22,8 @@
 const SLOTS = 8;
 
 /**
- * Service time of one request alone; so long that one process carries callers,
- * nodes and upstreams at twice the capacity.
+ * Mean service time of one request; long enough that a single process can run
+ * callers, nodes and upstreams at twice the capacity.
  */
 const SERVICE_MILLISECONDS = 700;
 
@@ -33,9 +33,9 @@
 
 const TIMEOUT_MILLISECONDS = 6000;
 
-const SLOWNESS = 5;
+const SLOWDOWN_FACTOR = 5;
 
-const PATIENCE_MILLISECONDS = 30_000;
+const WAIT_TIMEOUT_MILLISECONDS = 30_000;
 
 const policies: readonly RoutingPolicyName[] = [
   'round-robin',
@@ -53,7 +53,7 @@
   { policy: 'expected-time', load: 2, fault: 'none' },
 ];
 
-async function startDeployment(one: RequestCase): Promise<Deployment> {
+async function startDeployment(requestCase: RequestCase): Promise<Deployment> {
   const random = seededRandom(SEED);
   let slowAttempt = '';
   const deployment = new Deployment({
@@ -66,14 +66,14 @@
     workers: MINIONS,
     workersPerRack: 3,
     workerSize: { processors: 16, memoryGigabytes: 62, accelerators: 0 },
-    routing: one.policy,
+    routing: requestCase.policy,
     taskBehaviour: seededBehaviour(SEED),
     upstreamBehaviour: attempt => {
       slowAttempt = slowAttempt === '' ? attempt : slowAttempt;
-      const isSlow = one.fault === 'slow' && attempt === slowAttempt;
+      const isSlow = requestCase.fault === 'slow' && attempt === slowAttempt;
       return {
         serviceMilliseconds: () => SERVICE_MILLISECONDS * (0.5 + random.next()),
-        slowdownFactor: () => (isSlow ? SLOWNESS : 1),
+        slowdownFactor: () => (isSlow ? SLOWDOWN_FACTOR : 1),
         failedResponseShare: 0,
         truncatedResponseShare: 0,
       };
@@ -82,7 +82,7 @@
   await deployment.start();
   const [first] = deployment.entries;
   if (first === undefined) {
-    throw new Error('no entry');
+    throw new Error('the deployment has no entry');
   }
   await publish(first, labelNote(MINIONS));
   await waitUntil(
@@ -92,16 +92,16 @@
           core.members.ofRole('agent').flatMap(({ member }) => member.upstreams)
             .length >= MINIONS,
       ),
-    PATIENCE_MILLISECONDS,
+    WAIT_TIMEOUT_MILLISECONDS,
   );
   return deployment;
 }
 
-async function runCase(one: RequestCase): Promise<readonly string[]> {
-  const deployment = await startDeployment(one);
-  const requestsPerSecond = CAPACITY_PER_SECOND * one.load;
+async function runCase(requestCase: RequestCase): Promise<readonly string[]> {
+  const deployment = await startDeployment(requestCase);
+  const requestsPerSecond = CAPACITY_PER_SECOND * requestCase.load;
   const requests = Math.round(requestsPerSecond * SECONDS_PER_CASE);
-  let killed: Promise<void> = Promise.resolve();
+  let vmKilled: Promise<void> = Promise.resolve();
   const results = await runLoad({
     requests,
     requestsPerSecond,
@@ -111,25 +111,28 @@
     addressOf: number => deployment.entries[number % 2]?.callersAddress ?? '',
     random: seededRandom(SEED),
     beforeRequest: number => {
-      if (one.fault === 'killed' && number === Math.round(requests / 2)) {
-        killed = deployment.killVm(3);
+      if (
+        requestCase.fault === 'killed' &&
+        number === Math.round(requests / 2)
+      ) {
+        vmKilled = deployment.killVm(3);
       }
     },
   });
-  await killed;
-  const row = rowOf(one, results, retriesOf(deployment));
+  await vmKilled;
+  const row = rowOf(requestCase, results, countRetries(deployment));
   await deployment.kill();
   return row;
 }
 
-function retriesOf(deployment: Deployment): number {
+function countRetries(deployment: Deployment): number {
   return deployment.entries
     .flatMap(({ core }) => core.events.since(0).events)
     .filter(({ kind }) => kind === 'request-retried').length;
 }
 
 function rowOf(
-  one: RequestCase,
+  requestCase: RequestCase,
   results: readonly KeyedResult[],
   retries: number,
 ): readonly string[] {
@@ -139,9 +142,9 @@
     .map(({ milliseconds }) => milliseconds);
   const goodput = counts.completed / SECONDS_PER_CASE;
   return [
-    one.policy,
-    String(one.load),
-    one.fault,
+    requestCase.policy,
+    String(requestCase.load),
+    requestCase.fault,
     ...[0.5, 0.99, 0.999].map(quantile =>
       percentile(times, quantile).toFixed(0),
     ),
@@ -154,12 +157,12 @@
   ];
 }
 
-/** Measures the request path against its baselines. */
+/** Compares the request path under load and faults with its baselines. */
 export const measureRequestPath: Measurement = async print => {
   print(
     `capacity ${CAPACITY_PER_SECOND} requests/s: ${MINIONS} minions of ${SLOTS} slots, ${SERVICE_MILLISECONDS} ms; ${SECONDS_PER_CASE} s a case; seed ${SEED}`,
   );
-  const added = await measureAddedTime();
+  const added = await measureAddedLatency();
   print(
     markdownTable([
       [
@@ -172,7 +175,7 @@
     ]),
   );
   print('');
-  const head = [
+  const header = [
     'policy',
     'load',
     'fault',
@@ -186,8 +189,8 @@
     'broken',
     'retries a request',
   ];
-  print(markdownTable([head]));
-  for (const one of cases) {
-    print(`| ${(await runCase(one)).join(' | ')} |`);
+  print(markdownTable([header]));
+  for (const requestCase of cases) {
+    print(`| ${(await runCase(requestCase)).join(' | ')} |`);
   }
 };
--- a/packages/proving/src/measure/shared-state/fleet-measure.ts
+++ b/packages/proving/src/measure/shared-state/measure-fleet.ts
@@ -14,23 +14,23 @@
 
 const LOG_DELAY_MILLISECONDS = 30;
 
-const IDLE_MILLISECONDS = 15_000;
+const IDLE_PERIOD_MILLISECONDS = 15_000;
 
-const PATIENCE_MILLISECONDS = 60_000;
+const WAIT_TIMEOUT_MILLISECONDS = 60_000;
 
-/** What many nodes on one machine cost and how fast they agree. */
-export interface FleetFigures {
+/** Cost of many nodes on one machine and the time until they agree. */
+export interface FleetMetrics {
   readonly agents: number;
   readonly entries: number;
-  readonly inForceMedian: number;
-  readonly inForceLongest: number;
-  readonly idleBytesPerAgent: number;
-  readonly idleProcessorPerNode: number;
+  readonly inForceMedianMilliseconds: number;
+  readonly inForceMaximumMilliseconds: number;
+  readonly idleBytesPerSecondPerAgent: number;
+  readonly idleProcessorSharePerNode: number;
   readonly appendsPerSecondIdle: number;
   readonly takeoverMilliseconds: number;
 }
 
-function noteNumber(number: number): string {
+function teamNote(number: number): string {
   return `
 [note]
 name = note-${number}
@@ -66,26 +66,26 @@
   for (const core of cores) {
     const { name } = core.settings;
     core.state.onOutcome(() => {
-      const isThere = core.state.fold.configuration.revision > number;
-      if (isThere && !times.has(name)) {
+      const isInForce = core.state.fold.configuration.revision > number;
+      if (isInForce && !times.has(name)) {
         times.set(name, performance.now() - startedAt);
       }
     });
   }
-  void publish(entry, noteNumber(number));
-  await waitUntil(() => times.size === cores.length, PATIENCE_MILLISECONDS);
+  void publish(entry, teamNote(number));
+  await waitUntil(() => times.size === cores.length, WAIT_TIMEOUT_MILLISECONDS);
   return [...times.values()];
 }
 
 async function measureTakeover(deployment: Deployment): Promise<number> {
-  const cellsHeld = deployment.entries.map(entry => ({
+  const entryHoldings = deployment.entries.map(entry => ({
     entry,
-    holds: [
+    holdsCell: [
       ...(deployment.entries[0]?.core.state.fold.scheduling.cells.values() ??
         []),
     ].some(cell => cell.holder === entry.core.instance),
   }));
-  const holder = cellsHeld.find(({ holds }) => holds)?.entry;
+  const holder = entryHoldings.find(({ holdsCell: holds }) => holds)?.entry;
   if (holder === undefined) {
     return 0;
   }
@@ -98,13 +98,13 @@
         ...(deployment.entries[0]?.core.state.fold.scheduling.cells.values() ??
           []),
       ].some(cell => cell.holder === instance),
-    PATIENCE_MILLISECONDS,
+    WAIT_TIMEOUT_MILLISECONDS,
   );
   return performance.now() - startedAt;
 }
 
-/** Starts many nodes in this process and measures them. */
-export async function measureFleet(agents: number): Promise<FleetFigures> {
+/** Starts many nodes in this process and measures their cost and agreement. */
+export async function measureFleet(agents: number): Promise<FleetMetrics> {
   const deployment = new Deployment({
     seed: SEED,
     zones: [
@@ -132,7 +132,7 @@
       deployment.entries.every(
         ({ core }) => core.members.ofRole('agent').length === agents,
       ),
-    PATIENCE_MILLISECONDS,
+    WAIT_TIMEOUT_MILLISECONDS,
   );
   const times: number[] = [];
   for (let number = 0; number < PUBLICATIONS; number += 1) {
@@ -141,9 +141,9 @@
   const bytesBefore = controlBytes(deployment);
   const appendsBefore = deployment.log.end;
   const processorBefore = process.cpuUsage();
-  const idleAt = performance.now();
-  await new Promise(resolve => setTimeout(resolve, IDLE_MILLISECONDS));
-  const seconds = (performance.now() - idleAt) / 1000;
+  const idleStartedAt = performance.now();
+  await new Promise(resolve => setTimeout(resolve, IDLE_PERIOD_MILLISECONDS));
+  const seconds = (performance.now() - idleStartedAt) / 1000;
   const processor = process.cpuUsage(processorBefore);
   const bytes = controlBytes(deployment) - bytesBefore;
   const appends = deployment.log.end - appendsBefore;
@@ -153,10 +153,10 @@
   return {
     agents,
     entries: ENTRIES,
-    inForceMedian: percentile(times, 0.5),
-    inForceLongest: Math.max(...times),
-    idleBytesPerAgent: bytes / seconds / agents,
-    idleProcessorPerNode: processorSeconds / seconds / (agents + ENTRIES),
+    inForceMedianMilliseconds: percentile(times, 0.5),
+    inForceMaximumMilliseconds: Math.max(...times),
+    idleBytesPerSecondPerAgent: bytes / seconds / agents,
+    idleProcessorSharePerNode: processorSeconds / seconds / (agents + ENTRIES),
     appendsPerSecondIdle: appends / seconds,
     takeoverMilliseconds,
   };
--- a/packages/proving/src/measure/shared-state/fold-measure.ts
+++ b/packages/proving/src/measure/shared-state/measure-fold.ts
@@ -8,7 +8,7 @@
 import { fleetSize, placementsOf, syntheticLog } from './synthetic-log.js';
 
 /** Cost of the shared state at one size. */
-export interface FoldFigures {
+export interface FoldMetrics {
   readonly share: number;
   readonly workers: number;
   readonly tasks: number;
@@ -26,8 +26,13 @@
   return process.memoryUsage().heapUsed / 1024 / 1024;
 }
 
-/** Folds a fleet at a share of the target size and measures what it costs. */
-export function measureFold(share: number): FoldFigures {
+/**
+ * Folds the log of a fleet at a share of the target size and measures time,
+ * heap and snapshot.
+ *
+ * @throws {Error} When not all tasks of the fleet were placed.
+ */
+export function measureFold(share: number): FoldMetrics {
   const size = fleetSize(share);
   const log = syntheticLog(size);
   const before = heapMegabytes();
@@ -48,7 +53,7 @@
     scheduling.ownerCell,
     cell => workersByCell.get(cell) ?? [],
   );
-  const placingAt = performance.now();
+  const placementStartedAt = performance.now();
   for (const [index, body] of bodies.entries()) {
     fold.apply({
       offset: log.length + index,
@@ -65,15 +70,15 @@
   const endedAt = performance.now();
   const after = heapMegabytes();
   const records = log.length + bodies.length;
-  const writingAt = performance.now();
+  const writeStartedAt = performance.now();
   const text = writeSnapshot(fold);
-  const writtenAt = performance.now();
+  const writeEndedAt = performance.now();
   readSnapshot(text);
-  const readAt = performance.now();
+  const readEndedAt = performance.now();
   const tasks = scheduling.attempts.size;
   if (tasks !== size.minions + size.jobs) {
     throw new Error(
-      `${tasks} tasks were placed of ${size.minions + size.jobs}`,
+      `only ${tasks} of ${size.minions + size.jobs} tasks were placed`,
     );
   }
   return {
@@ -82,10 +87,10 @@
     tasks,
     records,
     recordsPerSecond: (records / (endedAt - startedAt)) * 1000,
-    decisionsPerSecond: (tasks / (endedAt - placingAt)) * 1000,
+    decisionsPerSecond: (tasks / (endedAt - placementStartedAt)) * 1000,
     heapMegabytes: after - before,
     snapshotBytes: text.length,
-    writeMilliseconds: writtenAt - writingAt,
-    readMilliseconds: readAt - writtenAt,
+    writeMilliseconds: writeEndedAt - writeStartedAt,
+    readMilliseconds: readEndedAt - writeEndedAt,
   };
 }
--- a/packages/proving/src/measure/shared-state/measure-shared-state.ts
+++ b/packages/proving/src/measure/shared-state/measure-shared-state.ts
@@ -1,16 +1,16 @@
 import { markdownTable } from '../markdown-table.js';
 import type { Measurement } from '../measurement.js';
-import { measureFleet } from './fleet-measure.js';
-import { measureFold } from './fold-measure.js';
+import { measureFleet } from './measure-fleet.js';
+import { measureFold } from './measure-fold.js';
 
-const SHARES = [0.01, 0.1, 1];
+const TARGET_SHARES = [0.01, 0.1, 1];
 
 const AGENTS = 100;
 
-/** Measures the fold, snapshots, spread and takeover. */
+/** Measures folds, snapshots, spread of release notes and lease takeover. */
 export const measureSharedState: Measurement = async print => {
   measureFold(0.1);
-  const figures = SHARES.map(measureFold);
+  const metrics = TARGET_SHARES.map(measureFold);
   print(
     markdownTable([
       [
@@ -26,18 +26,18 @@
         'write ms',
         'read ms',
       ],
-      ...figures.map(one => [
-        String(one.share),
-        String(one.workers),
-        String(one.tasks),
-        String(one.records),
-        one.recordsPerSecond.toFixed(0),
-        one.decisionsPerSecond.toFixed(0),
-        one.heapMegabytes.toFixed(1),
-        (one.snapshotBytes / one.tasks).toFixed(0),
-        (one.snapshotBytes / 1024).toFixed(0),
-        one.writeMilliseconds.toFixed(1),
-        one.readMilliseconds.toFixed(1),
+      ...metrics.map(metric => [
+        String(metric.share),
+        String(metric.workers),
+        String(metric.tasks),
+        String(metric.records),
+        metric.recordsPerSecond.toFixed(0),
+        metric.decisionsPerSecond.toFixed(0),
+        metric.heapMegabytes.toFixed(1),
+        (metric.snapshotBytes / metric.tasks).toFixed(0),
+        (metric.snapshotBytes / 1024).toFixed(0),
+        metric.writeMilliseconds.toFixed(1),
+        metric.readMilliseconds.toFixed(1),
       ]),
     ]),
   );
@@ -53,22 +53,22 @@
       ],
       [
         'publish to in force everywhere, median ms',
-        fleet.inForceMedian.toFixed(0),
+        fleet.inForceMedianMilliseconds.toFixed(0),
         '',
       ],
       [
         'publish to in force everywhere, longest ms',
-        fleet.inForceLongest.toFixed(0),
+        fleet.inForceMaximumMilliseconds.toFixed(0),
         '11000',
       ],
       [
         'bytes/s an agent, idle, both ways',
-        fleet.idleBytesPerAgent.toFixed(0),
+        fleet.idleBytesPerSecondPerAgent.toFixed(0),
         '25600',
       ],
       [
         'processor share a node, idle',
-        fleet.idleProcessorPerNode.toFixed(4),
+        fleet.idleProcessorSharePerNode.toFixed(4),
         '0.027',
       ],
       ['appends/s, idle', fleet.appendsPerSecondIdle.toFixed(1), ''],
--- a/packages/proving/src/measure/shared-state/synthetic-log.ts
+++ b/packages/proving/src/measure/shared-state/synthetic-log.ts
@@ -14,7 +14,7 @@
 
 const REGION = 'region';
 
-/** Numbers of a fleet at a share of the target size. */
+/** Number of workers, cells and tasks of a fleet. */
 export interface FleetSize {
   readonly workers: number;
   readonly cells: number;
@@ -22,7 +22,7 @@
   readonly jobs: number;
 }
 
-/** Fleet at a share of the target size, from 0 to 1. */
+/** Returns the size of a fleet at a share of the target size, from 0 to 1. */
 export function fleetSize(share: number): FleetSize {
   const workers = Math.max(2, Math.round(TARGET.workers * share));
   return {
@@ -33,7 +33,7 @@
   };
 }
 
-function note(name: string, basedOn: number, sections: string): object {
+function noteBody(name: string, basedOn: number, sections: string): object {
   const text = `[note]\nname = ${name}\noperator = measure\nbased-on = ${basedOn}\n${sections}`;
   return { operator: 'measure', text };
 }
@@ -50,10 +50,10 @@
   ).join('');
 }
 
-/** Builds the records of a fleet: notes, leases, workers and placements. */
+/** Builds the records of a fleet: release notes, cell leases and workers. */
 export function syntheticLog(size: FleetSize): readonly StoredRecord[] {
   const records: StoredRecord[] = [];
-  const add = (kind: string, body: object): void => {
+  const append = (kind: string, body: object): void => {
     const offset = records.length;
     const envelope: RecordEnvelope = {
       id: `record-${offset}`,
@@ -65,19 +65,22 @@
     };
     records.push({ offset, envelope });
   };
-  const decide = (cell: string, decisions: readonly object[]): void => {
+  const appendDecisions = (
+    cell: string,
+    decisions: readonly object[],
+  ): void => {
     for (let from = 0; from < decisions.length; from += DECISIONS_PER_RECORD) {
       const part = decisions.slice(from, from + DECISIONS_PER_RECORD);
-      add('decisions', { cell, epoch: 1, decisions: part });
+      append('decisions', { cell, epoch: 1, decisions: part });
     }
   };
   const cells = Array.from(
     { length: size.cells },
     (_, index) => `${REGION}/${index}`,
   );
-  add(
+  append(
     'release-note',
-    note(
+    noteBody(
       'first',
       0,
       `[limits]
@@ -96,7 +99,7 @@
   );
   for (let from = 0; from < size.jobs; from += JOBS_PER_NOTE) {
     const to = Math.min(size.jobs, from + JOBS_PER_NOTE);
-    add('release-note', note(`jobs-${from}`, 1, jobSections(from, to)));
+    append('release-note', noteBody(`jobs-${from}`, 1, jobSections(from, to)));
   }
   const workers = Array.from({ length: size.workers }, (_, index) => {
     const worker = `worker-${index}`;
@@ -104,7 +107,7 @@
   });
   for (const cell of cells) {
     const claim = { previousEpoch: 0, previousRenewals: 0 };
-    add('lease-claim', { cell, holder: 'holder', ...claim });
+    append('lease-claim', { cell, holder: 'holder', ...claim });
     const joins = workers
       .filter(worker => worker.cell === cell)
       .map(({ worker }, index) => ({
@@ -118,12 +121,12 @@
           resources: { processors: 64, memoryGigabytes: 250, accelerators: 2 },
         },
       }));
-    decide(cell, joins);
+    appendDecisions(cell, joins);
   }
   return records;
 }
 
-/** Adds the placements that the owners of the tasks would decide. */
+/** Builds the bodies of the records that place all tasks of a fleet. */
 export function placementsOf(
   size: FleetSize,
   ownerOf: (task: string) => string | undefined,
@@ -139,11 +142,11 @@
       (_, index) => `job/job-${index}@${2 + Math.floor(index / JOBS_PER_NOTE)}`,
     ),
   ];
-  const byCell = new Map<string, object[]>();
+  const decisionsByCell = new Map<string, object[]>();
   for (const [index, task] of tasks.entries()) {
     const cell = ownerOf(task) ?? '';
     const workers = workersOf(cell);
-    const decisions = byCell.get(cell) ?? [];
+    const decisions = decisionsByCell.get(cell) ?? [];
     decisions.push({
       type: 'place',
       task,
@@ -152,9 +155,9 @@
       resources: { processors: 1, memoryGigabytes: 2, accelerators: 0 },
       reason: 'score -0.743, 38 of 40 workers had room',
     });
-    byCell.set(cell, decisions);
+    decisionsByCell.set(cell, decisions);
   }
-  return [...byCell].flatMap(([cell, decisions]) => {
+  return [...decisionsByCell].flatMap(([cell, decisions]) => {
     const bodies: object[] = [];
     for (let from = 0; from < decisions.length; from += DECISIONS_PER_RECORD) {
       const part = decisions.slice(from, from + DECISIONS_PER_RECORD);
--- a/packages/proving/src/measure/shared-state/target.ts
+++ b/packages/proving/src/measure/shared-state/target.ts
@@ -1,4 +1,4 @@
-/** The sizes that the users ask to design for (letter 1). */
+/** Design target: fleet sizes, rates, time limits and limits per node. */
 export const TARGET = {
   workers: 1100,
   accelerators: 2300,
--- a/packages/proving/src/stepped/stepped-clock.ts
+++ b/packages/proving/src/simulation/simulated-clock.ts
@@ -3,20 +3,20 @@
 import * as Duration from 'effect/Duration';
 import * as Effect from 'effect/Effect';
 
-interface Sleeper {
+interface Timer {
   readonly due: number;
   readonly order: number;
   readonly resume: () => void;
 }
 
 /**
- * A test clock for tasks: time stands still until it is moved, and sleeping
- * tasks wake in the order of their times.
+ * A simulated clock: time advances only on request, and timers fire in the
+ * order of their due times, then of their creation.
  */
-export class SteppedClock implements Clock {
+export class SimulatedClock implements Clock {
   private current: number;
 
-  private sleepers: Sleeper[] = [];
+  private timers: Timer[] = [];
 
   private nextOrder = 0;
 
@@ -26,29 +26,29 @@
 
   public readonly now = (): number => this.current;
 
-  /** Adds a sleeper; returns the means to take it out. */
-  public sleepUntil(due: number, resume: () => void): () => void {
-    const sleeper = { due, order: this.nextOrder, resume };
+  /** Adds a timer; returns a function that removes it. */
+  public addTimer(due: number, resume: () => void): () => void {
+    const timer = { due, order: this.nextOrder, resume };
     this.nextOrder += 1;
-    this.sleepers.push(sleeper);
+    this.timers.push(timer);
     return () => {
-      this.sleepers = this.sleepers.filter(other => other !== sleeper);
+      this.timers = this.timers.filter(other => other !== timer);
     };
   }
 
-  /** Moves time forward and lets all tasks that are due go on. */
+  /** Advances time and fires all timers that fall due. */
   public async advance(milliseconds: number): Promise<void> {
     const end = this.current + milliseconds;
     await this.settle();
     for (;;) {
-      const next = this.nextSleeper();
+      const next = this.nextTimer();
       if (next === undefined || next.due > end) {
         break;
       }
       this.current = Math.max(this.current, next.due);
-      this.sleepers = this.sleepers.filter(other => other !== next);
+      this.timers = this.timers.filter(other => other !== next);
       next.resume();
-      const following = this.nextSleeper();
+      const following = this.nextTimer();
       if (following === undefined || following.due > this.current) {
         await this.settle();
       }
@@ -57,29 +57,29 @@
     await this.settle();
   }
 
-  private nextSleeper(): Sleeper | undefined {
-    let first: Sleeper | undefined;
-    for (const sleeper of this.sleepers) {
+  private nextTimer(): Timer | undefined {
+    let first: Timer | undefined;
+    for (const timer of this.timers) {
       const isEarlier =
         first === undefined ||
-        sleeper.due < first.due ||
-        (sleeper.due === first.due && sleeper.order < first.order);
+        timer.due < first.due ||
+        (timer.due === first.due && timer.order < first.order);
       if (isEarlier) {
-        first = sleeper;
+        first = timer;
       }
     }
     return first;
   }
 
-  /** Lets everything that needs no time run to its end. */
+  /** Waits until all pending promise callbacks have run. */
   private async settle(): Promise<void> {
     await new Promise(resolve => setImmediate(resolve));
   }
 }
 
-/** The clock by which the tasks of one process sleep. */
+/** Effect clock of one process, whose timers do not fire while it is paused. */
 export function effectClockOf(
-  clock: SteppedClock,
+  clock: SimulatedClock,
   isPaused: () => boolean,
   whenResumed: (resume: () => void) => void,
 ): EffectClock.Clock {
@@ -100,7 +100,7 @@
             resume(Effect.void);
           }
         };
-        const cancel = clock.sleepUntil(due, wake);
+        const cancel = clock.addTimer(due, wake);
         return Effect.sync(cancel);
       }),
   };
--- a/packages/proving/src/stepped/stepped-process.ts
+++ b/packages/proving/src/simulation/simulated-process.ts
@@ -18,20 +18,20 @@
 import * as Effect from 'effect/Effect';
 import * as Fiber from 'effect/Fiber';
 
-import type { SteppedClock } from './stepped-clock.js';
-import { effectClockOf } from './stepped-clock.js';
+import type { SimulatedClock } from './simulated-clock.js';
+import { effectClockOf } from './simulated-clock.js';
 
-const POLL_MILLISECONDS = 200;
+const LOG_POLL_INTERVAL_MILLISECONDS = 200;
 
-const RING_EVENTS = 20_000;
+const EVENT_RING_CAPACITY = 20_000;
 
-/** What a process is made of and what it sees of the outside. */
-interface ProcessParts {
+/** Identity of a simulated process and its interfaces to the outside. */
+interface ProcessDependencies {
   readonly name: string;
   readonly rank: number;
   readonly seed: number;
-  readonly clock: SteppedClock;
-  /** Difference of this process's clock from the others. */
+  readonly clock: SimulatedClock;
+  /** Offset of this process's clock from the simulated clock. */
   readonly clockErrorMilliseconds: number;
   readonly cell: string;
   readonly log: PlatformLog;
@@ -41,8 +41,11 @@
   readonly throttlesStarts: boolean;
 }
 
-/** The real holder of a cell with fakes at its interfaces, on a test clock. */
-export class SteppedProcess {
+/**
+ * Runs the daemon's scheduling of a cell on the simulated clock and injects
+ * faults into its calls of the log and the workers.
+ */
+export class SimulatedProcess {
   public readonly state = new SharedState();
 
   public readonly events: EventRing;
@@ -59,76 +62,76 @@
 
   private paused = false;
 
-  private cutOff = false;
+  private isCutOffFromLog = false;
 
-  private cutWorkers: ReadonlySet<string> = new Set();
+  private unreachableWorkers: ReadonlySet<string> = new Set();
 
   private readonly resumeListeners: (() => void)[] = [];
 
-  private readonly followed: Effect.Effect<never>;
+  private readonly storeFollower: Effect.Effect<never>;
 
-  public constructor(private readonly parts: ProcessParts) {
-    const { clock, clockErrorMilliseconds, name, cell, seed } = parts;
+  public constructor(private readonly dependencies: ProcessDependencies) {
+    const { clock, clockErrorMilliseconds, name, cell, seed } = dependencies;
     this.ownClock = { now: () => clock.now() + clockErrorMilliseconds };
-    this.events = new EventRing(name, this.ownClock, RING_EVENTS);
+    this.events = new EventRing(name, this.ownClock, EVENT_RING_CAPACITY);
     this.state.onOutcome(outcome => {
       if (outcome.record.envelope.writer === name) {
         outcome.decisions.forEach(decision => {
-          this.noteDecision(decision);
+          this.recordDecision(decision);
         });
       }
     });
     const random = seededRandom(seed);
     const health = new StoreHealth(this.events);
     const identifiers = new SequentialIdentifiers();
-    const named = {
+    const processIdentifiers = {
       next: (prefix: string) => identifiers.next(`${name}-${prefix}`),
     };
-    const common = {
+    const shared = {
       state: this.state,
       clock: this.ownClock,
       events: this.events,
     };
-    const log = this.guardedLog();
+    const log = this.logWithFaults();
     this.appender = new RecordAppender({
-      ...common,
+      ...shared,
       log,
       health,
       random,
       writer: name,
     });
     this.lease = new LeaseKeeper({
-      ...common,
+      ...shared,
       cell,
       instance: name,
       appender: this.appender,
-      identifiers: named,
-      rank: () => parts.rank,
+      identifiers: processIdentifiers,
+      rank: () => dependencies.rank,
     });
     this.holder = new CellHolder({
-      ...common,
+      ...shared,
       cell,
       lease: this.lease,
       appender: this.appender,
-      identifiers: named,
-      announced: parts.announced,
-      workerAt: address => this.guardedWorker(address),
+      identifiers: processIdentifiers,
+      announced: dependencies.announced,
+      workerAt: address => this.workerWithFaults(address),
       storeReachable: () => health.reachable,
-      placement: parts.placement,
-      throttlesStarts: parts.throttlesStarts,
+      placement: dependencies.placement,
+      throttlesStarts: dependencies.throttlesStarts,
     });
-    this.followed = followStore({
-      ...common,
+    this.storeFollower = followStore({
+      ...shared,
       log,
       health,
       random,
-      pollMilliseconds: POLL_MILLISECONDS,
+      pollMilliseconds: LOG_POLL_INTERVAL_MILLISECONDS,
       enabled: () => true,
     });
   }
 
   public get name(): string {
-    return this.parts.name;
+    return this.dependencies.name;
   }
 
   public get isAlive(): boolean {
@@ -137,12 +140,12 @@
 
   public start(): void {
     const clock = effectClockOf(
-      this.parts.clock,
+      this.dependencies.clock,
       () => this.paused,
       resume => this.resumeListeners.push(resume),
     );
     const work = Effect.raceAll([
-      this.followed,
+      this.storeFollower,
       this.lease.run(),
       this.holder.run(),
     ]);
@@ -158,7 +161,7 @@
     }
   }
 
-  /** Freezes the process: nothing goes on, answers wait. */
+  /** Pauses the process: timers do not fire and answers are held back. */
   public pause(): void {
     this.paused = true;
   }
@@ -170,66 +173,66 @@
     }
   }
 
-  /** Cuts the process off from the log, or lets it back. */
-  public setCutOff(cutOff: boolean): void {
-    this.cutOff = cutOff;
+  /** Cuts the process off from the log, or reconnects it. */
+  public setCutOffFromLog(isCutOff: boolean): void {
+    this.isCutOffFromLog = isCutOff;
   }
 
-  /** Cuts the process off from some workers. */
-  public setCutWorkers(addresses: ReadonlySet<string>): void {
-    this.cutWorkers = addresses;
+  /** Sets the workers that the process cannot reach. */
+  public setUnreachableWorkers(addresses: ReadonlySet<string>): void {
+    this.unreachableWorkers = addresses;
   }
 
-  private noteDecision(decision: Decision): void {
+  private recordDecision(decision: Decision): void {
     const described = describeDecision(decision);
     if (described !== undefined) {
       this.events.record(described.kind, described.text, described.subject);
     }
   }
 
-  private async whileRunning<Answer>(
+  private async callUnlessPaused<Answer>(
     call: () => Promise<Answer>,
   ): Promise<Answer> {
-    await this.whenRunning();
+    await this.waitUntilResumed();
     try {
       return await call();
     } finally {
-      await this.whenRunning();
+      await this.waitUntilResumed();
     }
   }
 
-  private async whenRunning(): Promise<void> {
+  private async waitUntilResumed(): Promise<void> {
     while (this.paused) {
       await new Promise<void>(resolve => this.resumeListeners.push(resolve));
     }
   }
 
-  private guardedLog(): PlatformLog {
-    const { log } = this.parts;
-    const refuseWhenCut = (step: string): void => {
-      if (this.cutOff) {
+  private logWithFaults(): PlatformLog {
+    const { log } = this.dependencies;
+    const throwIfCutOff = (step: string): void => {
+      if (this.isCutOffFromLog) {
         throw new PeerUnreachableError(step, 'log', 'cut off');
       }
     };
     return {
       append: envelope =>
-        this.whileRunning(() => {
-          refuseWhenCut('log.append');
+        this.callUnlessPaused(() => {
+          throwIfCutOff('log.append');
           return log.append(envelope);
         }),
       read: (from, maximum) =>
-        this.whileRunning(() => {
-          refuseWhenCut('log.read');
+        this.callUnlessPaused(() => {
+          throwIfCutOff('log.read');
           return log.read(from, maximum);
         }),
     };
   }
 
-  private guardedWorker(address: string): PlatformWorker {
-    const worker = this.parts.workerAt(address);
+  private workerWithFaults(address: string): PlatformWorker {
+    const worker = this.dependencies.workerAt(address);
     const guard = <Answer>(call: () => Promise<Answer>): Promise<Answer> =>
-      this.whileRunning(() => {
-        if (this.cutWorkers.has(address)) {
+      this.callUnlessPaused(() => {
+        if (this.unreachableWorkers.has(address)) {
           throw new PeerUnreachableError('worker', address, 'cut off');
         }
         return call();
--- a/packages/proving/src/stepped/stepped-plan.ts
+++ b/packages/proving/src/simulation/simulation-plan.ts
@@ -3,8 +3,8 @@
 import type { ScorerName } from '@basilcourse/scheduler/placement/scorers';
 import type { Resources } from '@basilcourse/shared-state/records/resources';
 
-/** What a stepped run is made of. */
-export interface SteppedPlan {
+/** Size and behaviour of a simulation run. */
+export interface SimulationPlan {
   readonly seed: number;
   readonly processes: number;
   readonly workers: number;
@@ -13,7 +13,7 @@
   readonly workerSize: Resources;
   readonly behaviour: TaskBehaviour;
   readonly placement: ScorerName;
-  /** Starts tasks throttled that harm services beside them. */
+  /** Starts batch tasks throttled when they interfere with services. */
   readonly throttlesStarts: boolean;
   readonly logFaults: Partial<LogFaults>;
 }
--- a/packages/proving/src/stepped/stepped-run.ts
+++ b/packages/proving/src/simulation/simulation-run.ts
@@ -9,42 +9,45 @@
 import { RECORD_VERSION } from '@basilcourse/shared-state/records/record-kinds';
 import type { WorkerDescription } from '@basilcourse/shared-state/records/worker-description';
 
-import { SteppedClock } from './stepped-clock.js';
-import type { SteppedPlan } from './stepped-plan.js';
-import { SteppedProcess } from './stepped-process.js';
+import { SimulatedClock } from './simulated-clock.js';
+import { SimulatedProcess } from './simulated-process.js';
+import type { SimulationPlan } from './simulation-plan.js';
 
-/** Start of all stepped runs, in milliseconds since the epoch. */
+/** Start of all simulation runs, in milliseconds since the epoch. */
 const START_MILLISECONDS = 1_800_000_000_000;
 
 const REGION = 'region';
 
 const CELL = `${REGION}/0`;
 
-/** Largest difference of a process's clock, half the stated bound. */
+/**
+ * Offset of each process's clock, to either side: half of the guaranteed bound,
+ * so that two clocks differ by the whole bound.
+ */
 const CLOCK_ERROR_MILLISECONDS = 250;
 
-/** Processes, workers and a log on one test clock. */
-export class SteppedRun {
-  public readonly clock = new SteppedClock(START_MILLISECONDS);
+/** Processes, workers and a log on one simulated clock. */
+export class SimulationRun {
+  public readonly clock = new SimulatedClock(START_MILLISECONDS);
 
-  public readonly witness = new ExecutionRecorder();
+  public readonly recorder = new ExecutionRecorder();
 
   public readonly log: LogStandIn;
 
   public readonly workers: WorkerStandIn[] = [];
 
-  public readonly processes: SteppedProcess[] = [];
+  public readonly processes: SimulatedProcess[] = [];
 
   private readonly removedWorkers = new Set<string>();
 
-  /** A reader of its own, for the checks. */
+  /** State of the log for the checks, folded apart from the processes. */
   private readonly fold = new StateFold();
 
-  private notes = 0;
+  private publishedNotes = 0;
 
   private startedProcesses = 0;
 
-  public constructor(private readonly plan: SteppedPlan) {
+  public constructor(private readonly plan: SimulationPlan) {
     this.log = new LogStandIn(this.clock, seededRandom(plan.seed));
     this.log.setFaults(plan.logFaults);
     for (let index = 0; index < plan.workers; index += 1) {
@@ -60,11 +63,11 @@
   }
 
   /** Starts one more process and returns it. */
-  public addProcess(): SteppedProcess {
+  public addProcess(): SimulatedProcess {
     const index = this.startedProcesses;
     this.startedProcesses += 1;
     const direction = index % 2 === 0 ? 1 : -1;
-    const process = new SteppedProcess({
+    const process = new SimulatedProcess({
       name: `process-${index + 1}`,
       rank: index % this.plan.processes,
       seed: this.plan.seed + index,
@@ -84,9 +87,9 @@
 
   /** Appends a release note as an operator would. */
   public async publish(text: string): Promise<void> {
-    this.notes += 1;
+    this.publishedNotes += 1;
     await this.log.append({
-      id: `note-${this.notes}`,
+      id: `note-${this.publishedNotes}`,
       kind: 'release-note',
       version: RECORD_VERSION,
       writer: 'operator',
@@ -95,7 +98,7 @@
     });
   }
 
-  /** Moves time on; the workers' tasks move with it. */
+  /** Advances the clock and the workers' tasks in equal steps. */
   public async advance(milliseconds: number, step = 250): Promise<void> {
     for (let passed = 0; passed < milliseconds; passed += step) {
       await this.clock.advance(step);
@@ -105,7 +108,7 @@
     }
   }
 
-  /** State of the log up to its end, read apart from all processes. */
+  /** Folds the log up to its end, apart from the processes. */
   public async readFold(): Promise<StateFold> {
     for (;;) {
       const page = await this.log.read(this.fold.next, 1000);
@@ -118,7 +121,7 @@
     }
   }
 
-  /** A worker's VM dies: its tasks are gone and nothing answers. */
+  /** Simulates the loss of a VM: its tasks end and it does not answer. */
   public killWorker(index: number): void {
     const worker = this.workers[index];
     worker?.setFaults({ unreachable: true });
@@ -126,23 +129,23 @@
     this.removedWorkers.add(worker?.name ?? '');
   }
 
-  /** A VM takes the place of a dead one under the same name. */
+  /** Makes a worker reachable again, on a new VM or after a partition. */
   public replaceWorker(index: number): void {
     const worker = this.workers[index];
     worker?.setFaults({ unreachable: false });
     this.removedWorkers.delete(worker?.name ?? '');
   }
 
-  /** When an attempt first ran, by the witness; undefined when it did not. */
+  /** Time at which an attempt first ran; undefined when it did not. */
   public startedAt(attempt: string): number | undefined {
-    return this.witness.startedAt(attempt);
+    return this.recorder.startedAt(attempt);
   }
 
   public async end(): Promise<void> {
     await Promise.all(this.processes.map(process => process.kill()));
   }
 
-  /** The time line of all processes, in causal order. */
+  /** Returns the time line of all processes, in causal order. */
   public timeline(): readonly string[] {
     const pages = this.processes.map(({ events }) => events.since(0));
     return mergePages(pages).map(event => {
@@ -153,11 +156,11 @@
 
   private announced(): readonly WorkerDescription[] {
     return this.workers
-      .map((_, index) => this.describe(index))
+      .map((_, index) => this.descriptionOf(index))
       .filter(({ worker }) => !this.removedWorkers.has(worker));
   }
 
-  private describe(index: number): WorkerDescription {
+  private descriptionOf(index: number): WorkerDescription {
     const { zones, workersPerRack, workerSize } = this.plan;
     const zone = zones[index % zones.length] ?? 'zone';
     const row = Math.floor(index / zones.length);
@@ -173,10 +176,10 @@
 
   private createWorker(index: number): WorkerStandIn {
     return new WorkerStandIn({
-      description: this.describe(index),
+      description: this.descriptionOf(index),
       clock: this.clock,
       random: seededRandom(this.plan.seed * 31 + index),
-      recorder: this.witness,
+      recorder: this.recorder,
       behaviour: this.plan.behaviour,
     });
   }
--- a/packages/proving/tests/docs/pages.test.ts
+++ b/packages/proving/tests/docs/pages.test.ts
@@ -13,7 +13,7 @@
   return readFile(new URL(file, root), 'utf8');
 }
 
-t.test('the reference pages come from the formats', async t => {
+t.test('the reference pages match the formats', async t => {
   const notes = referencePage('Release notes', releaseNoteFormat);
   t.equal(await read('docs/RELEASE-NOTES.md'), notes);
   const settings = referencePage('Settings of a daemon', settingsFormat);
@@ -21,13 +21,13 @@
 });
 
 for (const file of ['entry.ini', 'agent.ini']) {
-  t.test(`example settings ${file} are right`, async t => {
+  t.test(`example settings ${file} are valid`, async t => {
     t.same(parseSettings(await read(`examples/${file}`)).problems, []);
   });
 }
 
 for (const file of ['jadranski-trag.ini', 'tidewrack.ini']) {
-  t.test(`example note ${file} gets in`, async t => {
+  t.test(`example release note ${file} is accepted`, async t => {
     const text = await read(`examples/${file}`);
     const fold = new StateFold();
     fold.apply({
--- a/packages/proving/tests/invariants/golden-runs.test.ts
+++ b/packages/proving/tests/invariants/golden-runs.test.ts
@@ -12,7 +12,7 @@
 
 const runs: readonly GoldenRun[] = [
   {
-    name: 'a worker dies during an outage of the log',
+    name: 'a worker crashes during an outage of the log',
     workers: 2,
     jobs: 1,
     faults: [
@@ -21,7 +21,7 @@
     ],
   },
   {
-    name: 'a holder sleeps past its lease and wakes',
+    name: 'a holder is paused past the end of its lease and resumes',
     workers: 3,
     jobs: 5,
     faults: [
@@ -61,7 +61,7 @@
     ],
   },
   {
-    name: 'a worker fails everything it starts',
+    name: 'a worker fails every task that it starts',
     workers: 4,
     jobs: 12,
     faults: [{ at: 0, kind: 'break-worker', target: 1 }],
@@ -99,6 +99,6 @@
     const seed = 100 + index;
     const run = await runScenario({ seed, workers, jobs, faults });
     t.matchSnapshot(run.timeline().join('\n'));
-    t.same(run.witness.violations, []);
+    t.same(run.recorder.violations, []);
   });
 }
--- a/packages/proving/tests/invariants/seeded-runs.test.ts
+++ b/packages/proving/tests/invariants/seeded-runs.test.ts
@@ -4,12 +4,12 @@
 import { runScenario } from '../../src/invariants/run-scenario.js';
 import { scenarioArbitrary } from '../../src/invariants/scenario-arbitrary.js';
 
-/** Seed and number of runs in CI; many more run by hand. */
+/** Fixed, so that CI is repeatable; `npm run check-invariants` takes others. */
 const CI_SEED = 2;
 
 const CI_RUNS = 40;
 
-t.test('the promises hold in a fixed set of runs with faults', async t => {
+t.test('the invariants hold in a fixed set of runs with faults', async t => {
   const property = fc.asyncProperty(scenarioArbitrary, async scenario => {
     await runScenario(scenario);
   });
--- a/packages/proving/tests/live/idempotency.test.ts
+++ b/packages/proving/tests/live/idempotency.test.ts
@@ -4,7 +4,7 @@
 
 import type { LoadResult } from '../../src/load/load-result.js';
 import { sendRequest } from '../../src/load/send-request.js';
-import { checkPromises } from '../support/check-promises.js';
+import { checkGuarantees } from '../support/check-guarantees.js';
 import { servingDeployment } from '../support/serving-deployment.js';
 
 const agent = new Agent({ keepAlive: true });
@@ -13,7 +13,7 @@
   agent.destroy();
 });
 
-function file(address: string, key: string): Promise<LoadResult> {
+function sendCertificate(address: string, key: string): Promise<LoadResult> {
   return sendRequest({
     address,
     path: '/labels/certificates',
@@ -25,44 +25,45 @@
 }
 
 t.test(
-  'a repeat through another entry gets the first answer and runs nothing',
+  'a repeat through another entry gets the first answer and is not run',
   async t => {
     const deployment = await servingDeployment(50);
     const [one, two] = deployment.entries.map(entry => entry.callersAddress);
     for (let number = 0; number < 20; number += 1) {
-      const first = await file(one ?? '', `key-${number}`);
-      const repeat = await file(two ?? '', `key-${number}`);
+      const first = await sendCertificate(one ?? '', `key-${number}`);
+      const repeat = await sendCertificate(two ?? '', `key-${number}`);
       t.equal(first.outcome, 'completed');
       t.equal(repeat.outcome, 'completed');
     }
-    t.equal(deployment.requestWitness.runs, 20);
-    checkPromises(t, deployment, []);
+    t.equal(deployment.requestRecorder.runs, 20);
+    checkGuarantees(t, deployment, []);
     await deployment.kill();
   },
 );
 
-t.test('repeats at the same moment through both entries run once', async t => {
+t.test('simultaneous repeats through both entries run once', async t => {
   const deployment = await servingDeployment(51);
   const addresses = deployment.entries.map(entry => entry.callersAddress);
   for (let number = 0; number < 20; number += 1) {
     const key = `key-${number}`;
     await Promise.all(
-      [0, 1, 0, 1].map(index => file(addresses[index] ?? '', key)),
+      [0, 1, 0, 1].map(index => sendCertificate(addresses[index] ?? '', key)),
     );
   }
-  t.ok(deployment.requestWitness.runs <= 20);
-  checkPromises(t, deployment, []);
+  t.ok(deployment.requestRecorder.runs <= 20);
+  checkGuarantees(t, deployment, []);
   await deployment.kill();
 });
 
 t.test(
-  'a repeat after the death of the first entry runs nothing again',
+  'a repeat after the first entry was killed is not run again',
   async t => {
     const deployment = await servingDeployment(52, 3);
     const [first, second] = deployment.entries;
     for (let number = 0; number < 10; number += 1) {
       t.equal(
-        (await file(first?.callersAddress ?? '', `key-${number}`)).outcome,
+        (await sendCertificate(first?.callersAddress ?? '', `key-${number}`))
+          .outcome,
         'completed',
       );
     }
@@ -70,33 +71,36 @@
       await deployment.killEntry(first);
     }
     for (let number = 0; number < 10; number += 1) {
-      const repeat = await file(second?.callersAddress ?? '', `key-${number}`);
+      const repeat = await sendCertificate(
+        second?.callersAddress ?? '',
+        `key-${number}`,
+      );
       t.equal(repeat.outcome, 'completed');
     }
-    t.equal(deployment.requestWitness.runs, 10);
+    t.equal(deployment.requestRecorder.runs, 10);
     await deployment.kill();
   },
 );
 
 t.test(
-  'a repeat after the death of the agents that kept the keys runs nothing again',
+  'a repeat after the agents that owned the keys were killed is not run again',
   async t => {
     const deployment = await servingDeployment(53);
     const [one, two] = deployment.entries.map(entry => entry.callersAddress);
     for (let number = 0; number < 12; number += 1) {
-      await file(one ?? '', `key-${number}`);
+      await sendCertificate(one ?? '', `key-${number}`);
     }
-    const { runs } = deployment.requestWitness;
+    const { runs } = deployment.requestRecorder;
     for (let index = 0; index < deployment.vms.length; index += 1) {
       await deployment.replaceAgent(index, false);
     }
     const outcomes = new Set<string>();
     for (let number = 0; number < 12; number += 1) {
-      outcomes.add((await file(two ?? '', `key-${number}`)).outcome);
+      outcomes.add((await sendCertificate(two ?? '', `key-${number}`)).outcome);
     }
-    t.equal(deployment.requestWitness.runs, runs, 'nothing ran again');
+    t.equal(deployment.requestRecorder.runs, runs, 'no request ran again');
     t.notOk(outcomes.has('broken'));
-    checkPromises(t, deployment, []);
+    checkGuarantees(t, deployment, []);
     await deployment.kill();
   },
 );
--- a/packages/proving/tests/live/kills.test.ts
+++ b/packages/proving/tests/live/kills.test.ts
@@ -6,21 +6,21 @@
 import { countOutcomes } from '../../src/load/count-outcomes.js';
 import type { KeyedResult } from '../../src/load/keyed-result.js';
 import { runLoad } from '../../src/load/run-load.js';
-import { checkPromises } from '../support/check-promises.js';
+import { checkGuarantees } from '../support/check-guarantees.js';
 import { servingDeployment } from '../support/serving-deployment.js';
 
 const REQUESTS = 400;
 
-/** Fewer than a fault may hit without failing more than half of the load. */
+/** Low enough that a fault cannot fail more than half of the load. */
 const MAXIMUM_IN_FLIGHT = 32;
 
-/** Sends a load and brings a fault about in the middle of it. */
-async function loadWith(
+/** Sends a load and injects a fault in the middle of it. */
+async function runLoadWithFault(
   deployment: Deployment,
   seed: number,
   fault: () => Promise<void>,
 ): Promise<readonly KeyedResult[]> {
-  let done: Promise<void> = Promise.resolve();
+  let faultDone: Promise<void> = Promise.resolve();
   const results = await runLoad({
     requests: REQUESTS,
     requestsPerSecond: 100,
@@ -34,37 +34,37 @@
     random: seededRandom(seed),
     beforeRequest: number => {
       if (number === REQUESTS / 2) {
-        done = fault();
+        faultDone = fault();
       }
     },
   });
-  await done;
+  await faultDone;
   return results;
 }
 
 const faults = [
   {
     name: 'an agent is killed',
-    broken: 0,
-    strike: (deployment: Deployment) => deployment.replaceAgent(1, false),
+    maximumBroken: 0,
+    injectFault: (deployment: Deployment) => deployment.replaceAgent(1, false),
   },
   {
-    name: 'a VM dies with its upstream',
-    broken: 0,
-    strike: (deployment: Deployment) => deployment.killVm(2),
+    name: 'a VM is lost with its upstream',
+    maximumBroken: 0,
+    injectFault: (deployment: Deployment) => deployment.killVm(2),
   },
   {
     name: 'an entry is killed',
-    broken: REQUESTS,
-    strike: (deployment: Deployment) =>
+    maximumBroken: REQUESTS,
+    injectFault: (deployment: Deployment) =>
       deployment.entries[1] === undefined
         ? Promise.resolve()
         : deployment.killEntry(deployment.entries[1]),
   },
   {
     name: 'an availability zone is lost with its entry and half of the VMs',
-    broken: REQUESTS,
-    strike: async (deployment: Deployment) => {
+    maximumBroken: REQUESTS,
+    injectFault: async (deployment: Deployment) => {
       const [entry] = deployment.entries;
       await Promise.all([deployment.killVm(0), deployment.killVm(2)]);
       if (entry !== undefined) {
@@ -74,25 +74,26 @@
   },
   {
     name: 'the log goes down',
-    broken: 0,
-    strike: (deployment: Deployment) => {
+    maximumBroken: 0,
+    injectFault: (deployment: Deployment) => {
       deployment.log.setFaults({ down: true });
       return Promise.resolve();
     },
   },
 ];
 
-async function repeatUnanswered(
+/** Sends a repeatable request for each keyed request that did not complete. */
+async function sendFollowUpLoad(
   t: Test,
   deployment: Deployment,
   results: readonly KeyedResult[],
 ): Promise<void> {
-  const open = results.filter(
+  const unanswered = results.filter(
     ({ outcome, key }) => outcome !== 'completed' && key !== '',
   );
   const [entry] = deployment.entries;
-  const repeats = await runLoad({
-    requests: open.length,
+  const followUps = await runLoad({
+    requests: unanswered.length,
     requestsPerSecond: 200,
     path: '/labels/print',
     timeoutMilliseconds: 3000,
@@ -100,20 +101,23 @@
     addressOf: () => entry?.callersAddress ?? '',
     random: seededRandom(1),
   });
-  t.equal(repeats.length, open.length);
+  t.equal(followUps.length, unanswered.length);
 }
 
-for (const [index, { name, broken, strike }] of faults.entries()) {
+for (const [index, { name, maximumBroken, injectFault }] of faults.entries()) {
   t.test(`${name} in the middle of a load`, async t => {
     const deployment = await servingDeployment(20 + index);
-    const results = await loadWith(deployment, 30 + index, () =>
-      strike(deployment),
+    const results = await runLoadWithFault(deployment, 30 + index, () =>
+      injectFault(deployment),
     );
     const counts = countOutcomes(results);
-    t.ok(counts.broken <= broken, `${counts.broken} connections broke`);
+    t.ok(
+      counts.broken <= maximumBroken,
+      `${counts.broken} connections were broken`,
+    );
     t.ok(counts.completed > REQUESTS / 2, `${counts.completed} completed`);
-    await repeatUnanswered(t, deployment, results);
-    checkPromises(t, deployment, results);
+    await sendFollowUpLoad(t, deployment, results);
+    checkGuarantees(t, deployment, results);
     await deployment.kill();
   });
 }
--- a/packages/proving/tests/live/leaving.test.ts
+++ b/packages/proving/tests/live/leaving.test.ts
@@ -10,14 +10,14 @@
 import { countOutcomes } from '../../src/load/count-outcomes.js';
 import type { KeyedResult } from '../../src/load/keyed-result.js';
 import { runLoad } from '../../src/load/run-load.js';
-import { checkPromises } from '../support/check-promises.js';
+import { checkGuarantees } from '../support/check-guarantees.js';
 import { servingDeployment } from '../support/serving-deployment.js';
 
-const PATIENCE_MILLISECONDS = 20_000;
+const WAIT_TIMEOUT_MILLISECONDS = 20_000;
 
-const CALLERS_THAT_LEAVE = 64;
+const DISCONNECTING_CALLERS = 64;
 
-function load(
+function runTestLoad(
   deployment: Deployment,
   seed: number,
 ): Promise<readonly KeyedResult[]> {
@@ -33,39 +33,45 @@
   });
 }
 
-t.test('an upstream that leaves under load gets no new work', async t => {
+t.test('an upstream that leaves under load gets no new requests', async t => {
   const deployment = await servingDeployment(70);
-  const busy = load(deployment, 71);
+  const pendingResults = runTestLoad(deployment, 71);
   const hosts = deployment.vms.map(({ host }) => host);
-  const findBusy = (): UpstreamHost | undefined =>
+  const findBusyHost = (): UpstreamHost | undefined =>
     hosts.find(({ upstreams }) =>
       upstreams.some(one => one.receivedRequests > 10),
     );
-  await waitUntil(() => findBusy() !== undefined, PATIENCE_MILLISECONDS);
-  const host = findBusy();
+  await waitUntil(
+    () => findBusyHost() !== undefined,
+    WAIT_TIMEOUT_MILLISECONDS,
+  );
+  const host = findBusyHost();
   const upstream = host?.upstreams[0];
   if (host === undefined || upstream === undefined) {
-    t.fail('no upstream is busy');
+    t.fail('no upstream received requests');
     return;
   }
-  await host.leave(upstream.name);
-  // What the agent had let through before the announcement still arrives.
-  await waitUntil(() => upstream.runningRequests === 0, PATIENCE_MILLISECONDS);
+  await host.announceLeaving(upstream.name);
+  // Requests that the agent forwarded before the announcement still arrive.
+  await waitUntil(
+    () => upstream.runningRequests === 0,
+    WAIT_TIMEOUT_MILLISECONDS,
+  );
   const before = upstream.receivedRequests;
-  const during = await busy;
-  const after = await load(deployment, 72);
+  const during = await pendingResults;
+  const after = await runTestLoad(deployment, 72);
   t.equal(
     upstream.receivedRequests,
     before,
-    'no request came after its leaving',
+    'no request arrived after it left',
   );
   t.equal(countOutcomes(during).completed, during.length);
   t.equal(countOutcomes(after).completed, after.length);
-  checkPromises(t, deployment, [...during, ...after]);
+  checkGuarantees(t, deployment, [...during, ...after]);
   await deployment.kill();
 });
 
-t.test('callers that leave in a burst free their slots', async t => {
+t.test('callers that disconnect in a burst free their slots', async t => {
   const deployment = await servingDeployment(73, 2, {
     serviceMilliseconds: () => 60_000,
     slowdownFactor: () => 1,
@@ -73,31 +79,40 @@
   const upstreams = deployment.vms.flatMap(({ host }) => host.upstreams);
   const running = (): number =>
     upstreams.reduce((sum, { runningRequests }) => sum + runningRequests, 0);
-  const leaving = Array.from({ length: CALLERS_THAT_LEAVE }, (_, number) => {
-    const address = deployment.entries[number % 2]?.callersAddress ?? '';
-    const outgoing = request({
-      ...splitAddress(address),
-      method: 'POST',
-      path: '/labels/print',
-      headers: { 'basilcourse-timeout-milliseconds': '120000' },
-    });
-    outgoing.on('error', () => undefined);
-    outgoing.end(`body ${number}`);
-    return outgoing;
-  });
+  const requests = Array.from(
+    { length: DISCONNECTING_CALLERS },
+    (_, number) => {
+      const address = deployment.entries[number % 2]?.callersAddress ?? '';
+      const outgoing = request({
+        ...splitAddress(address),
+        method: 'POST',
+        path: '/labels/print',
+        headers: { 'basilcourse-timeout-milliseconds': '120000' },
+      });
+      outgoing.on('error', () => undefined);
+      outgoing.end(`body ${number}`);
+      return outgoing;
+    },
+  );
   t.ok(
-    await waitUntil(() => running() === 32, PATIENCE_MILLISECONDS),
+    await waitUntil(() => running() === 32, WAIT_TIMEOUT_MILLISECONDS),
     'all slots are taken',
   );
-  for (const outgoing of leaving) {
+  for (const outgoing of requests) {
     outgoing.destroy();
   }
   t.ok(
-    await waitUntil(() => running() === 0, PATIENCE_MILLISECONDS),
+    await waitUntil(() => running() === 0, WAIT_TIMEOUT_MILLISECONDS),
     'every slot is free again',
   );
-  const arrived = upstreams.reduce((sum, one) => sum + one.receivedRequests, 0);
-  t.ok(arrived <= CALLERS_THAT_LEAVE, 'nothing ran for those who left twice');
-  checkPromises(t, deployment, []);
+  const receivedRequests = upstreams.reduce(
+    (sum, one) => sum + one.receivedRequests,
+    0,
+  );
+  t.ok(
+    receivedRequests <= DISCONNECTING_CALLERS,
+    'no request reached an upstream twice',
+  );
+  checkGuarantees(t, deployment, []);
   await deployment.kill();
 });
--- a/packages/proving/tests/live/processes.test.ts
+++ b/packages/proving/tests/live/processes.test.ts
@@ -20,10 +20,10 @@
 import { UpstreamHost } from '../../src/deployment/upstream-host.js';
 import { waitUntil } from '../../src/deployment/wait-until.js';
 import { sendRequest } from '../../src/load/send-request.js';
-import type { ToolAnswer } from '../support/processes.js';
-import { runTool, startDaemon as start } from '../support/processes.js';
+import type { ToolResult } from '../support/processes.js';
+import { runTool, startDaemon } from '../support/processes.js';
 
-const PATIENCE_MILLISECONDS = 60_000;
+const WAIT_TIMEOUT_MILLISECONDS = 60_000;
 
 function settingsText(
   role: 'entry' | 'agent',
@@ -59,7 +59,7 @@
 ${role === 'agent' ? workerSection : ''}`;
 }
 
-t.test('separate processes serve, die and are stopped', async t => {
+t.test('separate processes serve, are killed and stop gracefully', async t => {
   const folder = await mkdtemp(join(tmpdir(), 'basilcourse-'));
   const random = seededRandom(1);
   const logServer = createLogServer(new LogStandIn(systemClock, random));
@@ -68,10 +68,10 @@
   const [entryPorts, otherPorts, agentPorts] = [0, 4, 8].map(from =>
     ports.slice(from, from + 4),
   );
-  const witness = new ExecutionRecorder();
-  const requestWitness = new RequestRecorder();
+  const executionRecorder = new ExecutionRecorder();
+  const requestRecorder = new RequestRecorder();
   const host = new UpstreamHost({
-    witness: requestWitness,
+    requestRecorder,
     random,
     behaviourOf: () => ({
       serviceMilliseconds: () => 5,
@@ -80,7 +80,7 @@
       truncatedResponseShare: 0,
     }),
     agentAddress: () => `127.0.0.1:${agentPorts?.[3] ?? 0}`,
-    drained: attempt => {
+    onDrained: attempt => {
       worker.runner.completeStop(attempt);
     },
   });
@@ -95,7 +95,7 @@
     },
     clock: systemClock,
     random,
-    recorder: witness,
+    recorder: executionRecorder,
     behaviour: seededBehaviour(1),
     hooks: host,
   });
@@ -119,14 +119,14 @@
     two: await write('entry', 'entry-2', otherPorts),
     agent: await write('agent', 'agent-1', agentPorts),
   };
-  const one = start(files.one);
-  const two = start(files.two);
-  const agent = start(files.agent);
+  const firstEntry = startDaemon(files.one);
+  const secondEntry = startDaemon(files.two);
+  const agent = startDaemon(files.agent);
   const operators = `127.0.0.1:${entryPorts?.[1] ?? 0},127.0.0.1:${otherPorts?.[1] ?? 0}`;
 
   const noteFile = join(folder, 'note.ini');
   await writeFile(noteFile, demoNote(2).replace('minions = 4', 'minions = 1'));
-  let published: ToolAnswer = { code: -1, output: '' };
+  let published: ToolResult = { code: -1, output: '' };
   for (let round = 0; round < 40 && published.code !== 0; round += 1) {
     await new Promise(resolve => setTimeout(resolve, 500));
     published = await runTool([
@@ -173,8 +173,8 @@
   t.equal(await sendUntilCompleted(callers[0], 'first'), 'completed');
   t.equal(await sendUntilCompleted(callers[1], 'second'), 'completed');
 
-  one.process.kill('SIGKILL');
-  await one.exited;
+  firstEntry.process.kill('SIGKILL');
+  await firstEntry.exited;
   t.equal(
     await send(callers[1], 'second'),
     'completed',
@@ -183,14 +183,14 @@
   const status = await runTool(['status', '--entries', operators, '--json']);
   t.equal(status.code, 0, status.output);
   t.match(status.output, /entry-2/);
-  const line = await runTool([
+  const timeline = await runTool([
     'timeline',
     '--entries',
     operators,
     '--kind',
     'request-ended',
   ]);
-  t.match(line.output, /completed after/);
+  t.match(timeline.output, /completed after/);
   const explained = await runTool([
     'explain',
     'service',
@@ -207,16 +207,16 @@
   t.equal((await runTool(['release-note', 'check', files.one])).code, 1);
 
   const finished = await waitUntil(
-    () => witness.finished === 2,
-    PATIENCE_MILLISECONDS,
+    () => executionRecorder.finished === 2,
+    WAIT_TIMEOUT_MILLISECONDS,
   );
   t.ok(finished, 'the batch jobs finish');
-  two.process.kill('SIGTERM');
-  t.equal(await two.exited, 0, 'the entry stops gracefully');
+  secondEntry.process.kill('SIGTERM');
+  t.equal(await secondEntry.exited, 0, 'the entry stops gracefully');
   agent.process.kill('SIGTERM');
   t.equal(await agent.exited, 0, 'the agent stops gracefully');
-  t.equal(requestWitness.duplicateRuns, 0);
-  t.same(witness.violations, []);
+  t.equal(requestRecorder.duplicateRuns, 0);
+  t.same(executionRecorder.violations, []);
   const unreachable = await runTool(['status', '--entries', operators]);
   t.equal(unreachable.code, 1);
   t.match(unreachable.output, /operator\.status \(peer/);
--- a/packages/proving/tests/live/regions.test.ts
+++ b/packages/proving/tests/live/regions.test.ts
@@ -8,11 +8,14 @@
 import { countOutcomes } from '../../src/load/count-outcomes.js';
 import type { KeyedResult } from '../../src/load/keyed-result.js';
 import { runLoad } from '../../src/load/run-load.js';
-import { checkPromises } from '../support/check-promises.js';
-import { reachable, servingDeployment } from '../support/serving-deployment.js';
+import { checkGuarantees } from '../support/check-guarantees.js';
+import {
+  reachableUpstreams,
+  servingDeployment,
+} from '../support/serving-deployment.js';
 
-/** Longest wait for a condition; none of them is a promise about time. */
-const PATIENCE_MILLISECONDS = 150_000;
+/** Upper bound on waiting for a condition; not a guarantee about time. */
+const WAIT_TIMEOUT_MILLISECONDS = 150_000;
 
 const TWO_REGIONS = [
   { region: 'dalmatia', zone: 'dalmatia-1' },
@@ -28,11 +31,11 @@
 latency-weight = 0.6
 `;
 
-t.test('regions lose each other while both are busy', async t => {
+t.test('regions are partitioned while both serve load', async t => {
   const deployment = await servingDeployment(60, 2, {}, TWO_REGIONS);
-  const [store, far] = deployment.entries;
-  if (store === undefined || far === undefined) {
-    t.fail('no entries');
+  const [entryNearLog, remoteEntry] = deployment.entries;
+  if (entryNearLog === undefined || remoteEntry === undefined) {
+    t.fail('the deployment does not have two entries');
     return;
   }
   const load = (
@@ -47,34 +50,39 @@
       timeoutMilliseconds: 3000,
       maximumInFlight: 16,
       unrepeatableShare,
-      addressOf: number => (number % 2 === 0 ? store : far).callersAddress,
+      addressOf: number =>
+        (number % 2 === 0 ? entryNearLog : remoteEntry).callersAddress,
       random: seededRandom(seed),
     });
-  const own = (entry: EntryNode): number =>
+  const countOwnUpstreams = (entry: EntryNode): number =>
     entry.core.members
       .ofRole('agent')
       .filter(({ member }) => member.region === entry.core.own.get().region)
       .filter(({ member }) => member.state === 'alive')
       .flatMap(({ member }) => member.upstreams).length;
-  const before = deployment.entries.map(own);
+  const before = deployment.entries.map(countOwnUpstreams);
   t.ok(
     before.every(count => count > 0),
     'each region has upstreams',
   );
-  deployment.links.cut();
+  deployment.links.partition();
   const repeatable = await load(300, 0, 61);
-  const suspects = far.core.members
+  const otherAgents = remoteEntry.core.members
     .ofRole('agent')
     .filter(({ member }) => member.region === 'dalmatia');
   t.ok(
-    suspects.every(({ member }) => member.state === 'suspect'),
+    otherAgents.every(({ member }) => member.state === 'suspect'),
     'the other region is suspected',
   );
-  t.same(deployment.entries.map(own), before, 'the own upstreams stay');
+  t.same(
+    deployment.entries.map(countOwnUpstreams),
+    before,
+    'the upstreams of the own region stay',
+  );
   t.equal(
     countOutcomes(repeatable).completed,
     repeatable.length,
-    'both sides serve what needs no agreement',
+    'both regions serve repeatable requests',
   );
 
   const unrepeatable = await load(60, 1, 62);
@@ -82,9 +90,9 @@
   t.ok(counts.completed > 0);
   t.equal(counts.broken, 0);
 
-  t.match(await publish(store, SECOND_NOTE), { result: 'in-force' });
-  t.equal(noteInForce(store, 'second-note'), true);
-  t.equal(noteInForce(far, 'second-note'), false);
+  t.match(await publish(entryNearLog, SECOND_NOTE), { result: 'in-force' });
+  t.equal(noteInForce(entryNearLog, 'second-note'), true);
+  t.equal(noteInForce(remoteEntry, 'second-note'), false);
 
   deployment.links.heal();
   const agents = deployment.vms.flatMap(({ agent }) => agent ?? []);
@@ -92,19 +100,19 @@
   t.ok(
     await waitUntil(
       () => nodes.every(node => noteInForce(node, 'second-note')),
-      PATIENCE_MILLISECONDS,
+      WAIT_TIMEOUT_MILLISECONDS,
     ),
     'the note is in force everywhere',
   );
   t.ok(
     await waitUntil(
-      () => deployment.entries.every(entry => reachable(entry) >= 4),
-      PATIENCE_MILLISECONDS,
+      () => deployment.entries.every(entry => reachableUpstreams(entry) >= 4),
+      WAIT_TIMEOUT_MILLISECONDS,
     ),
-    'both know all upstreams again',
+    'both entries reach all upstreams again',
   );
   const after = await load(100, 0.5, 63);
   t.equal(countOutcomes(after).broken, 0);
-  checkPromises(t, deployment, [...repeatable, ...unrepeatable, ...after]);
+  checkGuarantees(t, deployment, [...repeatable, ...unrepeatable, ...after]);
   await deployment.kill();
 });
--- a/packages/proving/tests/live/rolling-restart.test.ts
+++ b/packages/proving/tests/live/rolling-restart.test.ts
@@ -4,35 +4,42 @@
 import { waitUntil } from '../../src/deployment/wait-until.js';
 import { countOutcomes } from '../../src/load/count-outcomes.js';
 import { runLoad } from '../../src/load/run-load.js';
-import { checkPromises } from '../support/check-promises.js';
-import { reachable, servingDeployment } from '../support/serving-deployment.js';
+import { checkGuarantees } from '../support/check-guarantees.js';
+import {
+  reachableUpstreams,
+  servingDeployment,
+} from '../support/serving-deployment.js';
 
-const PATIENCE_MILLISECONDS = 20_000;
+const WAIT_TIMEOUT_MILLISECONDS = 20_000;
 
 t.test(
-  'every process is replaced under load and nothing is cut off',
+  'every process is replaced under load and no connection is broken',
   async t => {
     const deployment = await servingDeployment(40);
-    const progress = { restarted: false };
+    const restartState = { restarted: false };
     const restart = async (): Promise<void> => {
       for (let index = 0; index < deployment.vms.length; index += 1) {
         await deployment.replaceAgent(index, true);
         await waitUntil(
-          () => deployment.entries.every(entry => reachable(entry) >= 4),
-          PATIENCE_MILLISECONDS,
+          () =>
+            deployment.entries.every(entry => reachableUpstreams(entry) >= 4),
+          WAIT_TIMEOUT_MILLISECONDS,
         );
       }
       for (const entry of [...deployment.entries]) {
-        const fresh = await deployment.addEntry(0);
-        await waitUntil(() => reachable(fresh) >= 4, PATIENCE_MILLISECONDS);
+        const replacement = await deployment.addEntry(0);
+        await waitUntil(
+          () => reachableUpstreams(replacement) >= 4,
+          WAIT_TIMEOUT_MILLISECONDS,
+        );
         await deployment.stopEntry(entry);
       }
-      progress.restarted = true;
+      restartState.restarted = true;
     };
     const restarting = restart();
     const results = [];
-    for (let round = 0; !progress.restarted && round < 100; round += 1) {
-      const part = await runLoad({
+    for (let round = 0; !restartState.restarted && round < 100; round += 1) {
+      const batch = await runLoad({
         requests: 100,
         requestsPerSecond: 200,
         path: '/labels/print',
@@ -43,14 +50,14 @@
             ?.callersAddress ?? '',
         random: seededRandom(41 + round),
       });
-      results.push(...part);
+      results.push(...batch);
     }
     await restarting;
     const counts = countOutcomes(results);
-    t.equal(counts.broken, 0, 'no connection was cut off');
-    t.equal(counts.unknown, 0, 'nothing is unknown');
+    t.equal(counts.broken, 0, 'no connection was broken');
+    t.equal(counts.unknown, 0, 'no outcome is unknown');
     t.ok(counts.completed > 0);
-    checkPromises(t, deployment, results);
+    checkGuarantees(t, deployment, results);
     await deployment.kill();
   },
 );
--- a/packages/proving/tests/live/steady.test.ts
+++ b/packages/proving/tests/live/steady.test.ts
@@ -3,10 +3,10 @@
 
 import { countOutcomes } from '../../src/load/count-outcomes.js';
 import { runLoad } from '../../src/load/run-load.js';
-import { checkPromises } from '../support/check-promises.js';
+import { checkGuarantees } from '../support/check-guarantees.js';
 import { servingDeployment } from '../support/serving-deployment.js';
 
-t.test('a steady load is answered in full', async t => {
+t.test('all requests of a steady load are completed', async t => {
   const deployment = await servingDeployment(1);
   const results = await runLoad({
     requests: 400,
@@ -18,12 +18,12 @@
     random: seededRandom(2),
   });
   t.equal(countOutcomes(results).completed, 400);
-  checkPromises(t, deployment, results);
+  checkGuarantees(t, deployment, results);
   await deployment.kill();
 });
 
 t.test(
-  'upstreams that cut answers off or fail never yield half an answer',
+  'upstreams that truncate or fail responses never yield a partial answer',
   async t => {
     const deployment = await servingDeployment(3, 2, {
       truncatedResponseShare: 0.15,
@@ -41,31 +41,34 @@
     const counts = countOutcomes(results);
     t.ok(
       counts.unknown > 0,
-      'cut answers of unrepeatable requests are unknown',
+      'truncated answers of unrepeatable requests have an unknown outcome',
     );
     t.equal(counts.broken, 0);
-    checkPromises(t, deployment, results);
+    checkGuarantees(t, deployment, results);
     await deployment.kill();
   },
 );
 
-t.test('a burst of three times the capacity is shed, not lost', async t => {
-  const deployment = await servingDeployment(5, 2, {
-    serviceMilliseconds: () => 20,
-  });
-  const capacity = (4 * 8 * 1000) / 20;
-  const results = await runLoad({
-    requests: 2400,
-    requestsPerSecond: capacity * 3,
-    path: '/labels/print',
-    timeoutMilliseconds: 300,
-    unrepeatableShare: 0,
-    addressOf: number => deployment.entries[number % 2]?.callersAddress ?? '',
-    random: seededRandom(6),
-  });
-  const counts = countOutcomes(results);
-  t.ok(counts['not-run'] > 0, 'some are told not to have been run');
-  t.equal(counts.broken, 0);
-  checkPromises(t, deployment, results);
-  await deployment.kill();
-});
+t.test(
+  'a load of three times the capacity is shed and no request is lost',
+  async t => {
+    const deployment = await servingDeployment(5, 2, {
+      serviceMilliseconds: () => 20,
+    });
+    const capacity = (4 * 8 * 1000) / 20;
+    const results = await runLoad({
+      requests: 2400,
+      requestsPerSecond: capacity * 3,
+      path: '/labels/print',
+      timeoutMilliseconds: 300,
+      unrepeatableShare: 0,
+      addressOf: number => deployment.entries[number % 2]?.callersAddress ?? '',
+      random: seededRandom(6),
+    });
+    const counts = countOutcomes(results);
+    t.ok(counts['not-run'] > 0, 'some requests are reported as not run');
+    t.equal(counts.broken, 0);
+    checkGuarantees(t, deployment, results);
+    await deployment.kill();
+  },
+);
--- a/packages/proving/tests/support/processes.ts
+++ b/packages/proving/tests/support/processes.ts
@@ -9,19 +9,19 @@
   import.meta.url,
 ).pathname;
 
-/** A daemon in a process of its own. */
+/** A daemon in a separate process. */
 interface StartedDaemon {
   readonly process: ChildProcess;
   readonly exited: Promise<number | null>;
 }
 
-/** What the operators' tool said. */
-export interface ToolAnswer {
+/** Exit code and output of the operators' tool. */
+export interface ToolResult {
   readonly code: number | null;
   readonly output: string;
 }
 
-/** Starts a daemon as a process of its own. */
+/** Starts a daemon in a separate process. */
 export function startDaemon(settings: string): StartedDaemon {
   const child = spawn(process.execPath, [DAEMON, '--settings', settings], {
     stdio: ['ignore', 'ignore', 'inherit'],
@@ -32,15 +32,15 @@
   return { process: child, exited };
 }
 
-/** Runs the operators' tool as a process of its own. */
-export function runTool(words: readonly string[]): Promise<ToolAnswer> {
-  const child = spawn(process.execPath, [TOOL, ...words]);
+/** Runs the operators' tool in a separate process until it exits. */
+export function runTool(toolArguments: readonly string[]): Promise<ToolResult> {
+  const child = spawn(process.execPath, [TOOL, ...toolArguments]);
   let output = '';
-  const take = (chunk: Buffer): void => {
+  const append = (chunk: Buffer): void => {
     output += chunk.toString();
   };
-  child.stdout.on('data', take);
-  child.stderr.on('data', take);
+  child.stdout.on('data', append);
+  child.stderr.on('data', append);
   return new Promise(resolve => {
     child.once('close', code => {
       resolve({ code, output });
--- a/packages/proving/tests/support/serving-deployment.ts
+++ b/packages/proving/tests/support/serving-deployment.ts
@@ -9,7 +9,7 @@
 import { publish } from '../../src/deployment/publish.js';
 import { waitUntil } from '../../src/deployment/wait-until.js';
 
-const PATIENCE_MILLISECONDS = 30_000;
+const WAIT_TIMEOUT_MILLISECONDS = 30_000;
 
 const MINIONS = 4;
 
@@ -18,15 +18,18 @@
   { region: 'dalmatia', zone: 'dalmatia-2' },
 ];
 
-/** Upstreams of a service that an entry can reach. */
-export function reachable(entry: EntryNode): number {
+/** Counts the upstreams that an entry can reach. */
+export function reachableUpstreams(entry: EntryNode): number {
   return entry.core.members
     .ofRole('agent')
     .filter(({ member }) => member.state === 'alive')
     .flatMap(({ member }) => member.upstreams).length;
 }
 
-/** Starts a deployment and waits until its service is served. */
+/**
+ * Starts a deployment and waits until every entry reaches all upstreams of its
+ * service.
+ */
 export async function servingDeployment(
   seed: number,
   entries = 2,
@@ -54,15 +57,16 @@
   await deployment.start();
   const [first] = deployment.entries;
   if (first === undefined) {
-    throw new Error('no entry');
+    throw new Error('the deployment has no entry');
   }
   await publish(first, demoNote(0));
   const served = await waitUntil(
-    () => deployment.entries.every(entry => reachable(entry) >= MINIONS),
-    PATIENCE_MILLISECONDS,
+    () =>
+      deployment.entries.every(entry => reachableUpstreams(entry) >= MINIONS),
+    WAIT_TIMEOUT_MILLISECONDS,
   );
   if (!served) {
-    throw new Error('the service is not in reach');
+    throw new Error('the entries do not reach all upstreams of the service');
   }
   return deployment;
 }
--- a/tap-snapshots/packages/proving/dist/tests/invariants/golden-runs.test.js.test.cjs
+++ b/tap-snapshots/packages/proving/dist/tests/invariants/golden-runs.test.js.test.cjs
@@ -5,7 +5,7 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`packages/proving/dist/tests/invariants/golden-runs.test.js > TAP > a holder sleeps past its lease and wakes > must match snapshot 1`] = `
+exports[`packages/proving/dist/tests/invariants/golden-runs.test.js > TAP > a holder is paused past the end of its lease and resumes > must match snapshot 1`] = `
     0.25 process-1  lease-claimed      Holds the lease of region/0, epoch 1.
     0.45 process-1  worker-joined      worker-1 at worker-1 takes tasks.
     0.45 process-1  worker-joined      worker-2 at worker-2 takes tasks.
@@ -99,7 +99,7 @@
    62.89 process-1  worker-joined      worker-3 is ready: answers again.
 `
 
-exports[`packages/proving/dist/tests/invariants/golden-runs.test.js > TAP > a worker dies during an outage of the log > must match snapshot 1`] = `
+exports[`packages/proving/dist/tests/invariants/golden-runs.test.js > TAP > a worker crashes during an outage of the log > must match snapshot 1`] = `
     0.25 process-1  lease-claimed      Holds the lease of region/0, epoch 1.
     0.45 process-1  worker-joined      worker-1 at worker-1 takes tasks.
     0.45 process-1  worker-joined      worker-2 at worker-2 takes tasks.
@@ -132,7 +132,7 @@
   115.70 process-2  attempt-ended      job/job-0@1#2 ended: finished. 
 `
 
-exports[`packages/proving/dist/tests/invariants/golden-runs.test.js > TAP > a worker fails everything it starts > must match snapshot 1`] = `
+exports[`packages/proving/dist/tests/invariants/golden-runs.test.js > TAP > a worker fails every task that it starts > must match snapshot 1`] = `
     0.25 process-1  lease-claimed      Holds the lease of region/0, epoch 1.
     0.45 process-1  worker-joined      worker-1 at worker-1 takes tasks.
     0.45 process-1  worker-joined      worker-2 at worker-2 takes tasks.
