refactor(platform-stand-in): third reading of the wording

Comments that a newcomer had to ask about: which injected faults take effect before the call fails, what `doubled` and `overcommitted` mean, what "unrepeatable" is, and why the texts that are hashed with the seed must stay. Texts of violations name the excess instead of "was given".

| file | old | new | |---|---|---| | upstream/request-recorder.ts | RequestRecorder.hasRunKey | hasRunWithKey |

--- a/packages/platform-stand-in/src/log/log-faults.ts
+++ b/packages/platform-stand-in/src/log/log-faults.ts
@@ -1,12 +1,12 @@
-/** Faults that the log stand-in injects; they can be changed while it runs. */
+/** Faults that the log stand-in injects; set at run time by `POST /faults`. */
 export interface LogFaults {
   /** Reads and appends are rejected with status 503. */
   readonly down: boolean;
   /** Delay before each request is processed. */
   readonly delayMilliseconds: number;
-  /** Share of appends that take effect but whose response is lost. */
+  /** Share of appends that are stored but fail, as if the response was lost. */
   readonly lostAnswerShare: number;
-  /** Share of appends that fail before they take effect. */
+  /** Share of appends that fail before the record is stored. */
   readonly refusedShare: number;
   /** Maximum number of records retained; the oldest are discarded first. */
   readonly keptRecords: number;
--- a/packages/platform-stand-in/src/upstream/request-recorder.ts
+++ b/packages/platform-stand-in/src/upstream/request-recorder.ts
@@ -1,4 +1,7 @@
-/** Counts the runs of each request independently of the system under test. */
+/**
+ * Counts the runs of each request, independently of the system under test, to
+ * detect requests that run more than once.
+ */
 export class RequestRecorder {
   private readonly runsByRequest = new Map<string, number>();
 
@@ -12,7 +15,10 @@
     return this.runCount;
   }
 
-  /** Number of runs of unrepeatable requests after the first run of each. */
+  /**
+   * Number of runs of unrepeatable (not idempotent) requests after the first
+   * run of each request or idempotency key.
+   */
   public get duplicateRuns(): number {
     return this.duplicateRunCount;
   }
@@ -21,11 +27,15 @@
     return this.runsByRequest.has(request);
   }
 
-  public hasRunKey(key: string): boolean {
+  public hasRunWithKey(key: string): boolean {
     return this.runsByKey.has(key);
   }
 
-  /** Records that a run has started. */
+  /**
+   * Records that a run has started.
+   *
+   * @param key - Idempotency key of the request; empty if it has none.
+   */
   public recordRun(request: string, key: string, unrepeatable: boolean): void {
     this.runCount += 1;
     const runs = (this.runsByRequest.get(request) ?? 0) + 1;
--- a/packages/platform-stand-in/src/upstream/upstream-behaviour.ts
+++ b/packages/platform-stand-in/src/upstream/upstream-behaviour.ts
@@ -2,7 +2,7 @@
 export interface UpstreamBehaviour {
   /** Service time of one request without interference. */
   readonly serviceMilliseconds: () => number;
-  /** Current factor on the service time; 1 for full speed. */
+  /** Current factor on the service time; 1 without slowdown. */
   readonly slowdownFactor: () => number;
   /** Share of responses with status 503. */
   readonly failedResponseShare: number;
--- a/packages/platform-stand-in/src/upstream/upstream-stand-in.ts
+++ b/packages/platform-stand-in/src/upstream/upstream-stand-in.ts
@@ -23,7 +23,10 @@
   return Buffer.concat(chunks);
 }
 
-/** A stand-in for one minion of a service. */
+/**
+ * A stand-in for one minion of a service: an HTTP server that echoes the body
+ * of each request after a simulated service time.
+ */
 export class UpstreamStandIn {
   private readonly server: Server;
 
--- a/packages/platform-stand-in/src/worker/execution-recorder.ts
+++ b/packages/platform-stand-in/src/worker/execution-recorder.ts
@@ -3,7 +3,7 @@
 
 import type { Violation } from './violation.js';
 
-/** Violations stored; further ones are only counted. */
+/** Maximum number of violations stored; further ones are only counted. */
 const MAXIMUM_VIOLATIONS = 100;
 
 /**
@@ -65,7 +65,7 @@
     if (places.size > 1) {
       this.addViolation(
         'doubled',
-        `${task} runs at ${[...places].join(' and ')}`,
+        `${task} runs as ${[...places].join(' and as ')}`,
         now,
       );
     }
@@ -81,12 +81,12 @@
 
   public checkCapacity(
     worker: string,
-    sum: Resources,
+    assigned: Resources,
     size: Resources,
     now: number,
   ): void {
-    if (!fits(sum, size)) {
-      const text = `${worker} was given ${JSON.stringify(sum)}`;
+    if (!fits(assigned, size)) {
+      const text = `the tasks on ${worker} exceed its size: ${JSON.stringify(assigned)}`;
       this.addViolation('overcommitted', text, now);
     }
   }
--- a/packages/platform-stand-in/src/worker/seeded-behaviour.ts
+++ b/packages/platform-stand-in/src/worker/seeded-behaviour.ts
@@ -8,7 +8,10 @@
 
 const UNSIGNED_INTEGER_RANGE = 2 ** 32;
 
-/** Pseudorandom number from 0 to 1, derived from the seed and the text. */
+/**
+ * Pseudorandom number from 0 to 1, derived from the seed and the text. A change
+ * of the texts changes the result of every run with a given seed.
+ */
 function pseudorandomFraction(seed: number, text: string): number {
   const digest = createHash('sha256').update(`${seed} ${text}`).digest();
   return digest.readUInt32BE(0) / UNSIGNED_INTEGER_RANGE;
@@ -16,7 +19,7 @@
 
 /**
  * Creates a behaviour that depends only on the seed. About half of the ordered
- * pairs of task kinds cause no interference.
+ * pairs of task kinds have no interference.
  */
 export function seededBehaviour(seed: number): TaskBehaviour {
   return {
--- a/packages/platform-stand-in/src/worker/task-runner.ts
+++ b/packages/platform-stand-in/src/worker/task-runner.ts
@@ -9,10 +9,10 @@
 import type { TaskRunnerOptions } from './task-runner-options.js';
 import { UsageHistory } from './usage-history.js';
 
-/** Completed work between the checkpoints that a job writes on its own. */
+/** Completed work between two periodic checkpoints of a job. */
 const CHECKPOINT_INTERVAL_SECONDS = 60;
 
-/** Simulates the tasks of a worker; their time passes only in `advance`. */
+/** Simulates the tasks of a worker, which progress only during `advance`. */
 export class TaskRunner {
   private readonly running = new Map<string, RunningTask>();
 
@@ -34,7 +34,7 @@
     return [...this.running.values()];
   }
 
-  /** Removes all tasks without reporting them. */
+  /** Removes all tasks and their reports, as when the VM is lost. */
   public clear(): void {
     for (const task of this.running.values()) {
       this.options.recorder.recordEnd(task.command.task, this.placeOf(task));
@@ -78,7 +78,7 @@
     }
   }
 
-  /** Reports all tasks, with usage sampled no later than the given time. */
+  /** Reports all tasks, with the latest usage sampled by the given time. */
   public report(usageBefore: number): WorkerReport {
     const running = this.tasks.map(task => this.reportOf(task));
     return {
--- a/packages/platform-stand-in/src/worker/usage-history.ts
+++ b/packages/platform-stand-in/src/worker/usage-history.ts
@@ -9,7 +9,7 @@
   readonly samples: readonly UsageSample[];
 }
 
-/** Resource usage of a worker over time, reported with a delay. */
+/** Recent resource usage of the tasks on a worker, one measurement a second. */
 export class UsageHistory {
   private measurements: UsageMeasurement[] = [];
 
--- a/packages/platform-stand-in/src/worker/worker-faults.ts
+++ b/packages/platform-stand-in/src/worker/worker-faults.ts
@@ -1,10 +1,10 @@
-/** Faults that a worker stand-in injects; they can be changed while it runs. */
+/** Faults that a worker stand-in injects; set at run time by `POST /faults`. */
 export interface WorkerFaults {
   /** All commands fail as unreachable, but the tasks continue to run. */
   readonly unreachable: boolean;
   /** Every task fails immediately after its start. */
   readonly failEveryStart: boolean;
-  /** Share of commands that take effect but whose response is lost. */
+  /** Share of commands that take effect, but whose response is lost. */
   readonly lostAnswerShare: number;
   /** Minimum age of the usage samples in a report. */
   readonly reportLagMilliseconds: number;
--- a/packages/platform-stand-in/src/worker/worker-stand-in.ts
+++ b/packages/platform-stand-in/src/worker/worker-stand-in.ts
@@ -18,8 +18,9 @@
 /**
  * A stand-in for one worker of the platform.
  *
- * It starts every task that it is sent, even beyond its capacity, and advances
- * its tasks to the current time whenever it handles a command.
+ * It starts every task that it is sent, even beyond its capacity, so that the
+ * recorder can detect overcommitment. Before each command, it advances its
+ * tasks to the current time.
  */
 export class WorkerStandIn implements PlatformWorker {
   public readonly runner: TaskRunner;
--- a/scripts/eslint-house-rules.mjs
+++ b/scripts/eslint-house-rules.mjs
@@ -1,5 +1,5 @@
 /**
- * Lint rules for the project's conventions that no published rule covers.
+ * Lint rules for conventions of this project that no published plugin covers.
  */
 
 const noIndexFile = {
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -1,8 +1,8 @@
 /**
- * Runs the test files and prints how many assertions passed and failed.
+ * Runs all test files and prints how many assertions passed and failed.
  *
- * Test files listed in KNOWN-RED.txt, each by a line `test: FILE`, are known to
- * fail. They run separately; their results are printed but do not fail the run.
+ * KNOWN-RED.txt lists the test files that are known to fail, each by a line
+ * `test: FILE`. They run separately, and their failures do not fail the run.
  */
 import { spawnSync } from 'node:child_process';
 import { readFileSync } from 'node:fs';
