refactor(request-plane): name the claims of agents and entries alike

`ClaimRegister` stood beside `registry` and `ClaimMemory` beside the wire message of the same name, which is one claim; `unknown()` and `notRun()` did not say that they create outcomes; `handOver` named both the transfer of an entry's claims and the hand-over of a request to an agent.

| before | after | |---|---| | `ClaimRegister`, agent/claim-register.ts | `AgentClaims`, agent/agent-claims.ts | | `ClaimMemory`, claim/claim-memory.ts | `EntryClaims`, claim/entry-claims.ts | | dependencies `register`, `memory` | `agentClaims`, `entryClaims` | | `unknown()`, `notRun()` | `unknownOutcome()`, `notRunOutcome()` | | `LoadTable.forget`, `OutlierDetector.forget` | `remove` | | `UnreachableAgents.recordRefusal` | `recordConnectFailure` | | `EntryClient.handOver` (claims) | `EntryClient.transferClaims` | | `SchedulingState.recordPastMinion` | `recordKeyOwnershipPeriod` | | `throttlesStarts` | `throttlesAtStart`, as in the daemon |

--- a/packages/daemon/src/node/agent-node.ts
+++ b/packages/daemon/src/node/agent-node.ts
@@ -1,6 +1,6 @@
 import { JsonServer } from '@basilcourse/foundation/http/json-server';
+import { AgentClaims } from '@basilcourse/request-plane/agent/agent-claims';
 import type { Announcement } from '@basilcourse/request-plane/agent/announcement';
-import { ClaimRegister } from '@basilcourse/request-plane/agent/claim-register';
 import { RequestRunner } from '@basilcourse/request-plane/agent/request-runner';
 import { RunLedger } from '@basilcourse/request-plane/agent/run-ledger';
 import { UpstreamRegistry } from '@basilcourse/request-plane/agent/upstream-registry';
@@ -37,7 +37,7 @@
 
   private readonly ledger = new RunLedger();
 
-  private readonly register: ClaimRegister;
+  private readonly agentClaims: AgentClaims;
 
   private readonly runner: RequestRunner;
 
@@ -57,7 +57,7 @@
 
   public constructor(public readonly core: NodeCore) {
     const { clock, events, instance, settings, state } = core;
-    this.register = new ClaimRegister(clock.now());
+    this.agentClaims = new AgentClaims(clock.now());
     this.tasks = new NodeTasks(core.logger);
     this.runner = new RequestRunner({
       registry: this.registry,
@@ -75,7 +75,7 @@
       agentRoutes({
         runner: this.runner,
         ledger: this.ledger,
-        register: this.register,
+        agentClaims: this.agentClaims,
         registry: this.registry,
         clock,
         events,
@@ -109,7 +109,7 @@
     own.update({ address, operatorsAddress });
     // Read before the first announcement, so that the recorded end precedes any
     // placement on this VM.
-    await Effect.runPromise(recordLogEnd(core, this.register));
+    await Effect.runPromise(recordLogEnd(core, this.agentClaims));
     events.record('process-started', `Agent ${settings.name} at ${address}.`);
     logger.info('Started.', { address, operatorsAddress });
     this.tasks.start(
@@ -121,7 +121,7 @@
       followLog(core, () => false),
     );
     this.tasks.start('sweep', this.sweepForever());
-    this.tasks.start('log end', recordLogEndForever(core, this.register));
+    this.tasks.start('log end', recordLogEndForever(core, this.agentClaims));
     this.tasks.start(
       'pressure',
       throttleBatchTasks(core, this.registry, this.serviceTimes),
@@ -202,7 +202,7 @@
       const { limits } = state.fold.configuration;
       const retentionMilliseconds = limits.claimMemorySeconds * 1000;
       this.ledger.sweep(retentionMilliseconds, now);
-      this.register.sweep(retentionMilliseconds, now);
+      this.agentClaims.sweep(retentionMilliseconds, now);
       members.sweep(now);
       if (this.registry.sweep(now)) {
         this.announceUpstreams();
--- a/packages/daemon/src/node/entry-node.ts
+++ b/packages/daemon/src/node/entry-node.ts
@@ -1,5 +1,5 @@
 import { JsonServer } from '@basilcourse/foundation/http/json-server';
-import { ClaimMemory } from '@basilcourse/request-plane/claim/claim-memory';
+import { EntryClaims } from '@basilcourse/request-plane/claim/entry-claims';
 import { KeyClaimer } from '@basilcourse/request-plane/claim/key-claimer';
 import { CallerServer } from '@basilcourse/request-plane/entry/caller-server';
 import { RequestDispatcher } from '@basilcourse/request-plane/entry/request-dispatcher';
@@ -37,7 +37,7 @@
 
 /** The process that routes requests of callers to upstreams. */
 export class EntryNode implements Node {
-  private readonly claimMemory: ClaimMemory;
+  private readonly entryClaims: EntryClaims;
 
   private readonly callerServer: CallerServer;
 
@@ -57,7 +57,7 @@
     const { clock, events, instance, settings, state, metrics } = core;
     const { members, loads, clients, own } = core;
     const { random, identifiers } = core.dependencies;
-    this.claimMemory = new ClaimMemory(clock.now());
+    this.entryClaims = new EntryClaims(clock.now());
     this.tasks = new NodeTasks(core.logger);
     this.cells = new CellManager(core);
     const history = new DecisionHistory();
@@ -83,7 +83,7 @@
     const claimer = new KeyClaimer({
       state,
       members,
-      memory: this.claimMemory,
+      entryClaims: this.entryClaims,
       clients,
       clock,
       events,
@@ -125,7 +125,7 @@
       clock,
     });
     const registerClaims = entryRoutes({
-      memory: this.claimMemory,
+      entryClaims: this.entryClaims,
       clock,
       instance,
     });
@@ -198,7 +198,7 @@
       ),
     );
     await Effect.runPromise(
-      leaveDeployment(core, this.cells, this.claimMemory, clock.now()),
+      leaveDeployment(core, this.cells, this.entryClaims, clock.now()),
     );
     events.record('process-stopped', 'No work is in progress.');
     await this.kill();
@@ -232,7 +232,7 @@
       const { limits } = state.fold.configuration;
       const retentionMilliseconds = limits.claimMemorySeconds * 1000;
       members.sweep(now);
-      this.claimMemory.sweep(retentionMilliseconds, now);
+      this.entryClaims.sweep(retentionMilliseconds, now);
     });
     return sweep.pipe(
       Effect.zipRight(Effect.sleep(SWEEP_INTERVAL_MILLISECONDS)),
--- a/packages/daemon/src/node/leave-deployment.ts
+++ b/packages/daemon/src/node/leave-deployment.ts
@@ -1,4 +1,4 @@
-import type { ClaimMemory } from '@basilcourse/request-plane/claim/claim-memory';
+import type { EntryClaims } from '@basilcourse/request-plane/claim/entry-claims';
 import * as Effect from 'effect/Effect';
 
 import type { CellManager } from '../scheduling/cell-manager.js';
@@ -7,9 +7,9 @@
 /** Time limit for each step of leaving. */
 const LEAVE_TIMEOUT_MILLISECONDS = 2000;
 
-function handOverMemory(
+function transferClaims(
   { members, instance, clients, own }: NodeCore,
-  memory: ClaimMemory,
+  entryClaims: EntryClaims,
 ): Effect.Effect<void> {
   const remainingEntries = members
     .ofRole('entry')
@@ -19,17 +19,20 @@
   const calls = remainingEntries.map(({ member }) =>
     clients
       .entryAt(member.address)
-      .handOver(instance, memory.all, memory.inheritedInstances)
+      .transferClaims(instance, entryClaims.all, entryClaims.inheritedInstances)
       .pipe(Effect.timeout(LEAVE_TIMEOUT_MILLISECONDS), Effect.ignore),
   );
   return Effect.all(calls, { concurrency: 'unbounded', discard: true });
 }
 
-/** Releases the leases of a stopping entry and hands its key memory over. */
+/**
+ * Releases the leases of a stopping entry, transfers its claims to the other
+ * entries, and records in the log that it has left.
+ */
 export function leaveDeployment(
   core: NodeCore,
   cells: CellManager,
-  memory: ClaimMemory,
+  entryClaims: EntryClaims,
   now: number,
 ): Effect.Effect<void> {
   const { appender, instance, own } = core;
@@ -39,7 +42,7 @@
   return cells
     .release(deadline)
     .pipe(
-      Effect.zipRight(handOverMemory(core, memory)),
+      Effect.zipRight(transferClaims(core, entryClaims)),
       Effect.zipRight(
         appender.append(`left-${instance}`, 'entry-left', body, deadline),
       ),
--- a/packages/daemon/src/node/record-log-end.ts
+++ b/packages/daemon/src/node/record-log-end.ts
@@ -1,4 +1,4 @@
-import type { ClaimRegister } from '@basilcourse/request-plane/agent/claim-register';
+import type { AgentClaims } from '@basilcourse/request-plane/agent/agent-claims';
 import * as Effect from 'effect/Effect';
 
 import type { NodeCore } from './node-core.js';
@@ -9,16 +9,16 @@
 const READ_TIMEOUT_MILLISECONDS = 1000;
 
 /**
- * Records the end of the log unless it was recorded since the start of the
- * register's memory of keys. Reads the store itself, as the state of a peer may
- * be older than that start.
+ * Records the end of the log in the claims of the agent, unless that was done
+ * since `memoryStart`. Reads the store directly, as the state of a peer may be
+ * older than `memoryStart`.
  */
 export function recordLogEnd(
   core: NodeCore,
-  register: ClaimRegister,
+  agentClaims: AgentClaims,
 ): Effect.Effect<void> {
   return Effect.suspend(() => {
-    const { memoryStart, memoryStartOffset } = register;
+    const { memoryStart, memoryStartOffset } = agentClaims;
     if (memoryStartOffset !== undefined) {
       return Effect.void;
     }
@@ -26,7 +26,7 @@
     return Effect.tryPromise(() => log.read(core.state.fold.next, 1)).pipe(
       Effect.timeout(READ_TIMEOUT_MILLISECONDS),
       Effect.map(({ end }) => {
-        register.recordLogEnd(end, memoryStart);
+        agentClaims.recordLogEnd(end, memoryStart);
       }),
       Effect.ignore,
     );
@@ -34,14 +34,14 @@
 }
 
 /**
- * Records the end of the log after each start of the register's memory of
- * keys. Entries derive from it which processes to ask about earlier requests.
+ * Records the end of the log after each change of `memoryStart`. Entries derive
+ * from it which processes to ask about earlier requests.
  */
 export function recordLogEndForever(
   core: NodeCore,
-  register: ClaimRegister,
+  agentClaims: AgentClaims,
 ): Effect.Effect<never> {
-  return recordLogEnd(core, register).pipe(
+  return recordLogEnd(core, agentClaims).pipe(
     Effect.zipRight(Effect.sleep(CHECK_INTERVAL_MILLISECONDS)),
     Effect.forever,
   );
--- a/packages/proving/src/invariants/run-scenario.ts
+++ b/packages/proving/src/invariants/run-scenario.ts
@@ -87,7 +87,7 @@
     behaviour: seededBehaviour(scenario.seed),
     placement: 'least-harm',
     // The simulation has no agents, which would raise the shares again.
-    throttlesStarts: false,
+    throttlesAtStart: false,
     logFaults: {},
   });
   try {
--- a/packages/proving/src/measure/colocation/run-case.ts
+++ b/packages/proving/src/measure/colocation/run-case.ts
@@ -73,7 +73,7 @@
     },
     behaviour,
     placement: colocationCase.placement,
-    throttlesStarts: colocationCase.throttles,
+    throttlesAtStart: colocationCase.throttles,
     logFaults: {},
   });
   if (colocationCase.oracle) {
--- a/packages/proving/src/simulation/simulated-process.ts
+++ b/packages/proving/src/simulation/simulated-process.ts
@@ -38,7 +38,7 @@
   readonly workerAt: (address: string) => PlatformWorker;
   readonly announced: () => readonly WorkerDescription[];
   readonly placement: ScorerName;
-  readonly throttlesStarts: boolean;
+  readonly throttlesAtStart: boolean;
 }
 
 /**
@@ -118,7 +118,7 @@
       workerAt: address => this.workerWithFaults(address),
       storeReachable: () => health.reachable,
       placement: dependencies.placement,
-      throttlesAtStart: dependencies.throttlesStarts,
+      throttlesAtStart: dependencies.throttlesAtStart,
     });
     this.storeFollower = followStore({
       ...shared,
--- a/packages/proving/src/simulation/simulation-plan.ts
+++ b/packages/proving/src/simulation/simulation-plan.ts
@@ -14,6 +14,6 @@
   readonly behaviour: TaskBehaviour;
   readonly placement: ScorerName;
   /** Starts batch tasks throttled when they interfere with services. */
-  readonly throttlesStarts: boolean;
+  readonly throttlesAtStart: boolean;
   readonly logFaults: Partial<LogFaults>;
 }
--- a/packages/proving/src/simulation/simulation-run.ts
+++ b/packages/proving/src/simulation/simulation-run.ts
@@ -78,7 +78,7 @@
       workerAt: address => this.workerAt(address),
       announced: () => this.announced(),
       placement: this.plan.placement,
-      throttlesStarts: this.plan.throttlesStarts,
+      throttlesAtStart: this.plan.throttlesAtStart,
     });
     this.processes.push(process);
     process.start();
--- a/packages/request-plane/src/agent/claim-register.ts
+++ b/packages/request-plane/src/agent/agent-claims.ts
@@ -1,6 +1,6 @@
 import { BoundedMap } from '@basilcourse/foundation/util/bounded-map';
 
-/** Maximum number of keys that one agent remembers. */
+/** Maximum number of keys kept by one agent. */
 const MAXIMUM_KEYS = 100_000;
 
 interface Claim {
@@ -11,10 +11,10 @@
 /**
  * The idempotency keys claimed at one agent, with the requests that hold them.
  *
- * When the register is full, the oldest claim is dropped and `memoryStart` is
+ * When the limit is reached, the oldest claim is dropped and `memoryStart` is
  * set to the time of the drop.
  */
-export class ClaimRegister {
+export class AgentClaims {
   private readonly claims = new BoundedMap<Claim>(MAXIMUM_KEYS);
 
   private start: number;
--- a/packages/request-plane/src/agent/call-upstream.ts
+++ b/packages/request-plane/src/agent/call-upstream.ts
@@ -7,7 +7,7 @@
 import * as Effect from 'effect/Effect';
 
 import { forwardedFields, rawHeadersOf } from '../http/header-fields.js';
-import { notRun, unknown } from '../outcome/outcomes.js';
+import { notRunOutcome, unknownOutcome } from '../outcome/outcomes.js';
 import type { RunOutcome } from '../outcome/run-outcome.js';
 
 /** Maximum size of an upstream's answer. */
@@ -36,13 +36,13 @@
     bytes += chunk.length;
     chunks.push(chunk);
     if (bytes > MAXIMUM_ANSWER_BYTES) {
-      finish(unknown(STEP, address, 'the answer is too large'));
+      finish(unknownOutcome(STEP, address, 'the answer is too large'));
       answer.destroy();
     }
   });
   answer.on('close', () => {
     if (!answer.complete) {
-      finish(unknown(STEP, address, 'the answer was cut off'));
+      finish(unknownOutcome(STEP, address, 'the answer was cut off'));
       return;
     }
     finish({
@@ -56,8 +56,8 @@
 
 function outcomeOfError(error: Error, address: string): RunOutcome {
   return neverConnected(error)
-    ? notRun(STEP, address, error.message)
-    : unknown(STEP, address, error.message);
+    ? notRunOutcome(STEP, address, error.message)
+    : unknownOutcome(STEP, address, error.message);
 }
 
 function send(call: UpstreamCall, finish: Finish): ClientRequest {
@@ -97,7 +97,7 @@
     });
     const timer = setTimeout(() => {
       const reason = 'no whole answer before the deadline';
-      resume(Effect.succeed(unknown(STEP, call.address, reason)));
+      resume(Effect.succeed(unknownOutcome(STEP, call.address, reason)));
       outgoing.destroy();
     }, call.remainingMilliseconds);
     outgoing.once('close', () => {
--- a/packages/request-plane/src/agent/request-runner.ts
+++ b/packages/request-plane/src/agent/request-runner.ts
@@ -5,7 +5,7 @@
 import type { RunRequest } from '@basilcourse/wire/request_plane_pb';
 import * as Effect from 'effect/Effect';
 
-import { notRun, unknown } from '../outcome/outcomes.js';
+import { notRunOutcome, unknownOutcome } from '../outcome/outcomes.js';
 import type { RunOutcome } from '../outcome/run-outcome.js';
 import { callUpstream } from './call-upstream.js';
 import type { LocalUpstream } from './local-upstream.js';
@@ -48,7 +48,7 @@
       const upstream = registry.find(request.attemptId);
       if (request.agentInstance !== instance || upstream === undefined) {
         const reason = 'the upstream is not here';
-        return Effect.succeed(notRun(STEP, instance, reason));
+        return Effect.succeed(notRunOutcome(STEP, instance, reason));
       }
       if (!ledger.accept(request.requestId, now)) {
         return Effect.succeed(this.answerRepeat(request.requestId));
@@ -69,10 +69,10 @@
     const { ledger, instance } = this.dependencies;
     const entry = ledger.find(requestId);
     if (entry?.state === 'fenced') {
-      return notRun(STEP, instance, 'the request was fenced');
+      return notRunOutcome(STEP, instance, 'the request was fenced');
     }
     const reason = 'a message of the same request arrived before';
-    return entry?.outcome ?? unknown(STEP, instance, reason);
+    return entry?.outcome ?? unknownOutcome(STEP, instance, reason);
   }
 
   private runAccepted(
@@ -110,8 +110,8 @@
     const began = ledger.find(requestId)?.state === 'began';
     const reason = 'the caller left';
     const outcome = began
-      ? unknown(STEP, instance, reason)
-      : notRun(STEP, instance, reason);
+      ? unknownOutcome(STEP, instance, reason)
+      : notRunOutcome(STEP, instance, reason);
     ledger.end(requestId, outcome, false, clock.now());
   }
 
@@ -126,7 +126,7 @@
       let granted = false;
       const refuse = (reason: string): void => {
         clearTimeout(timer);
-        resume(Effect.succeed(notRun('agent.queue', instance, reason)));
+        resume(Effect.succeed(notRunOutcome('agent.queue', instance, reason)));
       };
       const remaining = Math.max(0, deadline - clock.now());
       const timer = setTimeout(() => {
@@ -167,7 +167,7 @@
     const call = Effect.suspend(() => {
       if (!ledger.begin(request.requestId, startedAt)) {
         const reason = 'the request was fenced';
-        return Effect.succeed(notRun(STEP, instance, reason));
+        return Effect.succeed(notRunOutcome(STEP, instance, reason));
       }
       const { requestId } = request;
       const text = `${upstream.attempt} began ${request.method} ${request.path}.`;
--- a/packages/request-plane/src/agent/run-ledger.ts
+++ b/packages/request-plane/src/agent/run-ledger.ts
@@ -1,6 +1,6 @@
 import { BoundedMap } from '@basilcourse/foundation/util/bounded-map';
 
-import { notRun, unknown } from '../outcome/outcomes.js';
+import { notRunOutcome, unknownOutcome } from '../outcome/outcomes.js';
 import type { RunOutcome } from '../outcome/run-outcome.js';
 import type { LedgerEntry } from './ledger-entry.js';
 
@@ -65,7 +65,11 @@
       keepAnswer && bytes <= MAXIMUM_KEPT_ANSWER_BYTES && fitsInMemory;
     const kept =
       outcome.kind === 'completed' && !isKept
-        ? unknown('agent.recover', 'local', 'ran, and its answer was not kept')
+        ? unknownOutcome(
+            'agent.recover',
+            'local',
+            'ran, and its answer was not kept',
+          )
         : outcome;
     this.keptBytes += sizeOf(kept);
     this.set(requestId, 'ended', kept, now);
@@ -78,12 +82,12 @@
       this.set(requestId, 'fenced', undefined, now);
     }
     if (entry?.state === 'began') {
-      return unknown('agent.fence', 'local', 'the request is running');
+      return unknownOutcome('agent.fence', 'local', 'the request is running');
     }
     if (entry?.state === 'ended' && entry.outcome !== undefined) {
       return entry.outcome;
     }
-    return notRun('agent.fence', 'local', 'fenced before it began');
+    return notRunOutcome('agent.fence', 'local', 'fenced before it began');
   }
 
   public find(requestId: string): LedgerEntry | undefined {
--- a/packages/request-plane/src/claim/claim-memory.ts
+++ b/packages/request-plane/src/claim/entry-claims.ts
@@ -2,16 +2,16 @@
 
 import type { RememberedClaim } from './remembered-claim.js';
 
-/** Maximum number of keys that one entry remembers. */
+/** Maximum number of keys kept by one entry. */
 const MAXIMUM_KEYS = 100_000;
 
 /**
  * The idempotency keys that were claimed through one entry.
  *
- * When it is full, the oldest claim is dropped and `memoryStart` is set to the
+ * When the limit is reached, the oldest claim is dropped and `memoryStart` is set to the
  * time of the drop.
  */
-export class ClaimMemory {
+export class EntryClaims {
   private readonly claims = new BoundedMap<RememberedClaim>(MAXIMUM_KEYS);
 
   private readonly inherited = new Set<string>();
--- a/packages/request-plane/src/claim/key-claimer.ts
+++ b/packages/request-plane/src/claim/key-claimer.ts
@@ -9,9 +9,9 @@
 import type { CallerRequest } from '../entry/caller-request.js';
 import type { PeerClients } from '../entry/peer-clients.js';
 import type { MemberTable } from '../membership/member-table.js';
-import { notRun, unknown } from '../outcome/outcomes.js';
-import type { ClaimMemory } from './claim-memory.js';
+import { notRunOutcome, unknownOutcome } from '../outcome/outcomes.js';
 import type { ClaimResult } from './claim-result.js';
+import type { EntryClaims } from './entry-claims.js';
 import { findKeyOwner } from './find-key-owner.js';
 import type { KeyOwner } from './key-owner.js';
 import { recallFromEntries } from './recall-from-entries.js';
@@ -26,7 +26,7 @@
 interface ClaimerDependencies {
   readonly state: SharedState;
   readonly members: MemberTable;
-  readonly memory: ClaimMemory;
+  readonly entryClaims: EntryClaims;
   readonly clients: PeerClients;
   readonly clock: Clock;
   readonly events: EventRecorder;
@@ -35,7 +35,7 @@
   readonly instance: string;
 }
 
-function settledClaim(outcome: ReturnType<typeof notRun>): ClaimResult {
+function settledClaim(outcome: ReturnType<typeof notRunOutcome>): ClaimResult {
   return { kind: 'settled', outcome };
 }
 
@@ -43,7 +43,7 @@
  * Result of a failed claim; the request was not sent to any agent to be run.
  */
 function refusedClaim(reason: string): ClaimResult {
-  return settledClaim(notRun(STEP, 'keeper', reason));
+  return settledClaim(notRunOutcome(STEP, 'keeper', reason));
 }
 
 /**
@@ -99,8 +99,8 @@
   /** Releases the claim of a request that was not run. */
   public release(key: string, request: CallerRequest): Effect.Effect<void> {
     return Effect.suspend(() => {
-      const { memory, clients } = this.dependencies;
-      memory.release(key, request.requestId);
+      const { entryClaims, clients } = this.dependencies;
+      entryClaims.release(key, request.requestId);
       const owner = findKeyOwner(this.dependencies, request.service, key);
       return owner === undefined
         ? Effect.void
@@ -116,22 +116,26 @@
     request: CallerRequest,
   ): Effect.Effect<ClaimResult> {
     return Effect.suspend(() => {
-      const { memory, clock, state, instance } = this.dependencies;
+      const { entryClaims, clock, state, instance } = this.dependencies;
       // Other entries ask this entry for its claims only once its
       // `entry-joined` record is in the log, and an older state may name a
       // former owner.
       if (!state.fold.configuration.entries.has(instance)) {
         const reason = 'the joining of this entry is not in force yet';
-        return Effect.succeed(settledClaim(notRun(STEP, 'local', reason)));
+        return Effect.succeed(
+          settledClaim(notRunOutcome(STEP, 'local', reason)),
+        );
       }
-      const holder = memory.claim(key, request.requestId, clock.now());
+      const holder = entryClaims.claim(key, request.requestId, clock.now());
       if (holder !== request.requestId) {
         return this.recoverEarlierAnswer(key, holder, request);
       }
       const owner = findKeyOwner(this.dependencies, request.service, key);
       if (owner === undefined) {
         const reason = 'the agent that keeps the key is out of reach';
-        return Effect.succeed(settledClaim(notRun(STEP, 'local', reason)));
+        return Effect.succeed(
+          settledClaim(notRunOutcome(STEP, 'local', reason)),
+        );
       }
       return this.claimAt(owner, key, request);
     });
@@ -194,7 +198,9 @@
         }
         if (recall.missing.length > 0) {
           const reason = `entries that may know the key do not answer: ${recall.missing.join(', ')}`;
-          return Effect.succeed(settledClaim(unknown(STEP, 'entries', reason)));
+          return Effect.succeed(
+            settledClaim(unknownOutcome(STEP, 'entries', reason)),
+          );
         }
         events.record('claim-granted', 'The key is claimed.', {
           request: request.requestId,
@@ -209,7 +215,7 @@
     holder: string,
     request: CallerRequest,
   ): Effect.Effect<ClaimResult> {
-    this.dependencies.memory.replaceHolder(
+    this.dependencies.entryClaims.replaceHolder(
       key,
       holder,
       this.dependencies.clock.now(),
--- a/packages/request-plane/src/claim/recall-from-entries.ts
+++ b/packages/request-plane/src/claim/recall-from-entries.ts
@@ -6,7 +6,7 @@
 
 import type { PeerClients } from '../entry/peer-clients.js';
 import type { MemberTable } from '../membership/member-table.js';
-import type { ClaimMemory } from './claim-memory.js';
+import type { EntryClaims } from './entry-claims.js';
 import { memoryWindowStart } from './memory-window-start.js';
 
 const RECALL_TIMEOUT_MILLISECONDS = 400;
@@ -15,7 +15,7 @@
 interface RecallDependencies {
   readonly state: SharedState;
   readonly members: MemberTable;
-  readonly memory: ClaimMemory;
+  readonly entryClaims: EntryClaims;
   readonly clients: PeerClients;
   readonly clock: Clock;
   readonly instance: string;
@@ -89,11 +89,11 @@
 ): Effect.Effect<RecallResult> {
   return askAllEntries(dependencies, key, requestId).pipe(
     Effect.map(answers => {
-      const { state, clock, memory } = dependencies;
+      const { state, clock, entryClaims } = dependencies;
       const { configuration } = state.fold;
       const windowStart = memoryWindowStart(configuration, clock.now());
       const inherited = new Set([
-        ...memory.inheritedInstances,
+        ...entryClaims.inheritedInstances,
         ...answers.flatMap(answer => answer.inheritedInstances),
       ]);
       const missing = instancesToAsk(dependencies).filter(
--- a/packages/request-plane/src/claim/recover-answer.ts
+++ b/packages/request-plane/src/claim/recover-answer.ts
@@ -5,7 +5,7 @@
 import type { CallerRequest } from '../entry/caller-request.js';
 import type { PeerClients } from '../entry/peer-clients.js';
 import type { MemberTable } from '../membership/member-table.js';
-import { unknown } from '../outcome/outcomes.js';
+import { unknownOutcome } from '../outcome/outcomes.js';
 import type { RunOutcome } from '../outcome/run-outcome.js';
 
 const STEP = 'entry.recover';
@@ -81,7 +81,7 @@
       const now = dependencies.clock.now();
       if (!inProgress || now + POLL_INTERVAL_MILLISECONDS >= request.deadline) {
         const reason = `an earlier request under the key, ${holder}, has no answer to give`;
-        return unknown(STEP, 'agents', reason);
+        return unknownOutcome(STEP, 'agents', reason);
       }
       yield* Effect.sleep(POLL_INTERVAL_MILLISECONDS);
     }
--- a/packages/request-plane/src/entry/caller-server.ts
+++ b/packages/request-plane/src/entry/caller-server.ts
@@ -10,7 +10,7 @@
 import type { Service } from '@basilcourse/shared-state/release-note/service';
 import * as Effect from 'effect/Effect';
 
-import { notRun } from '../outcome/outcomes.js';
+import { notRunOutcome } from '../outcome/outcomes.js';
 import type { RunOutcome } from '../outcome/run-outcome.js';
 import type { CallerRequest } from './caller-request.js';
 import { describeOutcome } from './describe-outcome.js';
@@ -185,11 +185,11 @@
   private outcomeOf(request: CallerRequest): Effect.Effect<RunOutcome> {
     if (this.refusesRequests) {
       const reason = 'the entry is stopping';
-      return Effect.succeed(notRun('entry.accept', 'local', reason));
+      return Effect.succeed(notRunOutcome('entry.accept', 'local', reason));
     }
     if (this.inFlight > MAXIMUM_IN_FLIGHT) {
       const reason = 'the entry holds too many requests';
-      return Effect.succeed(notRun('entry.accept', 'local', reason));
+      return Effect.succeed(notRunOutcome('entry.accept', 'local', reason));
     }
     return this.dependencies.dispatcher.dispatch(request);
   }
--- a/packages/request-plane/src/entry/entry-client.ts
+++ b/packages/request-plane/src/entry/entry-client.ts
@@ -10,7 +10,8 @@
     claimKey: string,
     requestId: string,
   ) => Effect.Effect<RecallResponse, PeerUnreachableError>;
-  readonly handOver: (
+  /** Transfers the claims of this stopping entry to the other entry. */
+  readonly transferClaims: (
     instance: string,
     claims: readonly RememberedClaim[],
     inheritedInstances: readonly string[],
--- a/packages/request-plane/src/entry/hand-over.ts
+++ b/packages/request-plane/src/entry/hand-over.ts
@@ -5,7 +5,7 @@
 import { create } from '@bufbuild/protobuf';
 import * as Effect from 'effect/Effect';
 
-import { notRun, unknown } from '../outcome/outcomes.js';
+import { notRunOutcome, unknownOutcome } from '../outcome/outcomes.js';
 import type { RunOutcome } from '../outcome/run-outcome.js';
 import type { LoadTable } from '../routing/load-table.js';
 import type { UpstreamCandidate } from '../routing/upstream-candidate.js';
@@ -93,7 +93,7 @@
       Effect.catchAll(() =>
         Effect.sync(() => {
           dependencies.clients.reset(upstream.agentAddress);
-          return unknown(STEP, upstream.agentId, failure);
+          return unknownOutcome(STEP, upstream.agentId, failure);
         }),
       ),
       Effect.tap(outcome =>
@@ -128,7 +128,9 @@
       Effect.map(({ outcome }) => outcome),
       Effect.catchAll(({ message }) =>
         isConnectFailure(message)
-          ? Effect.succeed(notRun(CONNECT_STEP, upstream.agentId, message))
+          ? Effect.succeed(
+              notRunOutcome(CONNECT_STEP, upstream.agentId, message),
+            )
           : fence(message),
       ),
     );
--- a/packages/request-plane/src/entry/request-dispatcher.ts
+++ b/packages/request-plane/src/entry/request-dispatcher.ts
@@ -4,7 +4,7 @@
 
 import { claimKeyOf } from '../claim/claim-key.js';
 import type { KeyClaimer } from '../claim/key-claimer.js';
-import { notRun } from '../outcome/outcomes.js';
+import { notRunOutcome } from '../outcome/outcomes.js';
 import type { RunOutcome } from '../outcome/run-outcome.js';
 import type { RetryBudget } from '../retry/retry-budget.js';
 import type { ByteBudget } from '../routing/byte-budget.js';
@@ -93,7 +93,9 @@
       const { deadline } = request;
       if (now >= deadline) {
         const reason = 'the deadline passed before the request was sent';
-        return Effect.succeed(last ?? notRun('entry.route', 'local', reason));
+        return Effect.succeed(
+          last ?? notRunOutcome('entry.route', 'local', reason),
+        );
       }
       const upstream = router.choose(
         request.service,
@@ -103,7 +105,9 @@
       );
       if (upstream === undefined) {
         const reason = `no upstream of ${request.service} is in reach`;
-        return Effect.succeed(last ?? notRun('entry.route', 'local', reason));
+        return Effect.succeed(
+          last ?? notRunOutcome('entry.route', 'local', reason),
+        );
       }
       tried.add(upstream.attempt);
       return this.tryUpstream(request, claimKey, upstream, tries).pipe(
@@ -162,7 +166,7 @@
       crossRegionBytes.spend(request.body.length + answerBytes, now);
     }
     if (isConnectFailure(outcome)) {
-      unreachableAgents.recordRefusal(upstream.agentInstance, now);
+      unreachableAgents.recordConnectFailure(upstream.agentInstance, now);
       return;
     }
     unreachableAgents.recordAnswer(upstream.agentInstance);
--- a/packages/request-plane/src/routing/load-table.ts
+++ b/packages/request-plane/src/routing/load-table.ts
@@ -78,7 +78,7 @@
     }
   }
 
-  public forget(attempt: string): void {
+  public remove(attempt: string): void {
     this.reports.delete(attempt);
     this.serviceTimeChangedAt.delete(attempt);
   }
--- a/packages/request-plane/src/routing/outlier-detector.ts
+++ b/packages/request-plane/src/routing/outlier-detector.ts
@@ -74,7 +74,7 @@
       : remaining;
   }
 
-  public forget(attempt: string): void {
+  public remove(attempt: string): void {
     this.records.delete(attempt);
   }
 }
--- a/packages/request-plane/src/routing/unreachable-agents.ts
+++ b/packages/request-plane/src/routing/unreachable-agents.ts
@@ -13,7 +13,7 @@
 export class UnreachableAgents {
   private readonly until = new Map<string, number>();
 
-  public recordRefusal(instance: string, now: number): void {
+  public recordConnectFailure(instance: string, now: number): void {
     if (this.until.size >= MAXIMUM_INSTANCES) {
       this.until.clear();
     }
--- a/packages/request-plane/src/transport/agent-routes.ts
+++ b/packages/request-plane/src/transport/agent-routes.ts
@@ -5,12 +5,12 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import * as Effect from 'effect/Effect';
 
-import type { ClaimRegister } from '../agent/claim-register.js';
+import type { AgentClaims } from '../agent/agent-claims.js';
 import type { RequestRunner } from '../agent/request-runner.js';
 import type { RunLedger } from '../agent/run-ledger.js';
 import type { UpstreamRegistry } from '../agent/upstream-registry.js';
 import { MAXIMUM_TRIES, tryIdOf } from '../entry/request-tries.js';
-import { unknown } from '../outcome/outcomes.js';
+import { unknownOutcome } from '../outcome/outcomes.js';
 import { outcomeMessageOf } from './outcome-messages.js';
 
 const MICROSECONDS_PER_MILLISECOND = 1000;
@@ -19,7 +19,7 @@
 interface AgentRouteDependencies {
   readonly runner: RequestRunner;
   readonly ledger: RunLedger;
-  readonly register: ClaimRegister;
+  readonly agentClaims: AgentClaims;
   readonly registry: UpstreamRegistry;
   readonly clock: Clock;
   readonly events: EventRecorder;
@@ -72,13 +72,13 @@
   | { readonly case: 'inProgress'; readonly value: true }
   | { readonly case: 'notKnown'; readonly value: true };
 
-/** Start of an agent's memory of claims as the fields of a message. */
-export function memoryStartOf(register: ClaimRegister): {
+/** Time since which an agent has all its claims, as the fields of a message. */
+export function memoryStartOf(agentClaims: AgentClaims): {
   readonly memoryStartMilliseconds: bigint;
   readonly memoryStartOffset?: bigint;
 } {
-  const memoryStartMilliseconds = BigInt(register.memoryStart);
-  const { memoryStartOffset: offset } = register;
+  const memoryStartMilliseconds = BigInt(agentClaims.memoryStart);
+  const { memoryStartOffset: offset } = agentClaims;
   return offset === undefined
     ? { memoryStartMilliseconds }
     : { memoryStartMilliseconds, memoryStartOffset: BigInt(offset) };
@@ -97,7 +97,7 @@
 export function agentRoutes(
   dependencies: AgentRouteDependencies,
 ): (router: ConnectRouter) => void {
-  const { ledger, register, registry, clock, instance } = dependencies;
+  const { ledger, agentClaims, registry, clock, instance } = dependencies;
   return router => {
     router.service(AgentService, {
       run: async (request, context) => {
@@ -108,22 +108,22 @@
       fence: request => {
         const isOtherInstance = request.agentInstance !== instance;
         const outcome = isOtherInstance
-          ? unknown('agent.fence', instance, 'the agent was restarted')
+          ? unknownOutcome('agent.fence', instance, 'the agent was restarted')
           : ledger.fence(request.requestId, clock.now());
         return { outcome: outcomeMessageOf(outcome) };
       },
       claim: request => {
         const { claimKey, requestId, attemptId } = request;
-        const memory = memoryStartOf(register);
+        const memoryStart = memoryStartOf(agentClaims);
         if (registry.hasEnded(attemptId)) {
           const value = 'the attempt beside this agent has ended';
-          return { outcome: { case: 'refused', value }, ...memory };
+          return { outcome: { case: 'refused', value }, ...memoryStart };
         }
-        const value = register.claim(claimKey, requestId, clock.now());
-        return { outcome: { case: 'holderRequestId', value }, ...memory };
+        const value = agentClaims.claim(claimKey, requestId, clock.now());
+        return { outcome: { case: 'holderRequestId', value }, ...memoryStart };
       },
       release: request => {
-        register.release(request.claimKey, request.requestId);
+        agentClaims.release(request.claimKey, request.requestId);
         return {};
       },
       recover: request => ({
--- a/packages/request-plane/src/transport/connect-clients.ts
+++ b/packages/request-plane/src/transport/connect-clients.ts
@@ -69,7 +69,7 @@
       callPeer('entry.recall', address, signal =>
         client.recall({ claimKey, requestId }, { signal }),
       ),
-    handOver: (instance, claims, inheritedInstances) =>
+    transferClaims: (instance, claims, inheritedInstances) =>
       callPeer('entry.hand-over-memory', address, signal =>
         client.handOver(
           {
--- a/packages/request-plane/src/transport/entry-routes.ts
+++ b/packages/request-plane/src/transport/entry-routes.ts
@@ -2,11 +2,11 @@
 import { EntryService } from '@basilcourse/wire/request_plane_pb';
 import type { ConnectRouter } from '@connectrpc/connect';
 
-import type { ClaimMemory } from '../claim/claim-memory.js';
+import type { EntryClaims } from '../claim/entry-claims.js';
 
 /** Dependencies of the handlers of calls to an entry. */
 interface EntryRouteDependencies {
-  readonly memory: ClaimMemory;
+  readonly entryClaims: EntryClaims;
   readonly clock: Clock;
   readonly instance: string;
 }
@@ -15,16 +15,16 @@
 export function entryRoutes(
   dependencies: EntryRouteDependencies,
 ): (router: ConnectRouter) => void {
-  const { memory, clock, instance } = dependencies;
+  const { entryClaims, clock, instance } = dependencies;
   return router => {
     router.service(EntryService, {
       recall: ({ claimKey, requestId }) => {
-        const holder = memory.claim(claimKey, requestId, clock.now());
+        const holder = entryClaims.claim(claimKey, requestId, clock.now());
         return {
           instance,
           holderRequestId: holder === requestId ? '' : holder,
-          memoryStartMilliseconds: BigInt(memory.memoryStart),
-          inheritedInstances: [...memory.inheritedInstances],
+          memoryStartMilliseconds: BigInt(entryClaims.memoryStart),
+          inheritedInstances: [...entryClaims.inheritedInstances],
         };
       },
       handOver: request => {
@@ -33,7 +33,11 @@
           requestId: claim.requestId,
           claimedAt: Number(claim.claimedAtMilliseconds),
         }));
-        memory.inherit(request.instance, request.inheritedInstances, claims);
+        entryClaims.inherit(
+          request.instance,
+          request.inheritedInstances,
+          claims,
+        );
         return { instance };
       },
     });
--- a/packages/request-plane/src/transport/outcome-messages.ts
+++ b/packages/request-plane/src/transport/outcome-messages.ts
@@ -12,7 +12,7 @@
 } from '@basilcourse/wire/request_plane_pb';
 import { create } from '@bufbuild/protobuf';
 
-import { notRun, unknown } from '../outcome/outcomes.js';
+import { notRunOutcome, unknownOutcome } from '../outcome/outcomes.js';
 import type { RunOutcome } from '../outcome/run-outcome.js';
 
 /** An outcome as a field of a message. */
@@ -60,10 +60,10 @@
       return { kind: 'completed', status, headers, body };
     }
     case 'notRun':
-      return notRun(message.value.step, peer, message.value.reason);
+      return notRunOutcome(message.value.step, peer, message.value.reason);
     case 'unknown':
-      return unknown(message.value.step, peer, message.value.reason);
+      return unknownOutcome(message.value.step, peer, message.value.reason);
     case undefined:
-      return unknown('agent.run', peer, 'the answer names no outcome');
+      return unknownOutcome('agent.run', peer, 'the answer names no outcome');
   }
 }
--- a/packages/request-plane/tests/claim/model/claim-simulation.ts
+++ b/packages/request-plane/tests/claim/model/claim-simulation.ts
@@ -8,8 +8,8 @@
 import { create } from '@bufbuild/protobuf';
 import * as Effect from 'effect/Effect';
 
-import { ClaimRegister } from '../../../src/agent/claim-register.js';
-import { ClaimMemory } from '../../../src/claim/claim-memory.js';
+import { AgentClaims } from '../../../src/agent/agent-claims.js';
+import { EntryClaims } from '../../../src/claim/entry-claims.js';
 import { KeyClaimer } from '../../../src/claim/key-claimer.js';
 import type { AgentClient } from '../../../src/entry/agent-client.js';
 import type { CallerRequest } from '../../../src/entry/caller-request.js';
@@ -38,7 +38,7 @@
 
   private readonly killedInstances = new Set<string>();
 
-  private readonly registers = new Map<string, ClaimRegister>();
+  private readonly claimsByAgent = new Map<string, AgentClaims>();
 
   /** The log, with the decisions of the cell's lease holder. */
   public readonly log = new ModelLog(this.clock);
@@ -58,7 +58,7 @@
     const instance = `entry-${this.started}`;
     this.log.append('entry-joined', { instance, address: instance });
     const state = new SharedState();
-    const memory = new ClaimMemory(this.clock.now());
+    const entryClaims = new EntryClaims(this.clock.now());
     const events = { record: () => undefined };
     const members = new MemberTable(instance, instance, events);
     const clients = {
@@ -70,14 +70,14 @@
     const claimer = new KeyClaimer({
       state,
       members,
-      memory,
+      entryClaims,
       clients,
       clock,
       events,
       random: { next: () => 0 },
       instance,
     });
-    const entry = { instance, memory, state, members, claimer };
+    const entry = { instance, entryClaims, state, members, claimer };
     this.entries.push(entry);
     this.gossip(entry);
     this.readLog(entry, Math.max(1, this.log.end - unreadRecords));
@@ -113,9 +113,9 @@
   /** Replaces an agent by one without any claims. */
   public restartAgent(index: number): void {
     const worker = MODEL_WORKERS[index % MODEL_WORKERS.length] ?? '';
-    const register = new ClaimRegister(this.clock.now());
-    register.recordLogEnd(this.log.end, register.memoryStart);
-    this.registers.set(worker, register);
+    const agentClaims = new AgentClaims(this.clock.now());
+    agentClaims.recordLogEnd(this.log.end, agentClaims.memoryStart);
+    this.claimsByAgent.set(worker, agentClaims);
   }
 
   /**
@@ -159,8 +159,8 @@
   }
 
   private agentAt(worker: string): AgentClient {
-    const register = (): ClaimRegister =>
-      this.registers.get(worker) ?? new ClaimRegister(this.clock.now());
+    const agentClaims = (): AgentClaims =>
+      this.claimsByAgent.get(worker) ?? new AgentClaims(this.clock.now());
     const unused = (step: string): Effect.Effect<never, PeerUnreachableError> =>
       Effect.fail(new PeerUnreachableError(step, worker, 'not modelled'));
     return {
@@ -171,14 +171,14 @@
           create(ClaimResponseSchema, {
             outcome: {
               case: 'holderRequestId',
-              value: register().claim(key, requestId, this.clock.now()),
+              value: agentClaims().claim(key, requestId, this.clock.now()),
             },
-            ...memoryStartOf(register()),
+            ...memoryStartOf(agentClaims()),
           }),
         ),
       release: (key, requestId) =>
         this.call(worker, () => {
-          register().release(key, requestId);
+          agentClaims().release(key, requestId);
         }),
       recover: () =>
         this.call(worker, () =>
@@ -197,14 +197,18 @@
           if (peer === undefined) {
             throw new Error('dead');
           }
-          const holder = peer.memory.claim(key, requestId, this.clock.now());
+          const holder = peer.entryClaims.claim(
+            key,
+            requestId,
+            this.clock.now(),
+          );
           return create(RecallResponseSchema, {
             instance,
             holderRequestId: holder === requestId ? '' : holder,
-            memoryStartMilliseconds: BigInt(peer.memory.memoryStart),
+            memoryStartMilliseconds: BigInt(peer.entryClaims.memoryStart),
           });
         }),
-      handOver: () => Effect.void,
+      transferClaims: () => Effect.void,
     };
   }
 
--- a/packages/request-plane/tests/routing/upstream-router.test.ts
+++ b/packages/request-plane/tests/routing/upstream-router.test.ts
@@ -96,13 +96,13 @@
     );
   t.same([...new Set(chosen())].sort(), ['a', 'b', 'c', 'd']);
   for (const name of ['a', 'b', 'c']) {
-    unreachableAgents.recordRefusal(`${name}-run`, 1000);
+    unreachableAgents.recordConnectFailure(`${name}-run`, 1000);
   }
   t.same([...new Set(chosen())], ['d']);
   unreachableAgents.recordAnswer('b-run');
   t.same([...new Set(chosen())].sort(), ['b', 'd']);
   for (const name of ['b', 'd']) {
-    unreachableAgents.recordRefusal(`${name}-run`, 1000);
+    unreachableAgents.recordConnectFailure(`${name}-run`, 1000);
   }
   t.equal(new Set(chosen()).size, 4, 'all are tried when all are excluded');
   t.end();
--- a/packages/shared-state/src/fold/decision-handlers.ts
+++ b/packages/shared-state/src/fold/decision-handlers.ts
@@ -69,7 +69,7 @@
  * period stays recorded for twice the time that keys are kept, to allow for
  * differences between clocks.
  */
-function recordPastMinion(
+function recordKeyOwnership(
   { scheduling, configuration, record }: FoldContext,
   attempt: Attempt,
 ): void {
@@ -83,13 +83,16 @@
   // The clocks of two holders may differ by more than the attempt's duration.
   const keptUntil = Math.max(writtenAt, keptFrom + 1);
   const minion = { attempt: id, owner: ownerOf(task), keptFrom, keptUntil };
-  scheduling.recordPastMinion(minion, writtenAt - 2 * claimMemoryMilliseconds);
+  scheduling.recordKeyOwnershipPeriod(
+    minion,
+    writtenAt - 2 * claimMemoryMilliseconds,
+  );
 }
 
 const lose: DecisionHandler<'lose'> = (context, { attemptId, reason }) => {
   const attempt = attemptInCell(context, attemptId);
   if (attempt !== undefined) {
-    recordPastMinion(context.fold, attempt);
+    recordKeyOwnership(context.fold, attempt);
   }
   return changeState(context, attemptId, 'lost', reason);
 };
@@ -123,7 +126,7 @@
   }
   const { scheduling, record } = context.fold;
   scheduling.removeAttempt(attempt);
-  recordPastMinion(context.fold, attempt);
+  recordKeyOwnership(context.fold, attempt);
   if (isServiceTask(attempt.task) && decision.outcome === 'cancelled') {
     scheduling.tasks.set(attempt.task, {
       ...scheduling.progressOf(attempt.task),
--- a/packages/shared-state/src/scheduling/scheduling-state.ts
+++ b/packages/shared-state/src/scheduling/scheduling-state.ts
@@ -107,7 +107,10 @@
    * Records a period in which a minion kept idempotency keys, and discards the
    * periods that ended before a given time.
    */
-  public recordPastMinion(minion: PastMinion, discardBefore: number): void {
+  public recordKeyOwnershipPeriod(
+    minion: PastMinion,
+    discardBefore: number,
+  ): void {
     for (const [name, { keptUntil }] of this.pastMinions) {
       if (keptUntil < discardBefore) {
         this.pastMinions.delete(name);
