refactor(daemon): second reading of daemon and command-line

What read oddly: `entry` as the name of any list item, where an entry is a process; exit codes `done` and `refused`, though every error gives the latter; a lease that was a number of milliseconds; `isPartial` and `configurationOnly` for one thing; `gap` and `missing` for one thing; usage errors that state instead of asking ("--format is one of"); comments about the "register's memory".

| before | after | |---|---| | `ExitCode.done`, `ExitCode.refused` | `ExitCode.success`, `ExitCode.failure` | | `gapsOf` | `missingEventMessages` | | `WorkerTask.confirmed` | `confirmedAttempts` | | `applyMessage(isPartial)` | `configurationOnly` | | `lease` (milliseconds) | `leaseMilliseconds` |

What stays: `announcementCheck`, as its test would no longer be paired with the file it came from; "IP number", which settings and their pages use throughout; command descriptions and settings descriptions; log sentences and event texts.

--- a/packages/command-line/src/client/entry-client.ts
+++ b/packages/command-line/src/client/entry-client.ts
@@ -4,7 +4,7 @@
 import { callJson } from '@basilcourse/foundation/http/call-json';
 import type { JsonCall } from '@basilcourse/foundation/http/json-call';
 
-/** Time limit for a call that needs no append. */
+/** Time limit for a call that does not append to the log. */
 const READ_TIMEOUT_MILLISECONDS = 5000;
 
 /** Calls the first entry that answers, in the order of the addresses. */
@@ -18,7 +18,7 @@
    * Reads from the first entry that answers.
    *
    * @throws PeerUnreachableError when no entry answers.
-   * @throws PeerRefusedError when an entry refuses.
+   * @throws PeerRefusedError when an entry refuses the call.
    */
   public get(step: string, path: string): Promise<unknown> {
     return this.call({
--- a/packages/command-line/src/commands/base-command.ts
+++ b/packages/command-line/src/commands/base-command.ts
@@ -26,7 +26,7 @@
       .filter(address => address !== '');
     if (addresses.length === 0) {
       throw new UsageError(
-        `Name at least one entry by --entries or ${ENTRIES_VARIABLE}.`,
+        `Specify at least one entry with --entries or ${ENTRIES_VARIABLE}.`,
       );
     }
     const invalid = addresses.find(address => !isAddress(address));
@@ -56,7 +56,7 @@
       return await action();
     } catch (error) {
       this.printError(messageOf(error));
-      return error instanceof UsageError ? ExitCode.usage : ExitCode.refused;
+      return error instanceof UsageError ? ExitCode.usage : ExitCode.failure;
     }
   }
 }
--- a/packages/command-line/src/commands/explain-command.ts
+++ b/packages/command-line/src/commands/explain-command.ts
@@ -30,7 +30,7 @@
   public override execute(): Promise<number> {
     return this.handleErrors(() => {
       if (!KINDS.includes(this.kind)) {
-        throw new UsageError(`Explain one of ${KINDS.join(', ')}.`);
+        throw new UsageError(`The kind must be one of ${KINDS.join(', ')}.`);
       }
       return this.kind === 'request'
         ? this.explainRequest()
@@ -43,19 +43,19 @@
     const requestEvents = events.filter(({ request }) =>
       request?.startsWith(this.subject),
     );
-    for (const gap of missing) {
-      this.printError(gap);
+    for (const message of missing) {
+      this.printError(message);
     }
     if (requestEvents.length === 0) {
       this.printError(`No process has an event of request ${this.subject}.`);
-      return ExitCode.refused;
+      return ExitCode.failure;
     }
     if (this.json) {
       this.printJson(requestEvents);
     } else {
       this.print(formatEvents(requestEvents));
     }
-    return ExitCode.done;
+    return ExitCode.success;
   }
 
   private async explainSubject(): Promise<number> {
@@ -69,6 +69,6 @@
     } else {
       this.print(formatExplanation(view));
     }
-    return ExitCode.done;
+    return ExitCode.success;
   }
 }
--- a/packages/command-line/src/commands/note-check-command.ts
+++ b/packages/command-line/src/commands/note-check-command.ts
@@ -27,12 +27,12 @@
         }
       }
       if (problems.length > 0) {
-        return ExitCode.refused;
+        return ExitCode.failure;
       }
       if (!this.json) {
         this.print(`The text of note ${note.name} is valid.`);
       }
-      return ExitCode.done;
+      return ExitCode.success;
     });
   }
 }
--- a/packages/command-line/src/commands/note-difference-command.ts
+++ b/packages/command-line/src/commands/note-difference-command.ts
@@ -27,7 +27,7 @@
         for (const problem of problems) {
           this.printError(problem);
         }
-        return ExitCode.refused;
+        return ExitCode.failure;
       }
       const view = (await this.client.get(
         'operator.in-force',
@@ -39,7 +39,7 @@
       } else {
         this.print(lines.length === 0 ? 'No change.' : lines.join('\n'));
       }
-      return ExitCode.done;
+      return ExitCode.success;
     });
   }
 }
--- a/packages/command-line/src/commands/note-history-command.ts
+++ b/packages/command-line/src/commands/note-history-command.ts
@@ -23,7 +23,7 @@
       )) as readonly NoteVerdictView[];
       if (this.json) {
         this.printJson(notes);
-        return ExitCode.done;
+        return ExitCode.success;
       }
       this.print(
         formatTable([
@@ -38,7 +38,7 @@
           ]),
         ]),
       );
-      return ExitCode.done;
+      return ExitCode.success;
     });
   }
 }
--- a/packages/command-line/src/commands/note-in-force-command.ts
+++ b/packages/command-line/src/commands/note-in-force-command.ts
@@ -23,7 +23,7 @@
       )) as ConfigurationView;
       if (this.json) {
         this.printJson(view);
-        return ExitCode.done;
+        return ExitCode.success;
       }
       this.print(`Revision ${view.revision}`);
       this.print(
@@ -47,7 +47,7 @@
           ]),
         ]),
       );
-      return ExitCode.done;
+      return ExitCode.success;
     });
   }
 }
--- a/packages/command-line/src/commands/note-publish-command.ts
+++ b/packages/command-line/src/commands/note-publish-command.ts
@@ -43,7 +43,7 @@
         for (const problem of problems) {
           this.printError(problem);
         }
-        return ExitCode.refused;
+        return ExitCode.failure;
       }
       return this.publish(text, this.id ?? `note-${randomUUID()}`);
     });
@@ -65,13 +65,13 @@
         error.status !== HTTP_GATEWAY_TIMEOUT
       ) {
         this.printError(error.message);
-        return ExitCode.refused;
+        return ExitCode.failure;
       }
       return this.findVerdict(id, messageOf(error));
     }
   }
 
-  /** Looks for the verdict on a note whose publication got no answer. */
+  /** Looks up the verdict on a note whose publication was not answered. */
   private async findVerdict(id: string, reason: string): Promise<number> {
     try {
       const notes = (await this.client.get(
@@ -103,6 +103,6 @@
         this.printError(`  ${reason}`);
       }
     }
-    return verdict.accepted ? ExitCode.done : ExitCode.refused;
+    return verdict.accepted ? ExitCode.success : ExitCode.failure;
   }
 }
--- a/packages/command-line/src/commands/note-show-command.ts
+++ b/packages/command-line/src/commands/note-show-command.ts
@@ -27,14 +27,14 @@
       );
       if (found === undefined) {
         this.printError(`No note ${this.noteName} was published.`);
-        return ExitCode.refused;
+        return ExitCode.failure;
       }
       if (this.json) {
         this.printJson(found);
       } else {
         this.print(found.text.trim());
       }
-      return ExitCode.done;
+      return ExitCode.success;
     });
   }
 }
--- a/packages/command-line/src/commands/reference-command.ts
+++ b/packages/command-line/src/commands/reference-command.ts
@@ -17,6 +17,6 @@
 
   public override execute(): Promise<number> {
     this.print(referencePage('Release notes', releaseNoteFormat));
-    return Promise.resolve(ExitCode.done);
+    return Promise.resolve(ExitCode.success);
   }
 }
--- a/packages/command-line/src/commands/status-command.ts
+++ b/packages/command-line/src/commands/status-command.ts
@@ -26,7 +26,7 @@
       } else {
         this.print(formatStatus(status));
       }
-      return ExitCode.done;
+      return ExitCode.success;
     });
   }
 }
--- a/packages/command-line/src/commands/timeline-command.ts
+++ b/packages/command-line/src/commands/timeline-command.ts
@@ -66,12 +66,12 @@
       const { format } = this;
       if (!isFormat(format)) {
         const choices = Object.keys(formats).join(', ');
-        throw new UsageError(`--format is one of ${choices}.`);
+        throw new UsageError(`--format must be one of ${choices}.`);
       }
       const filter = this.filter();
       const gathered = await gatherEvents(this.client, 0);
-      for (const gap of gathered.missing) {
-        this.printError(gap);
+      for (const message of gathered.missing) {
+        this.printError(message);
       }
       const matching = gathered.events.filter(event =>
         matchesFilter(event, filter),
@@ -80,14 +80,16 @@
       if (this.follow) {
         await this.followFrom(gathered.events, filter);
       }
-      return ExitCode.done;
+      return ExitCode.success;
     });
   }
 
   private filter(): EventFilter {
     const from = this.from === undefined ? undefined : Date.parse(this.from);
     if (Number.isNaN(from)) {
-      throw new UsageError('--from is a time as 2026-12-04T10:00:00Z.');
+      throw new UsageError(
+        '--from must be a time such as 2026-12-04T10:00:00Z.',
+      );
     }
     const { job, request, worker, kind } = this;
     return { job, request, worker, kind, from };
--- a/packages/command-line/src/exit-code.ts
+++ b/packages/command-line/src/exit-code.ts
@@ -1,7 +1,7 @@
-/** Exit codes of the command-line tool. */
+/** Exit codes of the command-line tool; `unknown`: the result is unknown. */
 export const ExitCode = {
-  done: 0,
-  refused: 1,
+  success: 0,
+  failure: 1,
   usage: 2,
   unknown: 3,
 } as const;
--- a/packages/command-line/src/explain/format-explanation.ts
+++ b/packages/command-line/src/explain/format-explanation.ts
@@ -35,13 +35,13 @@
   );
   const decisions = formatTable([
     ['time', 'offset', 'decided by', 'decision'],
-    ...view.decisions.map(entry => [
-      new Date(entry.at).toISOString(),
-      String(entry.offset),
-      entry.by,
-      entry.voidBecause === ''
-        ? formatDecision(entry.decision)
-        : `${formatDecision(entry.decision)} (void: ${entry.voidBecause})`,
+    ...view.decisions.map(explained => [
+      new Date(explained.at).toISOString(),
+      String(explained.offset),
+      explained.by,
+      explained.voidBecause === ''
+        ? formatDecision(explained.decision)
+        : `${formatDecision(explained.decision)} (void: ${explained.voidBecause})`,
     ]),
   ]);
   return [...tasks, ...attempts, '', decisions].join('\n');
--- a/packages/command-line/src/main.ts
+++ b/packages/command-line/src/main.ts
@@ -10,6 +10,6 @@
   },
   (error: unknown) => {
     process.stderr.write(`${String(error)}\n`);
-    process.exitCode = ExitCode.refused;
+    process.exitCode = ExitCode.failure;
   },
 );
--- a/packages/command-line/src/note/note-difference.ts
+++ b/packages/command-line/src/note/note-difference.ts
@@ -11,14 +11,14 @@
   inForce: readonly NamedItem[],
   noted: readonly NamedItem[],
 ): readonly string[] {
-  const inForceByName = new Map(inForce.map(entry => [entry.name, entry]));
-  return noted.flatMap(entry => {
-    const current = inForceByName.get(entry.name);
+  const inForceByName = new Map(inForce.map(item => [item.name, item]));
+  return noted.flatMap(item => {
+    const current = inForceByName.get(item.name);
     if (current === undefined) {
-      return [`+ ${kind} ${entry.name}`];
+      return [`+ ${kind} ${item.name}`];
     }
-    const same = JSON.stringify(current) === JSON.stringify(entry);
-    return same ? [] : [`~ ${kind} ${entry.name}`];
+    const same = JSON.stringify(current) === JSON.stringify(item);
+    return same ? [] : [`~ ${kind} ${item.name}`];
   });
 }
 
--- a/packages/command-line/src/run-cli.ts
+++ b/packages/command-line/src/run-cli.ts
@@ -5,7 +5,7 @@
 
 import { ExitCode } from './exit-code.js';
 
-/** Runs a command and returns its exit code; invalid usage has its own code. */
+/** Runs a command and returns its exit code; `usage` for invalid arguments. */
 export async function runCli(
   cli: Cli,
   commandArguments: string[],
--- a/packages/command-line/src/status/format-status.ts
+++ b/packages/command-line/src/status/format-status.ts
@@ -11,11 +11,11 @@
 function services(status: StatusView): string {
   return formatTable([
     ['service', 'minions', 'assigned', 'serving'],
-    ...status.services.map(entry => [
-      entry.service,
-      String(entry.minions),
-      String(entry.assigned),
-      String(entry.serving),
+    ...status.services.map(service => [
+      service.service,
+      String(service.minions),
+      String(service.assigned),
+      String(service.serving),
     ]),
   ]);
 }
@@ -31,7 +31,7 @@
     ['job', 'state', 'why'],
     ...unfinished
       .slice(0, MAXIMUM_JOBS_SHOWN)
-      .map(entry => [entry.job, entry.state, entry.reason]),
+      .map(job => [job.job, job.state, job.reason]),
   ]);
   return `jobs: ${summary.join(', ') || 'none'}\n${table}`;
 }
@@ -39,14 +39,14 @@
 function workers(status: StatusView): string {
   return formatTable([
     ['worker', 'cell', 'condition', 'processors', 'memory', 'tasks', 'why'],
-    ...status.workers.map(entry => [
-      entry.worker,
-      entry.cell,
-      entry.condition,
-      `${round(entry.assigned.processors)}/${round(entry.size.processors)}`,
-      `${round(entry.assigned.memoryGigabytes)}/${round(entry.size.memoryGigabytes)}`,
-      String(entry.attempts),
-      entry.reason,
+    ...status.workers.map(worker => [
+      worker.worker,
+      worker.cell,
+      worker.condition,
+      `${round(worker.assigned.processors)}/${round(worker.size.processors)}`,
+      `${round(worker.assigned.memoryGigabytes)}/${round(worker.size.memoryGigabytes)}`,
+      String(worker.attempts),
+      worker.reason,
     ]),
   ]);
 }
@@ -66,10 +66,10 @@
 function leases(status: StatusView): string {
   return formatTable([
     ['lease', 'epoch', 'holder'],
-    ...status.leases.map(entry => [
-      entry.cell,
-      String(entry.epoch),
-      entry.holder || 'nobody',
+    ...status.leases.map(lease => [
+      lease.cell,
+      String(lease.epoch),
+      lease.holder || 'nobody',
     ]),
   ]);
 }
--- a/packages/command-line/src/timeline/event-filter.ts
+++ b/packages/command-line/src/timeline/event-filter.ts
@@ -1,6 +1,6 @@
 import type { Event } from '@basilcourse/foundation/events/event';
 
-/** Conditions on the events to show; an undefined one is met by any event. */
+/** Conditions on the events to show; undefined means no condition. */
 export interface EventFilter {
   readonly job: string | undefined;
   readonly request: string | undefined;
--- a/packages/command-line/src/timeline/gather-events.ts
+++ b/packages/command-line/src/timeline/gather-events.ts
@@ -38,7 +38,11 @@
   }
 }
 
-function gapsOf({ member, page, reason }: GatherResult): string[] {
+function missingEventMessages({
+  member,
+  page,
+  reason,
+}: GatherResult): string[] {
   if (page === undefined) {
     return [`${member.id} is missing (${member.state}): ${reason}`];
   }
@@ -64,7 +68,7 @@
   );
   return {
     events: mergePages(pages),
-    missing: results.flatMap(gapsOf),
+    missing: results.flatMap(missingEventMessages),
     bytes: pages.reduce((sum, page) => sum + JSON.stringify(page).length, 0),
     processes: pages.map(page => page.process),
   };
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -30,7 +30,7 @@
         process.exit(0);
       },
       (error: unknown) => {
-        process.stderr.write(`The stop failed: ${messageOf(error)}\n`);
+        process.stderr.write(`Stopping failed: ${messageOf(error)}\n`);
         process.exit(EXIT_FAILED);
       },
     );
@@ -45,7 +45,7 @@
   process.exitCode = EXIT_USAGE;
 } else {
   run(file).catch((error: unknown) => {
-    process.stderr.write(`The start failed: ${messageOf(error)}\n`);
+    process.stderr.write(`Starting failed: ${messageOf(error)}\n`);
     process.exitCode = EXIT_FAILED;
   });
 }
--- a/packages/daemon/src/node/agent-node.ts
+++ b/packages/daemon/src/node/agent-node.ts
@@ -107,8 +107,8 @@
       settings.operatorsAddress,
     );
     own.update({ address, operatorsAddress });
-    // Read before the first announcement, so that the recorded end precedes any
-    // placement on this VM.
+    // The end of the log is read before the first announcement, so that it
+    // precedes any placement on this VM.
     await Effect.runPromise(recordLogEnd(core, this.agentClaims));
     events.record('process-started', `Agent ${settings.name} at ${address}.`);
     logger.info('Started.', { address, operatorsAddress });
@@ -140,8 +140,8 @@
         setTimeout(resolve, STOP_POLL_INTERVAL_MILLISECONDS),
       );
     }
-    // Lets responses that are being written leave before their connections are
-    // closed.
+    // Waits until responses in progress are written, before their connections
+    // are closed.
     await new Promise(resolve =>
       setTimeout(resolve, STOP_POLL_INTERVAL_MILLISECONDS),
     );
--- a/packages/daemon/src/node/follow-log.ts
+++ b/packages/daemon/src/node/follow-log.ts
@@ -9,7 +9,7 @@
 /** Delay after a read of the store that returned nothing new. */
 const POLL_INTERVAL_MILLISECONDS = 150;
 
-/** Delay between two choices of the source. */
+/** Interval at which the source is chosen again. */
 const CHOICE_INTERVAL_MILLISECONDS = 200;
 
 function sourceOf(core: NodeCore, failures: number): RecordSource {
@@ -22,8 +22,8 @@
 }
 
 /**
- * Follows the log for as long as the node runs: from its highest-ranked source,
- * or from the next one in rank after a failure.
+ * Follows the log for as long as the node runs, through its highest-ranked
+ * source; after a failure through the one that ranks next.
  *
  * @param mustReadStore - Returns whether the node must read the store itself.
  */
--- a/packages/daemon/src/node/node-core.ts
+++ b/packages/daemon/src/node/node-core.ts
@@ -46,7 +46,7 @@
   return {
     id: settings.name,
     instance,
-    // A restarted process has a higher incarnation than its predecessor.
+    // Start time, so that a restarted process has a higher incarnation.
     incarnation: now,
     role: settings.role,
     address: settings.controlAddress,
--- a/packages/daemon/src/node/record-outcomes.ts
+++ b/packages/daemon/src/node/record-outcomes.ts
@@ -27,7 +27,7 @@
   }
 }
 
-/** Records outcomes of the log as events and in the decision history. */
+/** Records outcomes of log records as events and in the decision history. */
 export function recordOutcomes(core: NodeCore, history: DecisionHistory): void {
   core.state.onOutcome(outcome => {
     recordVerdict(core, outcome);
--- a/packages/daemon/src/node/throttle-batch-tasks.ts
+++ b/packages/daemon/src/node/throttle-batch-tasks.ts
@@ -13,7 +13,7 @@
 
 const STEP_INTERVAL_MILLISECONDS = 500;
 
-/** Steps between two increases of shares while all targets are met. */
+/** Number of steps per increase of shares while all targets are met. */
 const STEPS_PER_INCREASE = 4;
 
 async function adjustThrottles(
--- a/packages/daemon/src/relay/choose-source.ts
+++ b/packages/daemon/src/relay/choose-source.ts
@@ -13,8 +13,8 @@
  * chosen by rendezvous hashing, reads the store. The other entries of the zone
  * follow it, and agents follow an entry of their zone.
  *
- * @param failures - Number of sources that failed in a row; selects the next
- *   one in rank.
+ * @param failures - Number of consecutive failures of sources; each one selects
+ *   the source that ranks next.
  */
 export function chooseSource(
   own: Member,
--- a/packages/daemon/src/relay/follow-peer.ts
+++ b/packages/daemon/src/relay/follow-peer.ts
@@ -14,7 +14,7 @@
 function applyMessage(
   state: SharedState,
   message: FollowResponse,
-  isPartial: boolean,
+  configurationOnly: boolean,
 ): void {
   if (message.snapshot.length > 0) {
     state.replaceIfNewer(
@@ -28,7 +28,7 @@
     envelope: JSON.parse(json) as RecordEnvelope,
   }));
   state.applyAll(records, next);
-  if (isPartial) {
+  if (configurationOnly) {
     state.fold.skipTo(next);
   }
 }
--- a/packages/daemon/src/relay/record-buffer.ts
+++ b/packages/daemon/src/relay/record-buffer.ts
@@ -1,8 +1,8 @@
 import type { StoredRecord } from '@basilcourse/shared-state/log/stored-record';
 
 /**
- * Minimum number of the latest records kept; the buffer is cut back to this
- * number when it has twice as many.
+ * Minimum number of the latest records kept. The buffer is truncated to this
+ * number when it has more than twice as many.
  */
 const RECORDS_KEPT = 5000;
 
@@ -27,7 +27,7 @@
     this.wakeAll();
   }
 
-  /** Records from an offset on; undefined if some of them are not kept. */
+  /** Records from an offset on; undefined if some of them were discarded. */
   public from(
     offset: number,
     next: number,
--- a/packages/daemon/src/scheduling/announced-workers.ts
+++ b/packages/daemon/src/scheduling/announced-workers.ts
@@ -1,7 +1,7 @@
 import type { MemberTable } from '@basilcourse/request-plane/membership/member-table';
 import type { WorkerDescription } from '@basilcourse/shared-state/records/worker-description';
 
-/** Workers that are announced by the live agents on their VMs. */
+/** Returns the workers that are announced by the live agents on their VMs. */
 export function announcedWorkers(
   members: MemberTable,
 ): readonly WorkerDescription[] {
--- a/packages/daemon/src/scheduling/cell-scheduler.ts
+++ b/packages/daemon/src/scheduling/cell-scheduler.ts
@@ -52,7 +52,7 @@
 
   private readonly tasks = new Map<string, WorkerTask>();
 
-  /** Decisions after reports of workers, not yet appended, by their keys. */
+  /** Decisions that follow from worker reports, not yet appended, by key. */
   private readonly pendingDecisions = new Map<string, Decision>();
 
   private inheritedEpoch = 0;
@@ -98,7 +98,7 @@
       .map(worker => worker.description.worker);
   }
 
-  /** Bounds the leases that former holders may have granted, once an epoch. */
+  /** Bounds the leases that former holders may have granted, once per epoch. */
   private inheritLeases(): void {
     const { lease, state } = this.dependencies;
     const { epoch, cleanHandover } = lease.cell;
@@ -150,8 +150,9 @@
   }
 
   /**
-   * While the log is unreachable, a holder goes on renewing leases for a bounded
-   * time. A later holder waits for that time if it cannot reach the worker.
+   * While the log is unreachable, a holder continues to renew leases for a
+   * bounded time. A later holder waits for that time if it cannot reach the
+   * worker.
    */
   private mayRenew(now: number): boolean {
     const { lease, state, storeReachable } = this.dependencies;
--- a/packages/daemon/src/scheduling/decision-key.ts
+++ b/packages/daemon/src/scheduling/decision-key.ts
@@ -1,6 +1,6 @@
 import type { Decision } from '@basilcourse/shared-state/records/decision';
 
-/** Key that is the same for repeated proposals of a decision. */
+/** Returns a key that is equal for repeated proposals of the same decision. */
 export function decisionKey(decision: Decision): string {
   switch (decision.type) {
     case 'place':
--- a/packages/daemon/src/scheduling/lease-manager.ts
+++ b/packages/daemon/src/scheduling/lease-manager.ts
@@ -59,9 +59,16 @@
   /** Returns whether this process may make decisions for the cell. */
   public holds(now: number): boolean {
     const { state, instance } = this.dependencies;
-    const lease = state.fold.configuration.limits.cellLeaseMilliseconds;
+    const leaseMilliseconds =
+      state.fold.configuration.limits.cellLeaseMilliseconds;
     this.observe(now);
-    return holdsLease(this.observation, instance, this.confirmedAt, lease, now);
+    return holdsLease(
+      this.observation,
+      instance,
+      this.confirmedAt,
+      leaseMilliseconds,
+      now,
+    );
   }
 
   /** Returns whether this process is the latest holder in the log. */
@@ -94,13 +101,14 @@
     const now = clock.now();
     this.observe(now);
     const { cell } = this.observation;
-    const lease = state.fold.configuration.limits.cellLeaseMilliseconds;
+    const leaseMilliseconds =
+      state.fold.configuration.limits.cellLeaseMilliseconds;
     const action = decideLeaseAction(
       {
         observation: this.observation,
         instance,
         rank: rank(),
-        leaseMilliseconds: lease,
+        leaseMilliseconds,
         lastSentAt: this.lastSentAt,
       },
       now,
@@ -108,14 +116,22 @@
     const handlers = {
       wait: () => Effect.void,
       renew: () =>
-        this.send('lease-renewal', { cell: name, epoch: cell.epoch }, lease),
-      claim: () => this.claim(cell, lease, now),
+        this.send(
+          'lease-renewal',
+          { cell: name, epoch: cell.epoch },
+          leaseMilliseconds,
+        ),
+      claim: () => this.claim(cell, leaseMilliseconds, now),
     } as const;
     return handlers[action]();
   }
 
-  private claim(cell: Cell, lease: number, now: number): Effect.Effect<void> {
-    if (now - this.lastClaimAt < lease / 2) {
+  private claim(
+    cell: Cell,
+    leaseMilliseconds: number,
+    now: number,
+  ): Effect.Effect<void> {
+    if (now - this.lastClaimAt < leaseMilliseconds / 2) {
       return Effect.void;
     }
     this.lastClaimAt = now;
@@ -125,7 +141,7 @@
       previousEpoch: cell.epoch,
       previousRenewals: cell.renewals,
     };
-    return this.send('lease-claim', body, lease).pipe(
+    return this.send('lease-claim', body, leaseMilliseconds).pipe(
       Effect.tap(() =>
         Effect.sync(() => {
           if (this.isLatestHolder()) {
@@ -137,10 +153,14 @@
     );
   }
 
-  private send(kind: string, body: object, lease: number): Effect.Effect<void> {
+  private send(
+    kind: string,
+    body: object,
+    leaseMilliseconds: number,
+  ): Effect.Effect<void> {
     const sentAt = this.dependencies.clock.now();
     this.lastSentAt = sentAt;
-    return this.append(kind, body, sentAt + lease).pipe(
+    return this.append(kind, body, sentAt + leaseMilliseconds).pipe(
       Effect.map(applied => {
         if (applied) {
           this.confirmedAt = Math.max(this.confirmedAt, sentAt);
--- a/packages/daemon/src/scheduling/neighbours-of.ts
+++ b/packages/daemon/src/scheduling/neighbours-of.ts
@@ -3,7 +3,7 @@
 import { taskKindOf } from '@basilcourse/shared-state/configuration/task-kind-of';
 import type { StateFold } from '@basilcourse/shared-state/fold/state-fold';
 
-/** Kinds and shares of the running tasks of a worker, by attempt. */
+/** Task kind and processor share of each running attempt on a worker. */
 export function neighboursOf(
   {
     configuration,
--- a/packages/daemon/src/scheduling/worker-task.ts
+++ b/packages/daemon/src/scheduling/worker-task.ts
@@ -51,7 +51,7 @@
 
   private acknowledged: readonly string[] = [];
 
-  private readonly confirmed = new Set<string>();
+  private readonly confirmedAttempts = new Set<string>();
 
   public constructor(private readonly dependencies: WorkerTaskDependencies) {}
 
@@ -106,15 +106,16 @@
     now: number,
   ): { readonly attempt: string; readonly until: number }[] {
     const { state, grantedLeases, mayRenew, worker } = this.dependencies;
-    // A worker that does not respond is polled without renewals, so that its
-    // leases expire at a known time.
+    // Polls of a worker that does not respond carry no renewals, so that its
+    // leases expire at a fixed time.
     if (!mayRenew(now) || this.dependencies.view().failingSince > 0) {
       return [];
     }
     const { taskLeaseSeconds } = state.fold.configuration.limits;
     const until = now + taskLeaseSeconds * 1000;
     const { tasks } = this.dependencies.view();
-    // The lease of an attempt that the worker does not report must expire.
+    // An attempt that the worker does not report is not renewed, so that its
+    // lease expires.
     const running = state.fold.scheduling
       .attemptsOn(worker)
       .filter(({ id }) => tasks.get(id)?.state === 'running');
@@ -144,7 +145,7 @@
         scheduling: state.fold.scheduling,
         view,
         leases: grantedLeases,
-        confirmed: this.confirmed,
+        confirmed: this.confirmedAttempts,
       },
       now,
     );
@@ -164,14 +165,14 @@
     const { estimator, worker } = this.dependencies;
     const running = report.tasks.filter(({ state }) => state === 'running');
     for (const { attempt } of running) {
-      this.confirmed.add(attempt);
+      this.confirmedAttempts.add(attempt);
     }
     const reported = new Set(report.tasks.map(({ attempt }) => attempt));
-    for (const attempt of this.confirmed) {
+    for (const attempt of this.confirmedAttempts) {
       const isRecorded =
         this.dependencies.state.fold.scheduling.attempts.has(attempt);
       if (!isRecorded && !reported.has(attempt)) {
-        this.confirmed.delete(attempt);
+        this.confirmedAttempts.delete(attempt);
       }
     }
     const neighbours = neighboursOf(this.dependencies.state.fold, running);
--- a/packages/daemon/tests/node/announcement-check.test.ts
+++ b/packages/daemon/tests/node/announcement-check.test.ts
@@ -35,7 +35,7 @@
   t.end();
 });
 
-t.test('any body gets a string as the result', t => {
+t.test('the result is a string for any body', t => {
   fc.assert(
     fc.property(
       fc.oneof(
