--- a/packages/proving/src/invariants/run-scenario.ts
+++ b/packages/proving/src/invariants/run-scenario.ts
@@ -88,7 +88,7 @@
     placement: 'least-harm',
     // Only agents raise the share of a throttled task, and the simulation has
     // none.
-    throttlesStarts: false,
+    throttlesAtStart: false,
     logFaults: {},
   });
   try {
--- a/packages/proving/src/simulation/simulated-process.ts
+++ b/packages/proving/src/simulation/simulated-process.ts
@@ -40,7 +40,7 @@
   /** Workers that the agents have announced. */
   readonly announced: () => readonly WorkerDescription[];
   readonly placement: ScorerName;
-  readonly throttlesStarts: boolean;
+  readonly throttlesAtStart: boolean;
 }
 
 /**
@@ -120,7 +120,7 @@
       workerAt: address => this.workerWithFaults(address),
       storeReachable: () => health.reachable,
       placement: dependencies.placement,
-      throttlesAtStart: dependencies.throttlesStarts,
+      throttlesAtStart: dependencies.throttlesAtStart,
     });
     this.storeFollower = followStore({
       ...shared,
--- a/packages/proving/src/simulation/simulation-plan.ts
+++ b/packages/proving/src/simulation/simulation-plan.ts
@@ -14,6 +14,6 @@
   readonly behaviour: TaskBehaviour;
   readonly placement: ScorerName;
   /** Whether batch tasks that interfere with services start throttled. */
-  readonly throttlesStarts: boolean;
+  readonly throttlesAtStart: boolean;
   readonly logFaults: Partial<LogFaults>;
 }
