--- a/review/deployment.mjs
+++ b/review/deployment.mjs
@@ -16,6 +16,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
+import { Gangs } from './gangs.mjs';
 import { Minion } from './minion.mjs';
 import { Store } from './store.mjs';
 
@@ -87,6 +88,7 @@
     this.events = [];
     this.processes = new Map();
     this.minions = [];
+    this.gangs = new Gangs();
     this.startedAt = performance.now();
     this.directory = mkdtempSync(join(tmpdir(), 'review-'));
     this.block = `127.${1 + Math.floor(Math.random() * 250)}.${Math.floor(Math.random() * 250)}`;
@@ -218,6 +220,8 @@
         capacity: this.options.capacity,
         maximumLeaseMilliseconds: BOUNDS.max_hold_ms,
         checkpointMilliseconds: BOUNDS.checkpoint_interval_s * 1000,
+        gangs: this.gangs,
+        gangTimeoutMilliseconds: BOUNDS.gang_timeout_ms,
         heartbeatAddress: `${host}:${this.ports.control}`,
       },
       event => {
@@ -249,6 +253,8 @@
   spawn(role, name, settings) {
     const path = join(this.directory, `${name}.yaml`);
     writeFileSync(path, JSON.stringify(settings, undefined, 1));
+    this.settings ??= new Map();
+    this.settings.set(name, JSON.stringify(settings));
     const log = openSync(join(this.directory, `${name}.log`), 'a');
     const [program, ...words] = deployCommand(role);
     const child = spawn(program, words, {
@@ -370,6 +376,28 @@
     );
   }
 
+  /** Describes each pair of runs of one task that were at work at once. */
+  overlaps() {
+    const open = new Map();
+    const found = [];
+    for (const { at, event, minion, task, run } of this.events) {
+      const runs = open.get(task) ?? new Map();
+      open.set(task, runs);
+      const key = `${minion}/${run}`;
+      if (event === 'start') {
+        for (const other of runs.keys()) {
+          found.push(
+            `${task}: ${key} began at ${at} ms while ${other} was at work, since ${runs.get(other)} ms`,
+          );
+        }
+        runs.set(key, at);
+      } else if (event !== 'acked') {
+        runs.delete(key);
+      }
+    }
+    return found;
+  }
+
   /** Ends all processes, writes the record and exits. */
   finish(code) {
     clearTimeout(this.timer);
--- a/review/minion.mjs
+++ b/review/minion.mjs
@@ -18,11 +18,13 @@
 export class Minion {
   /**
    * @param options - `name`, `service`, `zone`, `labels`, `capacity`,
-   * `maximumLeaseMilliseconds`, `checkpointMilliseconds`, `heartbeatAddress`.
+   * `maximumLeaseMilliseconds`, `checkpointMilliseconds`, `heartbeatAddress`,
+   * `gangs` and `gangTimeoutMilliseconds`.
    * @param onEvent - Called with each start, end and acknowledged end.
    */
   constructor(options, onEvent) {
     this.options = options;
+    this.gangs = options.gangs;
     this.onEvent = onEvent;
     this.connections = new Set();
     this.beginLife(options.name);
@@ -194,21 +196,31 @@
     const work = Number(/work_ms=(\d+)/.exec(specification)?.[1] ?? 1000);
     const saves = specification.includes('saves');
     const resumedAt = checkpoint === undefined ? 0 : parseInt(checkpoint, 16);
-    this.runs.set(task, {
+    const gangSize = Number(/gang=(\d+)/.exec(specification)?.[1] ?? 0);
+    const entry = {
       task,
       run,
       lasting,
       saves,
       work,
       resumedAt,
+      gangSize,
       startedAt: performance.now(),
-    });
+    };
+    this.runs.set(task, entry);
+    if (gangSize > 0) {
+      this.gangs.add(entry, this);
+    }
     this.report('start', task, run, { checkpoint: checkpoint ?? '' });
     this.send(response, 200, {});
   }
 
   progressOf(entry) {
-    return performance.now() - entry.startedAt + entry.resumedAt;
+    const worked =
+      entry.gangSize > 0
+        ? this.gangs.worked(entry)
+        : performance.now() - entry.startedAt;
+    return worked + entry.resumedAt;
   }
 
   savedOf(entry) {
@@ -280,16 +292,46 @@
   tick() {
     const lapsed = this.clock() > this.leaseUntil;
     for (const entry of [...this.runs.values()]) {
+      if (!this.runs.has(entry.task)) {
+        continue;
+      }
       if (lapsed) {
         this.end(entry, 'lapsed');
+      } else if (this.isAlone(entry)) {
+        this.end(entry, 'alone');
       } else if (!entry.lasting && this.progressOf(entry) >= entry.work) {
         this.end(entry, 'done');
       }
     }
   }
 
+  isAlone(entry) {
+    const waits =
+      entry.gangSize > 0 && (this.gangs.runOf(entry)?.completeAt ?? 0) === 0;
+    const waited = performance.now() - entry.startedAt;
+    return waits && waited > this.options.gangTimeoutMilliseconds;
+  }
+
+  /** Crashes: all that ran is lost, and nobody is told. */
+  crash() {
+    const lost = [...this.runs.values()];
+    this.runs.clear();
+    for (const entry of lost) {
+      this.report('lost', entry.task, entry.run, {});
+      if (entry.gangSize > 0) {
+        this.gangs.leave(entry, 'lost');
+      }
+    }
+    this.connections.forEach(socket => {
+      socket.destroy();
+    });
+  }
+
   end(entry, how) {
     const { task, run } = entry;
+    if (this.runs.get(task) !== entry) {
+      return;
+    }
     const saved = this.savedOf(entry);
     this.runs.delete(task);
     const highest = this.highestEnded.get(task) ?? 0;
@@ -300,6 +342,9 @@
     [...this.waiting].forEach(wake => {
       wake();
     });
+    if (entry.gangSize > 0) {
+      this.gangs.leave(entry, how);
+    }
   }
 
   report(event, task, run, more) {
