--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -1,86 +1,84 @@
 /**
- * One heartbeat from another writer, without an address and with fields of another
- * type, reaches each of two agents. Checks that no task runs twice at the same time.
+ * Configurations come in quick succession while the store turns the entries away.
+ * Checks that the newest one is in force at every entry afterwards.
  */
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
 
-import {
-  BROKEN,
-  call,
-  COULD_NOT_RUN,
-  Deployment,
-  HELD,
-  pause,
-} from '../deployment.mjs';
+import { BROKEN, Deployment, HELD, pause } from '../deployment.mjs';
 
 const TROUBLE = process.env.TROUBLE !== '0';
 
-const JOBS = 3;
+/** The storm of a standard day: a change each 0.08 s for 2 s. */
+const CHANGES = 25;
 
-const TASKS = 12;
+const GAP_MILLISECONDS = 80;
 
-const WORK_MILLISECONDS = 9000;
+/** Each configuration has about 50 KB; a record may have 262 KB. */
+const OTHER_ROUTES = 240;
+
+/** The site file turns machines away for up to 9 s. */
+const TURNED_AWAY_MILLISECONDS = 4500;
+
+/** `contact_ms` and `configuration_ms` of the sheet, and a second more. */
+const SETTLED_MILLISECONDS = 8000;
+
+const CHECKS = 10;
 
 const deployment = new Deployment({
   folder: dirname(fileURLToPath(import.meta.url)),
   entries: 3,
-  agents: 3,
+  agents: 6,
   capacity: { cpu: 64_000, task_memory_mb: 250_000, gpus: 0 },
   seconds: 80,
 });
 
-const job = {
-  specification: `work_ms=${WORK_MILLISECONDS}`,
-  steps: [
-    {
-      count: TASKS,
-      cpu: 960,
-      task_memory_mb: 1900,
-      estimated_ms: WORK_MILLISECONDS,
-    },
-  ],
-};
+function routesWith(name, prefix) {
+  const others = Array.from({ length: OTHER_ROUTES }, (_, number) =>
+    deployment.route(`idle-${number}`, `/idle-${number}/`),
+  );
+  return [
+    deployment.route('ledger', '/jobs/'),
+    deployment.route(name, prefix),
+    ...others,
+  ];
+}
 
 await deployment.start();
-for (let number = 0; number < JOBS; number += 1) {
-  if (!(await deployment.submit(`aaaaaaaaaaaaaaa${number}`, job))) {
-    deployment.finish(COULD_NOT_RUN);
-  }
-}
-await pause(2000);
+deployment.configure(5, routesWith('earlier', '/earlier/'));
+await pause(5000);
 if (TROUBLE) {
-  for (const minion of deployment.minions.slice(0, 1)) {
-    const {
-      address: _address,
-      version: _version,
-      ...rest
-    } = minion.description();
-    const foreign = {
-      ...rest,
-      born: Date.now(),
-      seq: 1,
-      slots: 'eight',
-      clock_ms: null,
-    };
-    const { heartbeatAddress } = minion.options;
-    const { status } = await call(
-      heartbeatAddress,
-      'PUT',
-      '/-/instances/i-other',
-      foreign,
-      1000,
-    );
-    deployment.note(
-      `another writer: PUT /-/instances/i-other ${JSON.stringify(foreign)}: ${status}`,
-    );
-  }
+  deployment.note('store: turns the machines of the system away');
+  deployment.store.turnsAway = true;
 }
-await pause(WORK_MILLISECONDS + 12_000);
-deployment.note('done');
-const twice = deployment.overlaps();
-for (const text of twice.slice(0, 5)) {
-  deployment.note(text);
+const endsAt = performance.now() + TURNED_AWAY_MILLISECONDS;
+await pause(500);
+for (let change = 1; change <= CHANGES; change += 1) {
+  const last = change === CHANGES;
+  deployment.configure(
+    5 + 2 * change,
+    last ? routesWith('added', '/added/') : routesWith('earlier', '/earlier/'),
+  );
+  await pause(GAP_MILLISECONDS);
+}
+await pause(Math.max(0, endsAt - performance.now()));
+deployment.store.turnsAway = false;
+deployment.note('store: serves all machines');
+await pause(SETTLED_MILLISECONDS);
+let wrong = 0;
+for (let check = 0; check < CHECKS; check += 1) {
+  for (const number of [0, 1, 2]) {
+    const added = await deployment.callEntry(number, 'GET', '', undefined, {
+      prefix: '/added/',
+    });
+    const dropped = await deployment.callEntry(number, 'GET', '', undefined, {
+      prefix: '/earlier/',
+    });
+    wrong += Number(added.status === 404) + Number(dropped.status === 200);
+  }
+  await pause(1000);
 }
-deployment.note(`tasks that ran twice at the same time: ${twice.length}`);
-deployment.finish(twice.length > 0 ? BROKEN : HELD);
+deployment.note(
+  `requests handled as only an older version allows, long after the newest: ${wrong}`,
+);
+deployment.finish(wrong > 0 ? BROKEN : HELD);
--- a/review/deployment.mjs
+++ b/review/deployment.mjs
@@ -80,7 +80,7 @@
 export class Deployment {
   /**
    * @param options - `folder` of the case, `entries`, `agents`, `capacity` of a
-   * minion, `queue` with settings of the route, and the limit in `seconds`.
+   * minion, and the limit in `seconds`.
    */
   constructor(options) {
     this.options = options;
@@ -107,34 +107,13 @@
   }
 
   async start() {
-    const { entries, agents, queue } = this.options;
+    const { entries, agents } = this.options;
     this.store = new Store({
       recordBytes: PLATFORM.record_bytes,
       requestBytes: PLATFORM.request_bytes,
     });
     this.storeAddress = await this.store.listen(`${this.block}.250`);
-    this.store.write(
-      'keyed.op',
-      'config',
-      JSON.stringify({
-        version: 3,
-        routes: [
-          {
-            name: 'ledger',
-            host: HOST_HEADER,
-            path_prefix: PREFIX,
-            service: SERVICE,
-            priority: 0,
-            max_attempts: 3,
-            slack_factor: 2,
-            target_latency_ms: 600,
-            ...queue,
-          },
-        ],
-        services: [{ name: SERVICE, admission_check: false }],
-        limits: { body_bytes: 262144 },
-      }),
-    );
+    this.configure(3, [this.route('ledger', PREFIX)]);
     this.ports = await this.findFreePorts();
     this.entryHosts = Array.from(
       { length: entries },
@@ -149,6 +128,47 @@
     await this.waitUntilReady();
   }
 
+  /** A route, as the operator writes it into a configuration. */
+  route(name, pathPrefix) {
+    return {
+      name,
+      host: HOST_HEADER,
+      path_prefix: pathPrefix,
+      kind: 'non_idempotent',
+      timeout_ms: 3000,
+      target_latency_ms: 600,
+      priority: 0,
+      service: SERVICE,
+      max_attempts: 3,
+      slack_factor: 1.5,
+    };
+  }
+
+  /** Writes a configuration, as the operator does. */
+  configure(version, routes) {
+    const configuration = {
+      version,
+      routes,
+      services: [
+        {
+          name: SERVICE,
+          health_path: '/health',
+          connection_limit: 64,
+          protocol: 'h1',
+          tls: false,
+          admission_check: false,
+          standby: false,
+        },
+      ],
+      limits: { header_bytes: 16_384, body_bytes: 262_144 },
+    };
+    const text = JSON.stringify(configuration);
+    this.store.write('keyed.op', 'config', text);
+    this.note(
+      `operator: configuration ${version}, ${routes.length} routes, ${text.length} bytes`,
+    );
+  }
+
   async findFreePorts() {
     const host = `${this.block}.1`;
     const ports = [];
@@ -230,12 +250,9 @@
     );
     await minion.listen(host);
     this.minions.push(minion);
-    const address = this.options.minionAddress
-      ? await this.options.minionAddress(minion, host)
-      : minion.address;
     const settings = this.settingsOf(name, 'agent', host, {
       machineClass: 'side',
-      fields: { app: address, service: SERVICE },
+      fields: { app: minion.address, service: SERVICE },
     });
     this.spawn('agent', name, settings);
     minion.startHeartbeats();
@@ -253,8 +270,6 @@
   spawn(role, name, settings) {
     const path = join(this.directory, `${name}.yaml`);
     writeFileSync(path, JSON.stringify(settings, undefined, 1));
-    this.settings ??= new Map();
-    this.settings.set(name, JSON.stringify(settings));
     const log = openSync(join(this.directory, `${name}.log`), 'a');
     const [program, ...words] = deployCommand(role);
     const child = spawn(program, words, {
@@ -313,19 +328,25 @@
     this.finish(COULD_NOT_RUN);
   }
 
-  async callEntry(number, method, path, body, deadlineMilliseconds = 3000) {
+  async callEntry(
+    number,
+    method,
+    path,
+    body,
+    { deadlineMilliseconds = 3000, prefix = PREFIX } = {},
+  ) {
     const host = this.entryHosts[number % this.entryHosts.length];
     const address = `${host}:${this.ports.front}`;
     const answer = await call(
       address,
       method,
-      PREFIX + path,
+      prefix + path,
       body,
       deadlineMilliseconds,
     );
     const text = answer.text.slice(0, 120);
     this.note(
-      `client: ${method} ${path} at entry-${(number % this.entryHosts.length) + 1}: ${answer.status || 'no answer'} ${text}`,
+      `client: ${method} ${path || prefix} at entry-${(number % this.entryHosts.length) + 1}: ${answer.status || 'no answer'} ${text}`,
     );
     return answer;
   }
--- a/review/store.mjs
+++ b/review/store.mjs
@@ -17,6 +17,8 @@
     this.recordBytes = recordBytes;
     this.requestBytes = requestBytes;
     this.topics = new Map();
+    /** Whether it turns the machines of the system away, with 503. */
+    this.turnsAway = false;
     /** Called for each refused append. */
     this.onRefused = () => undefined;
     /** Called with the topic and the keyed values of each stored append. */
@@ -67,6 +69,10 @@
     for await (const chunk of request) {
       chunks.push(chunk);
     }
+    if (this.turnsAway) {
+      send(response, 503, {});
+      return;
+    }
     const url = new URL(request.url, 'http://store');
     const body = Buffer.concat(chunks);
     switch (`${request.method} ${url.pathname}`) {
