--- a/packages/job-nodes/src/leader/leader.ts
+++ b/packages/job-nodes/src/leader/leader.ts
@@ -189,6 +189,7 @@
     }
     this.state.sessions.closeUnresponsive(now);
     for (const job of table.jobs.values()) {
+      table.dropDoneOccurrences(job);
       addDueOccurrences(job, now);
     }
     this.stop(findStuckRuns(table, now), 'no progress');
--- a/packages/jobs/src/records/apply-progress.ts
+++ b/packages/jobs/src/records/apply-progress.ts
@@ -32,6 +32,9 @@
   job.ended = record.ended;
   job.endedAt = record.endedAt ?? 0;
   job.endStored = record.ended !== undefined;
+  for (const [first, last] of record.doneOccurrences ?? []) {
+    job.doneOccurrences.addRange(first, last);
+  }
   for (const row of record.tasks) {
     const [occurrence, step, index] = row;
     job.addOccurrence(occurrence);
--- a/packages/jobs/src/records/encode-progress.ts
+++ b/packages/jobs/src/records/encode-progress.ts
@@ -14,7 +14,10 @@
   failed: 'f',
 };
 
-/** Returns the progress record of a job, without tasks that never started. */
+/**
+ * Returns the progress record of a job: its occurrences that are done, and the
+ * tasks of the others that have started.
+ */
 export function encodeProgress(job: JobEntry): ProgressRecord {
   const incarnations: string[] = [];
   const tasks: TaskRow[] = [];
@@ -23,11 +26,13 @@
       tasks.push(encodeTask(task, incarnations));
     }
   }
+  const doneOccurrences = job.doneOccurrences.toRows();
   return {
     ...(job.ended === undefined
       ? {}
       : { ended: job.ended, endedAt: job.endedAt }),
     begun: job.begun,
+    ...(doneOccurrences.length === 0 ? {} : { doneOccurrences }),
     incarnations,
     tasks,
   };
--- a/packages/jobs/src/state/job-entry.ts
+++ b/packages/jobs/src/state/job-entry.ts
@@ -1,6 +1,7 @@
 import type { JobSpecification } from '../model/job-specification.js';
 import type { JobStatus } from '../model/job-status.js';
 import type { QueueSettings } from '../model/queue-settings.js';
+import { NumberRanges } from './number-ranges.js';
 import { PhaseTally } from './phase-tally.js';
 import { TaskEntry } from './task-entry.js';
 
@@ -19,9 +20,12 @@
 
   public queue: QueueSettings;
 
-  /** Tasks by occurrence, step and index. */
+  /** Tasks of the open occurrences by occurrence, step and index. */
   public readonly occurrences = new Map<number, TaskEntry[][]>();
 
+  /** Occurrences whose tasks are all done, and are no longer kept. */
+  public readonly doneOccurrences = new NumberRanges();
+
   /** Phases of the tasks by occurrence and step. */
   private readonly tallies = new Map<number, readonly PhaseTally[]>();
 
@@ -65,7 +69,38 @@
     return tasks;
   }
 
-  /** Yields each task of the existing occurrences. */
+  /** Number of open occurrences of which no task has started yet. */
+  public countUnstartedOccurrences(): number {
+    let count = 0;
+    for (const tallies of this.tallies.values()) {
+      count += Number(
+        tallies.every(tally => tally.count('waiting') === tally.total),
+      );
+    }
+    return count;
+  }
+
+  /**
+   * Removes the tasks of occurrences that are done, and returns them. The tasks
+   * of a job without a schedule stay.
+   */
+  public dropDoneOccurrences(): readonly TaskEntry[] {
+    if (this.specification.repetitions === 0) {
+      return [];
+    }
+    const dropped: TaskEntry[] = [];
+    for (const [occurrence, tallies] of this.tallies) {
+      if (tallies.every(({ allDone }) => allDone)) {
+        dropped.push(...(this.occurrences.get(occurrence) ?? []).flat());
+        this.occurrences.delete(occurrence);
+        this.tallies.delete(occurrence);
+        this.doneOccurrences.addRange(occurrence, occurrence);
+      }
+    }
+    return dropped;
+  }
+
+  /** Yields each task of the open occurrences. */
   public *tasks(): Generator<TaskEntry> {
     for (const steps of this.occurrences.values()) {
       for (const tasks of steps) {
@@ -100,7 +135,7 @@
     return this.ended ?? (this.begun ? 'running' : 'queued');
   }
 
-  /** Total number of occurrences, including those that are not due yet. */
+  /** Total number of occurrences, including those that were not created yet. */
   public get occurrenceCount(): number {
     return Math.max(1, this.specification.repetitions);
   }
@@ -110,7 +145,8 @@
     if (this.ended !== undefined) {
       return;
     }
-    let allDone = this.occurrences.size === this.occurrenceCount;
+    const created = this.occurrences.size + this.doneOccurrences.count;
+    let allDone = created === this.occurrenceCount;
     for (const tally of [...this.tallies.values()].flat()) {
       if (tally.count('failed') > 0) {
         this.end('failed', now);
--- a/packages/jobs/src/state/job-table.ts
+++ b/packages/jobs/src/state/job-table.ts
@@ -35,6 +35,13 @@
     }
   }
 
+  /** Removes the tasks of a job's occurrences that are done. */
+  public dropDoneOccurrences(job: JobEntry): void {
+    for (const { name } of job.dropDoneOccurrences()) {
+      this.tasksByName.delete(name);
+    }
+  }
+
   /** Returns the task of the given name. */
   public task(name: string): TaskEntry | undefined {
     const known = this.tasksByName.get(name);
