--- a/packages/job-nodes/src/leader/agent-session.ts
+++ b/packages/job-nodes/src/leader/agent-session.ts
@@ -2,9 +2,15 @@
 
 import type { LeaderMessage } from '../lines/leader-message.js';
 
-/** With more unsent data than this, the agent is assumed not to read. */
+/**
+ * With more data than this left unsent by earlier turns of the event loop, the
+ * agent is assumed not to read.
+ */
 const MAXIMUM_UNSENT_BYTES = 1024 * 1024;
 
+/** With more unsent data than this, starts wait for the agent to read. */
+const MAXIMUM_UNSENT_BYTES_BEFORE_STARTS = 128 * 1024;
+
 /** Interval of grants that answer reports; heartbeats are always answered. */
 const REPORT_GRANT_INTERVAL_MILLISECONDS = 400;
 
@@ -28,6 +34,8 @@
 
   private corked = false;
 
+  private waitingForDrain = false;
+
   private grantedAt = Number.NEGATIVE_INFINITY;
 
   private sentEntries: readonly string[] | undefined;
@@ -75,18 +83,36 @@
   }
 
   /**
-   * Sends a message, together with all others of this turn of the event loop;
-   * closes the stream if the agent does not read.
+   * Sends a message, together with all others of this turn of the event loop.
+   * Closes the stream if the agent has not read those of earlier turns.
    */
   public send(message: LeaderMessage): void {
     if (!this.open) {
       return;
     }
+    if (!this.corked && this.output.writableLength > MAXIMUM_UNSENT_BYTES) {
+      this.close();
+      return;
+    }
     this.corkUntilTurnEnds();
     this.output.write(`${JSON.stringify(message)}\n`);
-    if (this.output.writableLength > MAXIMUM_UNSENT_BYTES) {
-      this.close();
+  }
+
+  /** Whether the agent has read enough to be sent further starts. */
+  public hasRoomForStarts(): boolean {
+    return this.output.writableLength <= MAXIMUM_UNSENT_BYTES_BEFORE_STARTS;
+  }
+
+  /** Calls back once when the agent has read all that was sent. */
+  public afterDrain(onDrain: () => void): void {
+    if (this.waitingForDrain) {
+      return;
     }
+    this.waitingForDrain = true;
+    this.output.once('drain', () => {
+      this.waitingForDrain = false;
+      onDrain();
+    });
   }
 
   public close(): void {
--- a/packages/job-nodes/src/leader/send-starts.ts
+++ b/packages/job-nodes/src/leader/send-starts.ts
@@ -10,19 +10,26 @@
 /** Logged values are rounded to hundredths. */
 const ROUNDING_FACTOR = 100;
 
+/** Starts in one message, which an agent reads as one line. */
+const MAXIMUM_STARTS_PER_MESSAGE = 16;
+
 /**
  * Sends the orders for starts that are stored. A start whose job has since
  * ended is reverted. A start whose agent has since opened another stream is not
  * sent; the agent's next report releases its task.
+ *
+ * @param onRoom - Called when an agent can be sent more of its starts.
+ * @returns The starts that wait until their agents have read earlier ones.
  */
 export function sendStarts(
   state: LeaderState,
   starts: readonly PlannedStart[],
   logger: PartLogger,
-): void {
-  const orders = new Map<AgentSession, StartOrder[]>();
-  const endangered = new Map<AgentSession, number>();
-  for (const { task, minion, endangeredBounds } of starts) {
+  onRoom: () => void,
+): readonly PlannedStart[] {
+  const startsBySession = new Map<AgentSession, PlannedStart[]>();
+  for (const start of starts) {
+    const { task, minion } = start;
     const job = state.table.jobs.get(task.jobIdentifier);
     const session = state.sessions.sessionFor(task);
     if (task.phase !== 'assigned' || job === undefined) {
@@ -33,26 +40,62 @@
       task.release(0);
       state.table.markChanged(task);
     } else if (session?.fencingToken === task.orderToken) {
-      const list = orders.get(session) ?? [];
-      task.startSent = true;
-      list.push(createStartOrder(task, job.specification.payload));
-      orders.set(session, list);
-      endangered.set(
-        session,
-        Math.max(endangeredBounds, endangered.get(session) ?? 0),
-      );
+      const list = startsBySession.get(session) ?? [];
+      list.push(start);
+      startsBySession.set(session, list);
     }
   }
-  for (const [session, sessionOrders] of orders) {
-    const { incarnation } = session;
-    session.send({ kind: 'starts', incarnation, starts: sessionOrders });
-    logger.info('Runs are started.', {
-      runs: sessionOrders.map(({ task, run }) => `${task}/${run}`).join(' '),
+  return [...startsBySession].flatMap(([session, sessionStarts]) =>
+    sendWithinRoom(state, session, sessionStarts, logger, onRoom),
+  );
+}
+
+/** Sends starts to one agent while it reads; returns those that are left. */
+function sendWithinRoom(
+  state: LeaderState,
+  session: AgentSession,
+  starts: readonly PlannedStart[],
+  logger: PartLogger,
+  onRoom: () => void,
+): readonly PlannedStart[] {
+  let sent = 0;
+  while (sent < starts.length && session.hasRoomForStarts()) {
+    const next = starts.slice(sent, sent + MAXIMUM_STARTS_PER_MESSAGE);
+    sendMessage(state, session, next, logger);
+    sent += next.length;
+  }
+  if (sent < starts.length) {
+    logger.info('Starts wait until the agent has read earlier ones.', {
       agent: session.agent,
-      token: session.fencingToken,
-      endangeredBounds: rounded(endangered.get(session) ?? 0),
+      waiting: starts.length - sent,
     });
+    session.afterDrain(onRoom);
   }
+  return starts.slice(sent);
+}
+
+function sendMessage(
+  state: LeaderState,
+  session: AgentSession,
+  starts: readonly PlannedStart[],
+  logger: PartLogger,
+): void {
+  const orders = starts.map(({ task }) => {
+    const job = state.table.jobs.get(task.jobIdentifier);
+    task.startSent = true;
+    return createStartOrder(task, job?.specification.payload ?? '');
+  });
+  const endangeredBounds = Math.max(
+    ...starts.map(start => start.endangeredBounds),
+  );
+  const { incarnation } = session;
+  session.send({ kind: 'starts', incarnation, starts: orders });
+  logger.info('Runs are started.', {
+    runs: orders.map(({ task, run }) => `${task}/${run}`).join(' '),
+    agent: session.agent,
+    token: session.fencingToken,
+    endangeredBounds: rounded(endangeredBounds),
+  });
 }
 
 function createStartOrder(task: TaskEntry, payload: string): StartOrder {
--- a/packages/job-nodes/src/leader/start-planner.ts
+++ b/packages/job-nodes/src/leader/start-planner.ts
@@ -35,11 +35,18 @@
     }
   }
 
-  /** Sends stored starts if this process certainly is the leader. */
+  /**
+   * Sends stored starts if this process certainly is the leader, as many as the
+   * agents read.
+   */
   public sendUnsent(): void {
     const { state, options, isReady } = this.context;
     if (this.unsentStarts.length > 0 && isReady()) {
-      sendStarts(state, this.unsentStarts.splice(0), options.logger);
+      const starts = this.unsentStarts.splice(0);
+      const left = sendStarts(state, starts, options.logger, () => {
+        this.sendUnsent();
+      });
+      this.unsentStarts.push(...left);
     }
   }
 
--- /dev/null
+++ b/packages/job-nodes/tests/leader/send-starts.test.ts
@@ -0,0 +1,130 @@
+import { Writable } from 'node:stream';
+
+import t from 'tap';
+
+import { AgentSession } from '../../src/leader/agent-session.js';
+import type { LeaderMessage } from '../../src/lines/leader-message.js';
+import { pause } from '../../src/time/pause.js';
+import { QUEUE_SETTINGS } from '../support/job-simulation.js';
+import {
+  type LeaderHarness,
+  openLeaderHarness,
+} from '../support/leader-harness.js';
+import { makeSpecification, makeStep } from '../support/make-specification.js';
+
+const TASKS = 300;
+
+/** The starts of all tasks come to 2.4 MB, as quotes are escaped in JSON. */
+const PAYLOAD = '"'.repeat(4000);
+
+/** An agent reads lines of up to 4 MiB; shorter ones do not delay others. */
+const LONGEST_LINE = 256 * 1024;
+
+/** The leader's buffer for an agent that does not read. */
+const MOST_UNSENT_BYTES = 512 * 1024;
+
+async function submitLargeJob(harness: LeaderHarness): Promise<void> {
+  const step = { ...makeStep(TASKS, 1), memoryMegabytes: 1 };
+  await harness.leader.answer({
+    kind: 'submit',
+    specification: { ...makeSpecification('job', [step]), payload: PAYLOAD },
+    queue: QUEUE_SETTINGS,
+  });
+}
+
+// Guards against jobs that never run, as their starts close the agent's stream.
+t.test('starts of more than 1 MiB reach the agent', async t => {
+  const harness = await openLeaderHarness(t);
+  await submitLargeJob(harness);
+  harness.report({});
+  await pause(600);
+  t.equal(new Set(harness.startedTasks()).size, TASKS);
+  t.equal(harness.startedTasks().length, TASKS, 'each is sent once');
+  const longest = Math.max(
+    ...harness.messages.map(message => JSON.stringify(message).length),
+  );
+  t.ok(longest < LONGEST_LINE, `a line of ${longest} characters`);
+});
+
+/** An agent's end of a stream, which reads only while it is told to. */
+class SlowReader extends Writable {
+  public reads = false;
+
+  public readonly messages: LeaderMessage[] = [];
+
+  private pending: (() => void) | undefined;
+
+  public override _write(
+    chunk: Buffer,
+    _encoding: BufferEncoding,
+    callback: () => void,
+  ): void {
+    this.messages.push(JSON.parse(chunk.toString('utf8')) as LeaderMessage);
+    if (this.reads) {
+      callback();
+    } else {
+      this.pending = callback;
+    }
+  }
+
+  /** Reads what waits, and all that follows. */
+  public readAll(): void {
+    this.reads = true;
+    this.pending?.();
+  }
+
+  public startedTasks(): readonly string[] {
+    return this.messages.flatMap(message =>
+      message.kind === 'starts' ? message.starts.map(({ task }) => task) : [],
+    );
+  }
+}
+
+t.test('starts wait for an agent that reads slowly', async t => {
+  const harness = await openLeaderHarness(t);
+  const reader = new SlowReader();
+  const session = harness.leader.agentStreams.attach(
+    token => new AgentSession('slow', token, reader, harness.time.now()),
+  );
+  await submitLargeJob(harness);
+  harness.leader.agentStreams.handleReport(session, {
+    fencingToken: session.fencingToken,
+    minion: {
+      incarnation: 'slow|minion|1',
+      service: 'service',
+      zone: 'zone',
+      capacity: {
+        processorMillicores: 4000,
+        memoryMegabytes: 1000,
+        accelerators: 0,
+      },
+      labels: [],
+      draining: false,
+      remainingMilliseconds: 0,
+    },
+    running: [],
+    ends: [],
+    refusals: [],
+    gone: [],
+  });
+  await pause(400);
+  t.ok(session.open, 'the stream stays open');
+  t.ok(
+    reader.writableLength < MOST_UNSENT_BYTES,
+    `${reader.writableLength} bytes are unsent`,
+  );
+  reader.readAll();
+  await pause(400);
+  t.equal(new Set(reader.startedTasks()).size, TASKS);
+  t.equal(reader.startedTasks().length, TASKS, 'each is sent once');
+});
+
+t.test('a stream whose agent reads nothing is closed in the end', async t => {
+  const session = new AgentSession('agent', 1, new SlowReader(), 0);
+  const entries = [PAYLOAD];
+  for (let turn = 0; turn < 200 && session.open; turn += 1) {
+    session.answerContact(false, 0, entries, 0);
+    await pause(1);
+  }
+  t.notOk(session.open);
+});
