--- a/packages/job-nodes/src/agent/minion-client.ts
+++ b/packages/job-nodes/src/agent/minion-client.ts
@@ -27,7 +27,8 @@
   ) => Promise<void>;
 }
 
-type StartResult =
+/** How the minion answered a start. */
+export type StartResult =
   | { readonly kind: 'started' }
   | { readonly kind: 'refused'; readonly reason: string };
 
--- a/packages/job-nodes/src/agent/order-runner.ts
+++ b/packages/job-nodes/src/agent/order-runner.ts
@@ -1,3 +1,4 @@
+import { ConcurrencyLimit } from '@basilcourse/foundation/async/concurrency-limit';
 import { messageOf } from '@basilcourse/foundation/errors/message-of';
 import type { StartOrder } from '@basilcourse/jobs/model/start-order';
 import type { StartRefusal } from '@basilcourse/jobs/model/start-refusal';
@@ -5,12 +6,16 @@
 
 import { pause } from '../time/pause.js';
 import { FencedError } from './fenced-error.js';
+import type { StartResult } from './minion-client.js';
 import type { MinionIncarnation } from './minion-incarnation.js';
 import type { OrderRunnerOptions } from './order-runner-options.js';
 
 /** A start that gets no answer is revoked after this many tries. */
 const MAXIMUM_START_TRIES = 2;
 
+/** Starts that the minion is called for at once; others wait their turn. */
+const MAXIMUM_CONCURRENT_STARTS = 3;
+
 const RETRY_DELAY_MILLISECONDS = 60;
 
 const MAXIMUM_RETRY_DELAY_MILLISECONDS = 500;
@@ -34,6 +39,8 @@
 
   private readonly stopping = new Set<string>();
 
+  private readonly startCalls = new ConcurrencyLimit(MAXIMUM_CONCURRENT_STARTS);
+
   private fencingToken = 0;
 
   /**
@@ -131,13 +138,11 @@
     const { generation } = this;
     let unanswered = false;
     for (let tries = 1; tries <= MAXIMUM_START_TRIES; tries += 1) {
-      const expiresAt = this.options.expiry();
-      if (expiresAt === undefined || generation !== this.generation) {
-        break;
-      }
       try {
-        const { client } = this.options;
-        const result = await client.start(minion, order, expiresAt, token);
+        const result = await this.callStart(minion, order, token, generation);
+        if (result === undefined) {
+          break;
+        }
         if (result.kind === 'started') {
           this.options.onStarted(minion, order, token);
           return;
@@ -163,6 +168,21 @@
     }
   }
 
+  /** Calls the minion; undefined if there is no lease, or the order is old. */
+  private callStart(
+    minion: MinionIncarnation,
+    order: StartOrder,
+    token: number,
+    generation: number,
+  ): Promise<StartResult | undefined> {
+    return this.startCalls.run(async () => {
+      const expiresAt = this.options.expiry();
+      return expiresAt === undefined || generation !== this.generation
+        ? undefined
+        : this.options.client.start(minion, order, expiresAt, token);
+    });
+  }
+
   /**
    * Stops a run, with retries until the minion answers. Returns true once the
    * run has ended or can never begin; false if another stream or incarnation
