--- a/packages/job-nodes/src/agent/minion-driver.ts
+++ b/packages/job-nodes/src/agent/minion-driver.ts
@@ -164,8 +164,10 @@
       return;
     }
     this.lease.recordAnswer(result.clock, time.steady());
-    this.polled.apply(result.running, result.ends, fencingToken);
-    this.orders.resolveRevoked(this.polled.listedRuns(), requestedAt);
+    this.polled.apply(result, fencingToken);
+    if (!result.hasMoreEnds) {
+      this.orders.resolveRevoked(this.polled.listedRuns(), requestedAt);
+    }
     this.sendReport();
     await this.throttler.apply(
       peer,
@@ -207,6 +209,9 @@
       minion: minion?.description ?? null,
       running: minion === undefined ? [] : this.polled.running,
       ends: minion === undefined ? [] : this.polled.ends,
+      ...(minion !== undefined && this.polled.hasMoreEnds
+        ? { hasMoreEnds: true }
+        : {}),
       refusals: this.orders.refusals(),
       gone: this.vitals.departed(),
     });
--- a/packages/job-nodes/src/agent/polled-runs.ts
+++ b/packages/job-nodes/src/agent/polled-runs.ts
@@ -1,6 +1,8 @@
 import type { RunEnd } from '@basilcourse/jobs/model/run-end';
 import type { RunningTask } from '@basilcourse/jobs/model/running-task';
 
+import type { PollResult } from './minion-client.js';
+
 /** Maximum time to wait until ends are stored. */
 const ENDS_STORED_TIMEOUT_MILLISECONDS = 200;
 
@@ -10,6 +12,9 @@
 
   public ends: readonly RunEnd[] = [];
 
+  /** Whether the minion has ended runs that the last poll did not list. */
+  public hasMoreEnds = false;
+
   /** The leader has stored ends up to this number. */
   public endsThrough = 0;
 
@@ -20,12 +25,12 @@
 
   /** Applies the result of a poll. */
   public apply(
-    running: readonly RunningTask[],
-    ends: readonly RunEnd[],
+    { running, ends, hasMoreEnds }: PollResult,
     fencingToken: number,
   ): void {
     this.running = running;
     this.ends = ends.filter(({ number }) => number > this.endsThrough);
+    this.hasMoreEnds = hasMoreEnds;
     this.fencingToken = fencingToken;
   }
 
@@ -63,6 +68,7 @@
   public reset(): void {
     this.running = [];
     this.ends = [];
+    this.hasMoreEnds = false;
     this.endsThrough = 0;
     this.fencingToken = 0;
   }
--- a/packages/job-nodes/src/lines/report-decoder.ts
+++ b/packages/job-nodes/src/lines/report-decoder.ts
@@ -50,6 +50,7 @@
       minion: this.minion,
       running: [...this.running.values()],
       ends: delta.ends ?? [],
+      ...(delta.hasMoreEnds === true ? { hasMoreEnds: true } : {}),
       refusals: delta.refusals ?? [],
       gone: delta.gone ?? [],
     };
--- a/packages/job-nodes/src/lines/report-delta.ts
+++ b/packages/job-nodes/src/lines/report-delta.ts
@@ -21,6 +21,7 @@
   /** Numbers of runs that are listed no more. */
   readonly removed?: readonly number[];
   readonly ends?: readonly RunEnd[];
+  readonly hasMoreEnds?: boolean;
   readonly refusals?: readonly StartRefusal[];
   readonly gone?: readonly string[];
 }
--- a/packages/job-nodes/src/lines/report-encoder.ts
+++ b/packages/job-nodes/src/lines/report-encoder.ts
@@ -63,6 +63,7 @@
       ...(measured.length > 0 ? { measured } : {}),
       ...(removed.length > 0 ? { removed } : {}),
       ...(report.ends.length > 0 ? { ends: report.ends } : {}),
+      ...(report.hasMoreEnds === true ? { hasMoreEnds: true } : {}),
       ...(report.refusals.length > 0 ? { refusals: report.refusals } : {}),
       ...(report.gone.length > 0 ? { gone: report.gone } : {}),
     };
--- a/packages/job-nodes/tests/live/invariants.test.ts
+++ b/packages/job-nodes/tests/live/invariants.test.ts
@@ -6,7 +6,12 @@
 import { JobSimulation } from '../support/job-simulation.js';
 import { makeSpecification, makeStep } from '../support/make-specification.js';
 
-const SEEDS = [1, 2, 3, 4, 5, 6];
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8];
+
+/** From this seed on, the minions list few of their ended runs at a time. */
+const FIRST_SEED_WITH_SHORT_LISTS = 7;
+
+const SHORT_LIST = 2;
 
 const FAULT_PHASE_MILLISECONDS = 6000;
 
@@ -81,6 +86,11 @@
       t.teardown(() => {
         simulation.close();
       });
+      if (seed >= FIRST_SEED_WITH_SHORT_LISTS) {
+        for (const { minion } of simulation.vms) {
+          minion.maximumEndsListed = SHORT_LIST;
+        }
+      }
       const jobs = Array.from({ length: 16 }, (_, index) =>
         makeJob(seed, index),
       );
--- a/packages/job-nodes/tests/support/fake-minion.ts
+++ b/packages/job-nodes/tests/support/fake-minion.ts
@@ -23,6 +23,9 @@
 export class FakeMinion implements MinionClient {
   public self: MinionIncarnation;
 
+  /** A poll lists no more ends than this. */
+  public maximumEndsListed = 500;
+
   private readonly runChecker: RunChecker;
 
   private readonly faults: FakeMinionFaults;
@@ -135,7 +138,8 @@
         ),
         gauge: 0,
       })),
-      ends: this.ends.slice(),
+      ends: this.ends.slice(0, this.maximumEndsListed),
+      hasMoreEnds: this.ends.length >= this.maximumEndsListed,
     };
   };
 
--- a/packages/jobs/src/model/agent-report.ts
+++ b/packages/jobs/src/model/agent-report.ts
@@ -11,6 +11,11 @@
   readonly minion: MinionDescription | null;
   readonly running: readonly RunningTask[];
   readonly ends: readonly RunEnd[];
+  /**
+   * Whether the minion has more ends than those above, so that a run that is
+   * not listed may have ended; absent if it has none.
+   */
+  readonly hasMoreEnds?: boolean;
   readonly refusals: readonly StartRefusal[];
   /** Incarnations whose processes and runs have ended. */
   readonly gone: readonly string[];
--- a/packages/jobs/src/reconcile/apply-report.ts
+++ b/packages/jobs/src/reconcile/apply-report.ts
@@ -25,7 +25,8 @@
  *
  * An assigned run that the report contains neither as running nor as ended has
  * never begun if its order was sent under an older fencing token than that of
- * the report, since the minion refuses orders with an older token.
+ * the report, since the minion refuses orders with an older token. This does not
+ * hold for a report that does not contain all ends.
  */
 export function applyReport(
   table: JobTable,
@@ -43,7 +44,10 @@
   for (const refusal of report.refusals) {
     applyRefusal(table, minion, refusal, now);
   }
-  const neverBegan = releaseUnlisted(table, minion, report, now);
+  const neverBegan =
+    report.hasMoreEnds === true
+      ? []
+      : releaseUnlisted(table, minion, report, now);
   const endsThrough = report.ends.reduce(
     (highest, end) => Math.max(highest, end.number),
     0,
--- a/packages/jobs/tests/reconcile/apply-report.test.ts
+++ b/packages/jobs/tests/reconcile/apply-report.test.ts
@@ -156,6 +156,26 @@
   t.end();
 });
 
+// Guards against tasks that run again though they are done.
+t.test('a run beyond the listed ends may have ended', t => {
+  const table = new JobTable();
+  const minion = addMinion(table, 'a');
+  const job = addJob(table, 'j', [makeStep({ taskCount: 2 })]);
+  startOn(minion, firstTask(job, 0, 0), 7);
+  startOn(minion, firstTask(job, 0, 1), 7);
+  const fields = { fencingToken: 8, hasMoreEnds: true };
+  const first = [makeEnd('j.0.0.0', 1, 'done')];
+  applyReport(table, minion, makeReport({ ...fields, ends: first }), 0);
+  t.equal(firstTask(job, 0, 0).phase, 'done');
+  t.equal(firstTask(job, 0, 1).phase, 'assigned', 'its end may follow');
+  t.equal(minion.runs.size, 1, 'it may use resources');
+  const others = [{ ...makeEnd('j.0.0.1', 1, 'done'), number: 2 }];
+  applyReport(table, minion, makeReport({ fencingToken: 8, ends: others }), 0);
+  t.equal(job.status, 'completed');
+  t.equal(firstTask(job, 0, 1).run, 1, 'it ran once');
+  t.end();
+});
+
 t.test(
   'a run that is not assigned is stopped, and counted until it ends',
   t => {
--- a/packages/proving/src/measure/colocation-policy/model-agent.ts
+++ b/packages/proving/src/measure/colocation-policy/model-agent.ts
@@ -150,7 +150,13 @@
     return {
       start: () => Promise.resolve({ kind: 'started' }),
       stop: () => Promise.resolve(),
-      poll: () => Promise.resolve({ clock: 0, running: [], ends: [] }),
+      poll: () =>
+        Promise.resolve({
+          clock: 0,
+          running: [],
+          ends: [],
+          hasMoreEnds: false,
+        }),
       throttle: (_minion, { task }, percentage) => {
         this.throttles += 1;
         this.minion.throttle(task, percentage / 100);
