--- a/packages/job-nodes/src/store/leadership-page.ts
+++ b/packages/job-nodes/src/store/leadership-page.ts
@@ -4,6 +4,6 @@
 export interface LeadershipPage {
   /** The newest record that was read; undefined if there was none. */
   readonly record: LeaderRecord | undefined;
-  /** Offset that follows the newest record. */
+  /** Offset that follows the newest record that was read. */
   readonly end: number;
 }
