--- a/packages/job-nodes/src/agent/granted-lease.ts
+++ b/packages/job-nodes/src/agent/granted-lease.ts
@@ -2,8 +2,8 @@
 
 /**
  * The lease of the minion, as the leader grants it and the minion may hold it. A
- * minion that is silent for as long as a lease gets no further one, so that its
- * runs end at a known time. All times are monotonic milliseconds.
+ * minion that is silent for as long as a lease, or that refuses a connection, gets
+ * no further one until it answers, so that its runs end at a known time. All times are monotonic milliseconds.
  */
 export class GrantedLease {
   private readonly clock = new LeaseClock();
@@ -15,6 +15,9 @@
   /** Time of the first call without an answer since the last answer. */
   private silentSince: number | undefined;
 
+  /** Whether a connection was refused since the last answer. */
+  private refused = false;
+
   /** Sets the duration of the leases that the leader grants from now on. */
   public setDuration(milliseconds: number): void {
     this.durationMilliseconds = milliseconds;
@@ -30,11 +33,18 @@
   public recordAnswer(minionClock: number, now: number): void {
     this.clock.recordClock(minionClock, now);
     this.silentSince = undefined;
+    this.refused = false;
   }
 
-  /** Records that the minion did not answer. */
-  public recordSilence(now: number): void {
+  /**
+   * Records that the minion did not answer.
+   *
+   * @param refused - The connection was refused: the minion has ended, or the
+   * path to it is cut.
+   */
+  public recordSilence(refused: boolean, now: number): void {
     this.silentSince ??= now;
+    this.refused ||= refused;
   }
 
   /**
@@ -43,7 +53,7 @@
    */
   public expiry(now: number): number | undefined {
     const silentMilliseconds = now - (this.silentSince ?? now);
-    return silentMilliseconds > this.durationMilliseconds
+    return this.refused || silentMilliseconds > this.durationMilliseconds
       ? undefined
       : this.clock.expiryFor(this.grantedUntil, now);
   }
@@ -56,6 +66,7 @@
   /** Clears what is known of an earlier incarnation of the minion. */
   public reset(): void {
     this.silentSince = undefined;
+    this.refused = false;
     this.clock.reset();
   }
 }
--- a/packages/job-nodes/src/agent/minion-client.ts
+++ b/packages/job-nodes/src/agent/minion-client.ts
@@ -1,9 +1,9 @@
-import type { RunEnd } from '@basilcourse/jobs/model/run-end';
-import type { RunningTask } from '@basilcourse/jobs/model/running-task';
 import type { StartOrder } from '@basilcourse/jobs/model/start-order';
 import type { StopOrder } from '@basilcourse/jobs/model/stop-order';
 
 import type { MinionIncarnation } from './minion-incarnation.js';
+import type { PollResult } from './poll-result.js';
+import type { StartResult } from './start-result.js';
 
 /** Calls of an agent to its minion; a call without an answer rejects. */
 export interface MinionClient {
@@ -27,11 +27,6 @@
   ) => Promise<void>;
 }
 
-/** How the minion answered a start. */
-export type StartResult =
-  | { readonly kind: 'started' }
-  | { readonly kind: 'refused'; readonly reason: string };
-
 /** Renews the lease, and reads the running tasks and ended runs. */
 interface Poll {
   readonly fencingToken: number;
@@ -42,13 +37,3 @@
   /** Maximum time for which the answer waits for the end of a run. */
   readonly waitMilliseconds: number;
 }
-
-/** State of the minion at the time of a poll. */
-export interface PollResult {
-  /** The minion's clock at the time of the answer. */
-  readonly clock: number;
-  readonly running: readonly RunningTask[];
-  readonly ends: readonly RunEnd[];
-  /** Whether the minion has more ends, which it lists once these are stored. */
-  readonly hasMoreEnds: boolean;
-}
--- a/packages/job-nodes/src/agent/minion-driver.ts
+++ b/packages/job-nodes/src/agent/minion-driver.ts
@@ -1,4 +1,4 @@
-import { messageOf } from '@basilcourse/foundation/errors/message-of';
+import { connectionRefused } from '@basilcourse/foundation/errors/connection-refused';
 
 import type { LeaderMessage } from '../lines/leader-message.js';
 import { pause } from '../time/pause.js';
@@ -6,8 +6,9 @@
 import { GrantedLease } from './granted-lease.js';
 import type { MinionDriverOptions } from './minion-driver-options.js';
 import type { MinionIncarnation } from './minion-incarnation.js';
-import { MinionVitals } from './minion-vitals.js';
+import { MinionTracker } from './minion-tracker.js';
 import { OrderRunner } from './order-runner.js';
+import { pollCandidate } from './poll-candidate.js';
 import { pollWait } from './poll-wait.js';
 import { PolledRuns } from './polled-runs.js';
 import { Throttler } from './throttler.js';
@@ -22,14 +23,12 @@
 
   private readonly polled = new PolledRuns();
 
-  private readonly vitals = new MinionVitals();
+  private readonly minion: MinionTracker;
 
   private readonly orders: OrderRunner;
 
   private readonly throttler: Throttler;
 
-  private minion: MinionIncarnation | undefined;
-
   private fencingToken = 0;
 
   /** Highest token that the minion refused after it had accepted a higher one. */
@@ -39,6 +38,15 @@
 
   public constructor(options: MinionDriverOptions) {
     this.options = options;
+    this.minion = new MinionTracker({
+      logger: options.logger,
+      onEnd: () => {
+        this.resetIncarnation();
+      },
+      onChange: () => {
+        this.sendReport();
+      },
+    });
     this.throttler = new Throttler({
       client: options.client,
       estimates: options.imageStatistics,
@@ -60,19 +68,17 @@
 
   /** Applies a description of the minion; undefined once it has departed. */
   public updateMinion(minion: MinionIncarnation | undefined): void {
-    const before = this.minion?.description.incarnation;
-    if (before !== undefined && before !== minion?.description.incarnation) {
-      this.resetIncarnation(before);
-    }
-    const changed =
-      minion?.description.draining !== this.minion?.description.draining;
-    this.minion = minion;
-    if (minion !== undefined) {
-      this.vitals.recordContact(minion.description.incarnation);
-    }
-    if (changed) {
-      this.sendReport();
-    }
+    this.minion.update(minion);
+  }
+
+  /** Records that the minion leaves; it has left once it does not answer. */
+  public expectDeparture(): void {
+    this.minion.expectDeparture(this.options.time.steady());
+  }
+
+  /** Whether this is the incarnation that is polled. */
+  public isCurrent(incarnation: string): boolean {
+    return this.minion.isCurrent(incarnation);
   }
 
   /** Handles a message of the leader. */
@@ -83,7 +89,7 @@
         this.fencingToken = message.fencingToken;
         this.lease.setDuration(message.leaseMilliseconds);
         this.orders.reset(message.fencingToken);
-        if (this.minion === undefined) {
+        if (this.minion.current === undefined) {
           this.sendReport();
         }
         return;
@@ -107,10 +113,13 @@
         message.starts.forEach(({ task, traits }) => {
           this.throttler.recordTraits(task, traits);
         });
-        this.orders.start(this.minionFor(message.incarnation), message.starts);
+        this.orders.start(
+          this.minion.find(message.incarnation),
+          message.starts,
+        );
         return;
       case 'stops':
-        this.orders.stop(this.minion, message.stops);
+        this.orders.stop(this.minion.current, message.stops);
         return;
       case 'settled':
         this.handleSettled(message);
@@ -126,15 +135,18 @@
   /** Polls the minion until the driver is stopped. */
   public async run(): Promise<void> {
     while (!this.isStopped()) {
-      const { minion } = this;
+      const { fencingToken } = this;
+      if (this.hasUsableToken()) {
+        await pollCandidate(this.minion, this.options.client, fencingToken);
+      }
+      const { current: minion } = this.minion;
       if (minion === undefined || !this.hasUsableToken()) {
         await pause(RETRY_DELAY_MILLISECONDS / 2);
         continue;
       }
-      const { fencingToken } = this;
       try {
         await this.poll(minion);
-        this.vitals.recordAnswer();
+        this.minion.recordAnswer(minion, this.options.time.steady());
       } catch (error) {
         this.handleFailure(minion, error);
         if (error instanceof FencedError) {
@@ -160,7 +172,7 @@
         throttling: this.throttler.needsFreshMeasurements(this.polled.running),
       }),
     });
-    if (this.minion?.description.incarnation !== peer.description.incarnation) {
+    if (!this.isCurrent(peer.description.incarnation)) {
       return;
     }
     this.lease.recordAnswer(result.clock, time.steady());
@@ -179,12 +191,6 @@
     await this.polled.waitUntilEndsStored();
   }
 
-  /** Returns the current minion if it is the given incarnation. */
-  private minionFor(incarnation: string): MinionIncarnation | undefined {
-    const same = this.minion?.description.incarnation === incarnation;
-    return same ? this.minion : undefined;
-  }
-
   /** Returns whether the minion has not refused the current token. */
   private hasUsableToken(): boolean {
     return this.fencingToken > this.fencedToken;
@@ -199,7 +205,7 @@
   }
 
   private sendReport(): void {
-    const { minion } = this;
+    const { current: minion } = this.minion;
     const listsAreCurrent = this.polled.fencingToken === this.fencingToken;
     if (minion !== undefined && !listsAreCurrent) {
       return;
@@ -207,20 +213,16 @@
     this.options.report({
       fencingToken: this.fencingToken,
       minion: minion?.description ?? null,
-      running: minion === undefined ? [] : this.polled.running,
-      ends: minion === undefined ? [] : this.polled.ends,
-      ...(minion !== undefined && this.polled.hasMoreEnds
-        ? { hasMoreEnds: true }
-        : {}),
+      ...this.polled.lists(),
       refusals: this.orders.refusals(),
-      gone: this.vitals.departed(),
+      gone: this.minion.departed(),
     });
   }
 
   private handleSettled(
     message: Extract<LeaderMessage, { readonly kind: 'settled' }>,
   ): void {
-    if (message.incarnation !== this.minion?.description.incarnation) {
+    if (!this.isCurrent(message.incarnation)) {
       return;
     }
     this.orders.removeStoredRefusals(message.refusals);
@@ -228,28 +230,19 @@
   }
 
   private handleFailure(minion: MinionIncarnation, error: unknown): void {
-    this.lease.recordSilence(this.options.time.steady());
-    this.options.logger.warn('The minion did not answer.', {
-      incarnation: minion.description.incarnation,
-      reason: messageOf(error),
-    });
-    const leaseExpired =
-      this.polled.fencingToken === this.fencingToken &&
-      this.lease.isExpired(this.options.time.steady());
-    const same =
-      this.minion?.description.incarnation === minion.description.incarnation;
-    if (this.vitals.hasEnded(error, leaseExpired) && same) {
-      this.updateMinion(undefined);
+    const now = this.options.time.steady();
+    if (this.isCurrent(minion.description.incarnation)) {
+      this.lease.recordSilence(connectionRefused(error), now);
     }
+    this.minion.recordFailure(minion, error, this.lease.isExpired(now));
   }
 
-  private resetIncarnation(incarnation: string): void {
+  /** Clears the state of an incarnation that has ended. */
+  private resetIncarnation(): void {
     this.fencedToken = 0;
-    this.vitals.recordDeparture(incarnation);
     this.lease.reset();
     this.polled.reset();
     this.orders.reset(this.fencingToken);
     this.throttler.reset();
-    this.options.logger.warn('A life of the minion is over.', { incarnation });
   }
 }
--- a/packages/job-nodes/src/agent/minion-vitals.ts
+++ b/packages/job-nodes/src/agent/minion-vitals.ts
@@ -1,16 +1,23 @@
-import { connectionRefused } from '@basilcourse/foundation/errors/connection-refused';
+import { PeerRefusedError } from '@basilcourse/foundation/errors/peer-refused-error';
 
+import type { EndEvidence } from './end-evidence.js';
+import { FencedError } from './fenced-error.js';
 import { WrongMinionError } from './wrong-minion-error.js';
 
-/** Consecutive refused connections after which the process counts as ended. */
-const MINIMUM_CONSECUTIVE_REFUSALS = 3;
+/** A minion that answers for this long after its departure has not left. */
+const DEPARTURE_TIMEOUT_MILLISECONDS = 1500;
 
 /** Number of earlier incarnations that are reported as departed. */
 const MAXIMUM_REPORTED_DEPARTURES = 16;
 
-/** Detects the end of a minion's incarnation from how calls to it fail. */
+/**
+ * Detects the end of a minion's incarnation from how calls to it fail. Refused
+ * connections alone show nothing: while the path to the minion is cut, its runs
+ * go on until its lease is over. All times are monotonic milliseconds.
+ */
 export class MinionVitals {
-  private consecutiveRefusals = 0;
+  /** When the minion announced its departure; undefined if it has not. */
+  private leavingSince: number | undefined;
 
   private readonly departedIncarnations: string[] = [];
 
@@ -19,30 +26,54 @@
     return this.departedIncarnations;
   }
 
-  /** Records an answer of the minion. */
-  public recordAnswer(): void {
-    this.consecutiveRefusals = 0;
+  /** Whether the minion has announced its departure. */
+  public get isLeaving(): boolean {
+    return this.leavingSince !== undefined;
+  }
+
+  /** Records that the minion has announced its departure. */
+  public expectDeparture(now: number): void {
+    this.leavingSince ??= now;
   }
 
   /**
-   * Returns whether a failed call shows that the incarnation has ended.
+   * Records an answer of the minion. Returns whether it shows that an announced
+   * departure was that of an earlier incarnation.
+   */
+  public recordAnswer(now: number): boolean {
+    const stays =
+      this.leavingSince !== undefined &&
+      now - this.leavingSince > DEPARTURE_TIMEOUT_MILLISECONDS;
+    if (stays) {
+      this.leavingSince = undefined;
+    }
+    return stays;
+  }
+
+  /**
+   * Returns what shows that the incarnation has ended, after a failed call.
    *
    * @param leaseExpired - Every lease that the minion may hold has expired.
    */
-  public hasEnded(error: unknown, leaseExpired: boolean): boolean {
+  public evidenceOfEnd(
+    error: unknown,
+    leaseExpired: boolean,
+  ): EndEvidence | undefined {
     if (error instanceof WrongMinionError) {
-      return true;
+      return 'another incarnation answers';
+    }
+    if (error instanceof FencedError) {
+      return undefined;
+    }
+    if (this.isLeaving && !(error instanceof PeerRefusedError)) {
+      return 'it has left';
     }
-    const refused = connectionRefused(error);
-    this.consecutiveRefusals = refused ? this.consecutiveRefusals + 1 : 0;
-    return refused
-      ? this.consecutiveRefusals >= MINIMUM_CONSECUTIVE_REFUSALS
-      : leaseExpired;
+    return leaseExpired ? 'its last lease is over' : undefined;
   }
 
   /** Records the end of an incarnation. */
   public recordDeparture(incarnation: string): void {
-    this.consecutiveRefusals = 0;
+    this.leavingSince = undefined;
     this.departedIncarnations.push(incarnation);
     if (this.departedIncarnations.length > MAXIMUM_REPORTED_DEPARTURES) {
       this.departedIncarnations.shift();
--- a/packages/job-nodes/src/agent/order-runner.ts
+++ b/packages/job-nodes/src/agent/order-runner.ts
@@ -1,14 +1,15 @@
 import { ConcurrencyLimit } from '@basilcourse/foundation/async/concurrency-limit';
 import { messageOf } from '@basilcourse/foundation/errors/message-of';
+import { neverConnected } from '@basilcourse/foundation/errors/never-connected';
 import type { StartOrder } from '@basilcourse/jobs/model/start-order';
 import type { StartRefusal } from '@basilcourse/jobs/model/start-refusal';
 import type { StopOrder } from '@basilcourse/jobs/model/stop-order';
 
 import { pause } from '../time/pause.js';
 import { FencedError } from './fenced-error.js';
-import type { StartResult } from './minion-client.js';
 import type { MinionIncarnation } from './minion-incarnation.js';
 import type { OrderRunnerOptions } from './order-runner-options.js';
+import type { StartResult } from './start-result.js';
 
 /** A start that gets no answer is revoked after this many tries. */
 const MAXIMUM_START_TRIES = 2;
@@ -131,7 +132,7 @@
     order: StartOrder,
     token: number,
   ): Promise<void> {
-    if (minion === undefined || minion.description.draining) {
+    if (minion === undefined || !acceptsStarts(minion)) {
       this.refuse(order, token, 'the minion takes no starts');
       return;
     }
@@ -154,6 +155,10 @@
         // The try without an answer may have begun the run, or may still begin it.
         break;
       } catch (error) {
+        if (!unanswered && neverConnected(error)) {
+          this.refuse(order, token, 'no connection to the minion');
+          return;
+        }
         unanswered = true;
         this.warn('A start got no answer.', order, error);
         await pause(RETRY_DELAY_MILLISECONDS);
@@ -229,3 +234,7 @@
 function keyOf({ task, run }: StopOrder): string {
   return `${task}/${run}`;
 }
+
+function acceptsStarts({ description }: MinionIncarnation): boolean {
+  return !description.draining && description.silent !== true;
+}
--- a/packages/job-nodes/src/agent/polled-runs.ts
+++ b/packages/job-nodes/src/agent/polled-runs.ts
@@ -1,7 +1,8 @@
+import type { AgentReport } from '@basilcourse/jobs/model/agent-report';
 import type { RunEnd } from '@basilcourse/jobs/model/run-end';
 import type { RunningTask } from '@basilcourse/jobs/model/running-task';
 
-import type { PollResult } from './minion-client.js';
+import type { PollResult } from './poll-result.js';
 
 /** Maximum time to wait until ends are stored. */
 const ENDS_STORED_TIMEOUT_MILLISECONDS = 200;
@@ -34,6 +35,12 @@
     this.fencingToken = fencingToken;
   }
 
+  /** Returns the lists for a report. */
+  public lists(): Pick<AgentReport, 'running' | 'ends' | 'hasMoreEnds'> {
+    const { running, ends, hasMoreEnds } = this;
+    return { running, ends, ...(hasMoreEnds ? { hasMoreEnds } : {}) };
+  }
+
   /** Returns `task/run` of each running task and of each end not stored yet. */
   public listedRuns(): ReadonlySet<string> {
     return new Set(
--- a/packages/job-nodes/tests/agent/order-runner.test.ts
+++ b/packages/job-nodes/tests/agent/order-runner.test.ts
@@ -152,6 +152,36 @@
   t.ok(mostCalling <= 4, `${mostCalling} calls at once`);
 });
 
+t.test('a start that no connection carried counts as refused', async t => {
+  const calls: string[] = [];
+  const client = {
+    start: () => {
+      calls.push('start');
+      const reason = Object.assign(new Error(), { code: 'ECONNREFUSED' });
+      return Promise.reject(
+        new PeerUnreachableError('minion.start', 'm', reason),
+      );
+    },
+    stop: () => {
+      calls.push('stop');
+      return Promise.resolve();
+    },
+  } as unknown as MinionClient;
+  const runner = new OrderRunner({
+    client,
+    time: anchoredTime(),
+    logger: quietLogger,
+    expiry: () => 1000,
+    onRefusal: () => undefined,
+    onStarted: () => undefined,
+  });
+  runner.reset(TOKEN);
+  runner.start(makeMinion(), [ORDER]);
+  await pause(20);
+  t.equal(runner.refusals().length, 1, 'it has not begun, and never will');
+  t.same(calls, ['start']);
+});
+
 t.test('a refusal of the first try is final', async t => {
   const { runner, calls } = createRunner(['room'], []);
   runner.start(makeMinion(), [ORDER]);
--- a/packages/jobs/src/model/minion-description.ts
+++ b/packages/jobs/src/model/minion-description.ts
@@ -9,6 +9,8 @@
   readonly capacity: Capacity;
   readonly labels: readonly string[];
   readonly draining: boolean;
+  /** Whether it does not answer its agent; absent if it does. */
+  readonly silent?: boolean;
   /** Minimum time until a draining minion stops. */
   readonly remainingMilliseconds: number;
 }
--- a/packages/jobs/src/plan/plan-starts.ts
+++ b/packages/jobs/src/plan/plan-starts.ts
@@ -87,6 +87,7 @@
     minion.connected &&
     minion.description !== undefined &&
     !minion.description.draining &&
+    minion.description.silent !== true &&
     minion.backoffUntil <= now
   );
 }
--- a/packages/jobs/tests/plan/plan-starts.test.ts
+++ b/packages/jobs/tests/plan/plan-starts.test.ts
@@ -67,6 +67,7 @@
   t => {
     const table = new JobTable();
     addMinion(table, 'draining', { draining: true });
+    addMinion(table, 'unreachable', { silent: true });
     addMinion(table, 'resting').backoffUntil = 10;
     addMinion(table, 'silent').connected = false;
     addJob(table, 'j', [makeStep()]);
