--- a/packages/jobs/src/reconcile/find-stuck-runs.ts
+++ b/packages/jobs/src/reconcile/find-stuck-runs.ts
@@ -13,18 +13,23 @@
 /** Time without starts for a minion on which a run is stuck. */
 const STUCK_BACKOFF_MILLISECONDS = 2000;
 
-/** Returns the tasks whose runs have begun but make no progress. */
+/**
+ * Returns the tasks whose runs have begun but make no progress, by the reports of
+ * their minions: while a minion is silent, its runs may go on.
+ */
 export function findStuckRuns(
   table: JobTable,
   now: number,
 ): readonly TaskEntry[] {
   const stuck: TaskEntry[] = [];
   for (const minion of table.minions.values()) {
-    if (!minion.connected || minion.description?.draining === true) {
+    const { description } = minion;
+    const isSilent = description?.silent === true;
+    if (!minion.connected || isSilent || description?.draining === true) {
       continue;
     }
     for (const { task, run } of minion.runs.values()) {
-      if (task.run === run && isStuck(task, now)) {
+      if (task.run === run && isStuck(task, minion.reportedAt)) {
         minion.backoffUntil = Math.max(
           minion.backoffUntil,
           now + STUCK_BACKOFF_MILLISECONDS,
@@ -36,7 +41,7 @@
   return stuck;
 }
 
-function isStuck(task: TaskEntry, now: number): boolean {
+function isStuck(task: TaskEntry, reportedAt: number): boolean {
   if (task.phase !== 'assigned' || task.firstListedAt === 0 || task.stopping) {
     return false;
   }
@@ -46,5 +51,5 @@
   const timeout = task.specification.filling
     ? STUCK_BATCH_TIMEOUT_MILLISECONDS
     : STUCK_TIMEOUT_MILLISECONDS;
-  return now - task.progressAt > timeout;
+  return reportedAt - task.progressAt > timeout;
 }
--- a/packages/jobs/tests/reconcile/minion-runs.test.ts
+++ b/packages/jobs/tests/reconcile/minion-runs.test.ts
@@ -2,6 +2,7 @@
 
 import { expireMinions } from '../../src/reconcile/expire-minions.js';
 import { findStuckRuns } from '../../src/reconcile/find-stuck-runs.js';
+import { recordProgress } from '../../src/reconcile/record-progress.js';
 import { tasksToMove } from '../../src/reconcile/tasks-to-move.js';
 import { JobTable } from '../../src/state/job-table.js';
 import { addJob } from '../support/add-job.js';
@@ -49,12 +50,33 @@
     task.progressAt = 1;
   }
   longRunning.percent = 100;
+  minion.reportedAt = 2000;
   t.same(findStuckRuns(table, 2000), []);
+  minion.reportedAt = 3000;
   t.same(findStuckRuns(table, 3000), [plain]);
   t.ok(minion.backoffUntil > 3000);
   t.end();
 });
 
+// Guards against work that is stopped since its minion was silent for a while.
+t.test('a run is not stuck while its minion is silent', t => {
+  const table = new JobTable();
+  const minion = addMinion(table, 'a');
+  const task = firstTask(addJob(table, 'p', [makeStep()]));
+  startOn(minion, task);
+  const running = { task: task.name, run: 1, checkpoint: '', gauge: 0 };
+  task.firstListedAt = 1000;
+  task.progressAt = 1000;
+  minion.reportedAt = 1000;
+  t.same(findStuckRuns(table, 5000), [], 'no report tells of its progress');
+  minion.reportedAt = 5100;
+  recordProgress(task, { ...running, percent: 60 }, 5100);
+  t.same(findStuckRuns(table, 5200), [], 'it has worked meanwhile');
+  minion.reportedAt = 7700;
+  t.same(findStuckRuns(table, 7700), [task]);
+  t.end();
+});
+
 t.test('long-running and checkpointing tasks move off a draining minion', t => {
   const table = new JobTable();
   const minion = addMinion(table, 'a', {
