--- a/packages/job-nodes/src/agent/minion-tracker.ts
+++ b/packages/job-nodes/src/agent/minion-tracker.ts
@@ -89,8 +89,9 @@
   public recordAnswer(minion: MinionIncarnation, now: number): void {
     if (this.vitals.recordAnswer(now)) {
       this.warn('A departure was that of an earlier minion.', minion);
+      this.describe();
     }
-    if (this.isCurrent(minion.description.incarnation)) {
+    if (this.silent && this.isCurrent(minion.description.incarnation)) {
       this.silent = false;
       this.describe();
     }
--- a/packages/jobs/src/plan/add-due-occurrences.ts
+++ b/packages/jobs/src/plan/add-due-occurrences.ts
@@ -18,7 +18,7 @@
  * created as can soon start; the others follow as these do.
  */
 export function addDueOccurrences(job: JobEntry, now: number): void {
-  if (job.ended !== undefined) {
+  if (job.ended !== undefined || job.specification.repetitions === 0) {
     return;
   }
   let room = occurrencesThatFit(job);
--- a/scripts/reproduce/two-runs.mjs
+++ b/scripts/reproduce/two-runs.mjs
@@ -5,11 +5,11 @@
  * Usage, from the root of the repository, after `node scripts/bundle.mjs`:
  * `node scripts/reproduce/two-runs.mjs CASE`, with a name from `CASES` below.
  */
-import { request } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
 import { Deployment, pause } from '../../review/deployment.mjs';
+import { refuse, tellAgent } from './disturb.mjs';
 
 const CUT_MILLISECONDS = 3000;
 
@@ -21,36 +21,6 @@
 
 const job = { specification: 'work_ms=8000', steps: [step] };
 
-/** Sends a request to the address for the heartbeats of a minion. */
-function tellAgent(minion, method, identifier, body) {
-  const [host, port] = minion.options.heartbeatAddress.split(':');
-  const path = `/-/instances/${identifier}`;
-  return new Promise(resolve => {
-    const outgoing = request({ host, port, method, path }, response => {
-      response.resume();
-      resolve(response.statusCode);
-    });
-    outgoing.on('error', () => {
-      resolve(0);
-    });
-    outgoing.end(body);
-  });
-}
-
-/** Closes the port of a minion for a time; its runs go on. */
-async function refuse(minion, milliseconds) {
-  const port = Number(minion.address.split(':')[1]);
-  const host = minion.address.split(':')[0];
-  minion.server.close();
-  minion.connections.forEach(socket => {
-    socket.destroy();
-  });
-  await pause(milliseconds);
-  await new Promise(resolve => {
-    minion.server.listen(port, host, resolve);
-  });
-}
-
 const CASES = {
   /** Nothing is done. */
   calm: async () => undefined,
