--- a/packages/job-nodes/tests/leader/send-starts.test.ts
+++ b/packages/job-nodes/tests/leader/send-starts.test.ts
@@ -5,6 +5,7 @@
 import { AgentSession } from '../../src/leader/agent-session.js';
 import type { LeaderMessage } from '../../src/lines/leader-message.js';
 import { pause } from '../../src/time/pause.js';
+import { HarnessAgent } from '../support/harness-agent.js';
 import { QUEUE_SETTINGS } from '../support/job-simulation.js';
 import {
   type LeaderHarness,
@@ -83,32 +84,16 @@
 t.test('starts wait for an agent that reads slowly', async t => {
   const harness = await openLeaderHarness(t);
   const reader = new SlowReader();
-  const session = harness.leader.agentStreams.attach(
-    token => new AgentSession('slow', token, reader, harness.time.now()),
+  const agent = new HarnessAgent(
+    harness.leader,
+    'slow',
+    harness.time.now(),
+    reader,
   );
   await submitLargeJob(harness);
-  harness.leader.agentStreams.handleReport(session, {
-    fencingToken: session.fencingToken,
-    minion: {
-      incarnation: 'slow|minion|1',
-      service: 'service',
-      zone: 'zone',
-      capacity: {
-        processorMillicores: 4000,
-        memoryMegabytes: 1000,
-        accelerators: 0,
-      },
-      labels: [],
-      draining: false,
-      remainingMilliseconds: 0,
-    },
-    running: [],
-    ends: [],
-    refusals: [],
-    gone: [],
-  });
+  agent.report({});
   await pause(400);
-  t.ok(session.open, 'the stream stays open');
+  t.ok(agent.session.open, 'the stream stays open');
   t.ok(
     reader.writableLength < MOST_UNSENT_BYTES,
     `${reader.writableLength} bytes are unsent`,
--- a/packages/job-nodes/tests/support/harness-agent.ts
+++ b/packages/job-nodes/tests/support/harness-agent.ts
@@ -1,3 +1,4 @@
+import type { Writable } from 'node:stream';
 import { PassThrough } from 'node:stream';
 
 import type { AgentReport } from '@basilcourse/jobs/model/agent-report';
@@ -14,15 +15,17 @@
 
   private readonly leader: Leader;
 
-  public constructor(leader: Leader, name: string, now: number) {
+  /**
+   * @param output - The agent's end of the stream; `messages` has what is written
+   * to the default one.
+   */
+  public constructor(
+    leader: Leader,
+    name: string,
+    now: number,
+    output: Writable = this.createReader(),
+  ) {
     this.leader = leader;
-    const output = new PassThrough();
-    output.on('data', (chunk: Buffer) => {
-      const lines = chunk.toString('utf8').split('\n').filter(Boolean);
-      this.messages.push(
-        ...lines.map(line => JSON.parse(line) as LeaderMessage),
-      );
-    });
     this.session = leader.agentStreams.attach(
       token => new AgentSession(name, token, output, now),
     );
@@ -52,6 +55,17 @@
     });
   }
 
+  private createReader(): PassThrough {
+    const reader = new PassThrough();
+    reader.on('data', (chunk: Buffer) => {
+      const lines = chunk.toString('utf8').split('\n').filter(Boolean);
+      this.messages.push(
+        ...lines.map(line => JSON.parse(line) as LeaderMessage),
+      );
+    });
+    return reader;
+  }
+
   public startedTasks(): readonly string[] {
     return this.messages.flatMap(message =>
       message.kind === 'starts' ? message.starts.map(({ task }) => task) : [],
