fix(jobs, job-nodes): progress of a wide job is stored in several records

What callers saw: one job of 9,600 tasks with checkpoints, all running, and no other job was accepted or answered any more: 31 of 40 small jobs accepted, 0 shown as completed, 2,295 appends refused (400), while the store and all minions were sound. With 300 tasks and checkpoints of 3,000 characters the same: 31 of 40, 0, 2,206.

Cause: a job's progress was one record with a row for each task that had started, rewritten with each change. Nothing compared it with the store's limit (262,144 bytes on the sheets), and the store refuses the append as a whole, with what others have in it.

Change: RecordLayout says where a task's row is, by the limits in the settings (record_bytes, request_bytes). Up to 128 tasks are in the main record as before, those of other jobs in records of 32; a row has a maximum size, to which a checkpoint that is too long does not count: it is not stored. Only records with changed rows are stored. A leader that reads rows where its layout has none (written by an earlier version, or under other limits) moves them; the order of the values keeps each row readable after any prefix of them. What a done occurrence or a dropped job leaves is removed, also by the next leader.

--- a/packages/job-nodes/src/entry/entry-options.ts
+++ b/packages/job-nodes/src/entry/entry-options.ts
@@ -3,6 +3,7 @@
 import type { StepObserver } from '../metrics/step-observer.js';
 import type { JobStore } from '../store/job-store.js';
 import type { LeadershipLog } from '../store/leadership-log.js';
+import type { StoreLimits } from '../store/store-limits.js';
 import type { TimeSource } from '../time/time-source.js';
 
 /** Dependencies of an `EntryProcess`, which the platform supplies. */
@@ -11,6 +12,7 @@
   /** Address for other processes of the system. */
   readonly internalAddress: string;
   readonly store: JobStore;
+  readonly storeLimits: StoreLimits;
   readonly leadershipLog: LeadershipLog;
   readonly time: TimeSource;
   readonly logger: (part: string) => PartLogger;
--- a/packages/job-nodes/src/entry/entry-process.ts
+++ b/packages/job-nodes/src/entry/entry-process.ts
@@ -164,6 +164,7 @@
     const leader = new Leader({
       epoch,
       store: this.options.store,
+      storeLimits: this.options.storeLimits,
       time: this.options.time,
       logger: this.options.logger('leader'),
       leaseMilliseconds: this.options.leaseMilliseconds,
--- a/packages/job-nodes/src/leader/answer-call.ts
+++ b/packages/job-nodes/src/leader/answer-call.ts
@@ -46,20 +46,21 @@
   context: AnswerContext,
 ): Promise<JobAnswer> {
   const { state, now, storeUnresponsive: storeBlocked } = context;
-  if (!state.table.jobs.has(call.specification.identifier)) {
+  const { specification, queue } = call;
+  const { identifier } = specification;
+  if (!state.table.jobs.has(identifier)) {
     if (storeBlocked) {
-      return {
-        kind: 'refused',
-        reason: 'the store does not answer',
-        retryAfterSeconds: RETRY_AFTER_SECONDS,
-      };
+      return refused('the store does not answer');
     }
-    const { specification, queue } = call;
     state.accept({ specification, queue, acceptedAt: now });
   }
   return (await waitUntilStored(context)) ? { kind: 'accepted' } : UNKNOWN;
 }
 
+function refused(reason: string): JobAnswer {
+  return { kind: 'refused', reason, retryAfterSeconds: RETRY_AFTER_SECONDS };
+}
+
 function waitUntilStored(context: AnswerContext): Promise<boolean> {
   return new Promise(resolve => {
     context.afterStored(resolve);
@@ -107,7 +108,7 @@
   }
   if (job.ended === undefined) {
     job.end('cancelled', context.now);
-    context.state.table.changed.add(call.identifier);
+    context.state.table.markJobChanged(job);
   }
   return (await waitUntilStored(context)) ? { kind: 'cancelled' } : UNKNOWN;
 }
--- a/packages/job-nodes/src/leader/leader-options.ts
+++ b/packages/job-nodes/src/leader/leader-options.ts
@@ -2,12 +2,14 @@
 
 import type { StepObserver } from '../metrics/step-observer.js';
 import type { JobStore } from '../store/job-store.js';
+import type { StoreLimits } from '../store/store-limits.js';
 import type { TimeSource } from '../time/time-source.js';
 
 /** Epoch, dependencies and callbacks of a leader. */
 export interface LeaderOptions {
   readonly epoch: number;
   readonly store: JobStore;
+  readonly storeLimits: StoreLimits;
   readonly time: TimeSource;
   readonly logger: PartLogger;
   /** Maximum duration of the lease of an agent's minion. */
--- a/packages/job-nodes/src/leader/leader-state.ts
+++ b/packages/job-nodes/src/leader/leader-state.ts
@@ -1,19 +1,16 @@
 import type { QueueSettings } from '@basilcourse/jobs/model/queue-settings';
 import type { PlannedStart } from '@basilcourse/jobs/plan/planned-start';
-import { encodeProgress } from '@basilcourse/jobs/records/encode-progress';
 import type { JobRecord } from '@basilcourse/jobs/records/job-record';
-import type { JobEntry } from '@basilcourse/jobs/state/job-entry';
+import { RecordLayout } from '@basilcourse/jobs/records/record-layout';
 import { JobTable } from '@basilcourse/jobs/state/job-table';
 
 import type { QueueConfiguration } from '../configuration/queue-configuration.js';
+import type { StoreLimits } from '../store/store-limits.js';
 import type { StoredValue } from '../store/stored-value.js';
 import { AgentSessions } from './agent-sessions.js';
 import { InterferenceWatch } from './interference-watch.js';
-import {
-  ESTIMATES_KEY,
-  JOB_KEY_PREFIX,
-  PROGRESS_KEY_PREFIX,
-} from './record-keys.js';
+import { PendingChanges } from './pending-changes.js';
+import { ESTIMATES_KEY } from './record-keys.js';
 
 /** Number of fencing tokens that one epoch can issue. */
 const TOKENS_PER_EPOCH = 1_000_000;
@@ -29,9 +26,11 @@
 
   public readonly sessions = new AgentSessions(this.table);
 
-  private readonly newJobs: JobEntry[] = [];
+  /** How the progress of jobs is distributed over records. */
+  public readonly layout: RecordLayout;
 
-  private readonly droppedJobs: string[] = [];
+  /** Changes of jobs that `collect` has not returned yet. */
+  public readonly changes: PendingChanges;
 
   private readonly epoch: number;
 
@@ -39,8 +38,10 @@
 
   private issuedTokens = 0;
 
-  public constructor(epoch: number) {
+  public constructor(epoch: number, limits: StoreLimits) {
     this.epoch = epoch;
+    this.layout = new RecordLayout(limits.recordBytes);
+    this.changes = new PendingChanges(this.table, this.layout);
   }
 
   /** Returns a token that is higher than all earlier ones, across epochs. */
@@ -67,32 +68,13 @@
   /** Adds an accepted job, which the next call of `collect` returns. */
   public accept(record: JobRecord): void {
     const { specification, queue, acceptedAt } = record;
-    this.newJobs.push(this.table.add(specification, queue, acceptedAt));
+    this.table.add(specification, queue, acceptedAt);
+    this.changes.add(record);
   }
 
-  /** Returns the values to store, and clears the recorded changes. */
+  /** Returns the values to store, in order, and clears the recorded changes. */
   public collect(now: number): readonly StoredValue[] {
-    const values: StoredValue[] = [];
-    const estimates = this.interference.estimatesToStore(now);
-    if (estimates !== undefined) {
-      values.push({ key: ESTIMATES_KEY, value: JSON.stringify(estimates) });
-    }
-    for (const job of this.newJobs.splice(0)) {
-      values.push(jobValue(job));
-    }
-    for (const identifier of this.table.changed) {
-      const job = this.table.jobs.get(identifier);
-      if (job !== undefined) {
-        const value = JSON.stringify(encodeProgress(job));
-        values.push({ key: PROGRESS_KEY_PREFIX + identifier, value });
-      }
-    }
-    this.table.changed.clear();
-    for (const identifier of this.droppedJobs.splice(0)) {
-      values.push({ key: JOB_KEY_PREFIX + identifier, value: undefined });
-      values.push({ key: PROGRESS_KEY_PREFIX + identifier, value: undefined });
-    }
-    return values;
+    return [...this.estimatesValue(now), ...this.changes.collect()];
   }
 
   /** Assigns tasks to their planned minions; a gang shares a run number. */
@@ -115,23 +97,22 @@
 
   /** Drops ended jobs whose retention time has passed. */
   public dropExpiredJobs(now: number): void {
-    for (const [identifier, job] of this.table.jobs) {
+    for (const job of this.table.jobs.values()) {
       if (
         job.ended !== undefined &&
         now - job.endedAt > ENDED_JOB_RETENTION_MILLISECONDS
       ) {
+        this.changes.removeJob(job);
         this.table.remove(job);
-        this.droppedJobs.push(identifier);
       }
     }
   }
-}
 
-function jobValue(job: JobEntry): StoredValue {
-  const { specification, queue, acceptedAt } = job;
-  const record: JobRecord = { specification, queue, acceptedAt };
-  return {
-    key: JOB_KEY_PREFIX + specification.identifier,
-    value: JSON.stringify(record),
-  };
+  private estimatesValue(now: number): readonly StoredValue[] {
+    const estimates = this.interference.estimatesToStore(now);
+    if (estimates === undefined) {
+      return [];
+    }
+    return [{ key: ESTIMATES_KEY, value: JSON.stringify(estimates) }];
+  }
 }
--- a/packages/job-nodes/src/leader/leader.ts
+++ b/packages/job-nodes/src/leader/leader.ts
@@ -52,7 +52,7 @@
 
   public constructor(options: LeaderOptions) {
     this.options = options;
-    this.state = new LeaderState(options.epoch);
+    this.state = new LeaderState(options.epoch, options.storeLimits);
     this.writer = new StoreWriter({
       store: options.store,
       epoch: options.epoch,
@@ -152,13 +152,14 @@
       return;
     }
     const values = await store.readAll();
-    loadTable(this.state.table, values, time.now(), logger);
+    const { table, layout, changes } = this.state;
+    changes.removeKeys(loadTable(table, layout, values, time.now(), logger));
     loadEstimates(this.state.interference, values, logger);
     this.state.configureJobs();
     this.loaded = true;
     logger.info('The state was read.', {
       epoch,
-      jobs: this.state.table.jobs.size,
+      jobs: table.jobs.size,
     });
     this.tickTimer = setInterval(() => {
       this.tick();
@@ -190,7 +191,7 @@
     this.state.sessions.closeUnresponsive(now);
     for (const job of table.jobs.values()) {
       table.dropDoneOccurrences(job);
-      addDueOccurrences(job, now);
+      addDueOccurrences(job, now, this.state.layout.maximumOpenOccurrences);
     }
     this.stop(findStuckRuns(table, now), 'no progress');
     this.stop(tasksToMove(table, now), 'the minion drains');
--- a/packages/job-nodes/src/store/job-store.ts
+++ b/packages/job-nodes/src/store/job-store.ts
@@ -11,6 +11,7 @@
    *
    * @param sequence - Number of the append in the epoch, from 0; an append that
    * is repeated under the same number is stored once.
+   * @throws AppendRefusedError when the store refuses what the values are.
    */
   readonly append: (
     epoch: number,
--- /dev/null
+++ b/packages/job-nodes/tests/leader/record-sizes.test.ts
@@ -0,0 +1,57 @@
+import type { RunningTask } from '@basilcourse/jobs/model/running-task';
+import t from 'tap';
+
+import { pause } from '../../src/time/pause.js';
+import { QUEUE_SETTINGS } from '../support/job-simulation.js';
+import { openLeaderHarness } from '../support/leader-harness.js';
+import { makeSpecification, makeStep } from '../support/make-specification.js';
+
+const WIDE_TASKS = 9600;
+
+const WIDE_STEP = {
+  ...makeStep(WIDE_TASKS, 0),
+  memoryMegabytes: 0,
+  checkpointing: true,
+};
+
+// Guards against a wide job whose progress keeps all others from being stored.
+t.test('a wide job with checkpoints stops no other job', async t => {
+  const harness = await openLeaderHarness(t);
+  await harness.leader.answer({
+    kind: 'submit',
+    specification: makeSpecification('wide', [WIDE_STEP]),
+    queue: QUEUE_SETTINGS,
+  });
+  harness.report({});
+  for (let tries = 0; tries < 100; tries += 1) {
+    if (harness.startedTasks().length === WIDE_TASKS) {
+      break;
+    }
+    await pause(50);
+  }
+  t.equal(harness.startedTasks().length, WIDE_TASKS);
+  const running: readonly RunningTask[] = harness
+    .startedTasks()
+    .map((task, index) => ({
+      task,
+      run: 1,
+      checkpoint: index.toString(16).padStart(16, '0'),
+      percent: 10,
+      gauge: 1,
+    }));
+  harness.report({ running });
+  const ends = running.slice(0, 400).map(({ task, run }, index) => ({
+    number: index + 1,
+    task,
+    run,
+    reason: 'failed' as const,
+    checkpoint: '',
+  }));
+  harness.report({ running: running.slice(400), ends });
+  t.match(await harness.submit(), { kind: 'accepted' });
+  t.equal(harness.store.refusals, 0);
+  const largest = Math.max(
+    ...(await harness.store.readAll()).map(({ value }) => value?.length ?? 0),
+  );
+  t.ok(largest <= harness.store.limits.recordBytes, `${largest} bytes`);
+});
--- a/packages/job-nodes/tests/support/job-simulation.ts
+++ b/packages/job-nodes/tests/support/job-simulation.ts
@@ -152,6 +152,7 @@
       observe: () => undefined,
       epoch,
       store: this.store,
+      storeLimits: this.store.limits,
       time: this.time,
       logger: quietLogger,
       leaseMilliseconds: LEASE_MILLISECONDS,
--- a/packages/job-nodes/tests/support/leader-harness.ts
+++ b/packages/job-nodes/tests/support/leader-harness.ts
@@ -36,6 +36,7 @@
       observe: () => undefined,
       epoch,
       store: this.store,
+      storeLimits: this.store.limits,
       time: this.time,
       logger: quietLogger,
       leaseMilliseconds: 1000,
--- a/packages/job-nodes/tests/support/memory-store.ts
+++ b/packages/job-nodes/tests/support/memory-store.ts
@@ -2,8 +2,11 @@
 import type { RandomSource } from '@basilcourse/foundation/random/random-source';
 
 import type { LeaderRecord } from '../../src/leadership/leader-record.js';
+import { AppendRefusedError } from '../../src/store/append-refused-error.js';
 import type { JobStore } from '../../src/store/job-store.js';
 import type { LeadershipLog } from '../../src/store/leadership-log.js';
+import { recordBytes } from '../../src/store/record-bytes.js';
+import type { StoreLimits } from '../../src/store/store-limits.js';
 import type { StoredValue } from '../../src/store/stored-value.js';
 import { pause } from '../../src/time/pause.js';
 
@@ -16,6 +19,19 @@
 
   public appends = 0;
 
+  /** Sizes that it accepts; larger records and appends are refused. */
+  public limits: StoreLimits = {
+    recordBytes: 262_139,
+    appendBytes: 2_097_152,
+    overheadBytes: 5,
+  };
+
+  /** Whether a value is refused, whatever its size. */
+  public refuses: (value: StoredValue) => boolean = () => false;
+
+  /** Appends that were refused for what they contain. */
+  public refusals = 0;
+
   private readonly random: RandomSource;
 
   private readonly values = new Map<string, string>();
@@ -52,6 +68,7 @@
     if (epoch < this.epoch) {
       return false;
     }
+    this.checkValues(values);
     if (sequence === this.nextSequence) {
       this.nextSequence += 1;
       this.appends += 1;
@@ -111,6 +128,18 @@
     return true;
   };
 
+  private checkValues(values: readonly StoredValue[]): void {
+    const { recordBytes: maximum, appendBytes, overheadBytes } = this.limits;
+    const sizes = values.map(recordBytes);
+    const total = sizes.reduce((sum, size) => sum + size + overheadBytes, 0);
+    const isRefused = values.some(this.refuses);
+    const isTooLarge = sizes.some(size => size > maximum);
+    if (total > appendBytes || isTooLarge || isRefused) {
+      this.refusals += 1;
+      throw new AppendRefusedError('store.append', 'memory', 'status 400');
+    }
+  }
+
   private store({ key, value }: StoredValue): void {
     if (value === undefined) {
       this.values.delete(key);
--- a/packages/jobs/src/plan/add-due-occurrences.ts
+++ b/packages/jobs/src/plan/add-due-occurrences.ts
@@ -8,7 +8,7 @@
 
 /**
  * Tasks of all open occurrences, above which a job gets no further ones. It
- * bounds the memory of a job and the size of its progress record.
+ * bounds the memory of a job.
  */
 const MAXIMUM_OPEN_TASKS = 2000;
 
@@ -16,12 +16,21 @@
  * Creates the occurrences of a scheduled job that are due, the earliest first.
  * A job may be behind its schedule by any number of them, so only as many are
  * created as can soon start; the others follow as these do.
+ *
+ * @param maximumOpen - Maximum number of occurrences that are open at once.
  */
-export function addDueOccurrences(job: JobEntry, now: number): void {
+export function addDueOccurrences(
+  job: JobEntry,
+  now: number,
+  maximumOpen = Number.POSITIVE_INFINITY,
+): void {
   if (job.ended !== undefined || job.specification.repetitions === 0) {
     return;
   }
-  let room = occurrencesThatFit(job);
+  let room = Math.min(
+    occurrencesThatFit(job),
+    maximumOpen - job.occurrences.size,
+  );
   let number = nextOccurrence(job, 0);
   while (room > 0 && isDue(job, number, now)) {
     job.addOccurrence(number);
--- a/packages/jobs/src/records/apply-progress.ts
+++ b/packages/jobs/src/records/apply-progress.ts
@@ -1,23 +1,12 @@
 import type { JobEntry } from '../state/job-entry.js';
 import type { JobTable } from '../state/job-table.js';
 import type { TaskEntry } from '../state/task-entry.js';
-import type { TaskPhase } from '../state/task-phase.js';
-import type {
-  ProgressRecord,
-  TaskPhaseLetter,
-  TaskRow,
-} from './progress-record.js';
-
-const PHASES: Readonly<Record<TaskPhaseLetter, TaskPhase>> = {
-  w: 'waiting',
-  a: 'assigned',
-  d: 'done',
-  f: 'failed',
-};
+import { applyRows } from './apply-rows.js';
+import type { ProgressRecord } from './progress-record.js';
 
 /**
- * Applies a stored record to the table. Runs that were on a minion count as
- * still running there until its agent reports or its lease expires.
+ * Applies the main record of a job's progress to the table, and returns the tasks
+ * whose rows it has.
  *
  * @param now - Present time; the leases of minions whose agents have not
  * reported yet count from here.
@@ -27,7 +16,7 @@
   job: JobEntry,
   record: ProgressRecord,
   now: number,
-): void {
+): readonly TaskEntry[] {
   job.begun = record.begun ?? false;
   job.ended = record.ended;
   job.endedAt = record.endedAt ?? 0;
@@ -35,34 +24,5 @@
   for (const [first, last] of record.doneOccurrences ?? []) {
     job.doneOccurrences.addRange(first, last);
   }
-  for (const row of record.tasks) {
-    const [occurrence, step, index] = row;
-    job.addOccurrence(occurrence);
-    const task = job.task(occurrence, step, index);
-    if (task !== undefined) {
-      applyRow(table, task, row, record.incarnations, now);
-    }
-  }
-}
-
-function applyRow(
-  table: JobTable,
-  task: TaskEntry,
-  row: TaskRow,
-  incarnations: readonly string[],
-  now: number,
-): void {
-  const [, , , letter, run, failedRuns, position, checkpoint] = row;
-  const incarnation = incarnations[position] ?? '';
-  task.phase = PHASES[letter];
-  task.run = run;
-  task.failedRuns = failedRuns;
-  task.checkpoint = checkpoint;
-  if (task.phase === 'assigned') {
-    task.incarnation = incarnation;
-    task.startSent = true;
-    task.assignedAt = now;
-    task.progressAt = now;
-    table.getOrAddMinion(incarnation, now).addRun(task, run);
-  }
+  return applyRows(table, job, record, now);
 }
--- a/packages/jobs/src/state/job-entry.ts
+++ b/packages/jobs/src/state/job-entry.ts
@@ -29,6 +29,9 @@
   /** Phases of the tasks by occurrence and step. */
   private readonly tallies = new Map<number, readonly PhaseTally[]>();
 
+  /** Position of each step's first task among the tasks of an occurrence. */
+  private readonly stepPositions: readonly number[];
+
   public readonly specification: JobSpecification;
 
   /** Unix milliseconds at which the job was accepted. */
@@ -42,6 +45,11 @@
     this.specification = specification;
     this.queue = queue;
     this.acceptedAt = acceptedAt;
+    let position = 0;
+    this.stepPositions = specification.steps.map(({ taskCount }) => {
+      position += taskCount;
+      return position - taskCount;
+    });
     if (specification.repetitions === 0) {
       this.addOccurrence(0);
     }
@@ -118,6 +126,24 @@
     return this.occurrences.get(occurrence)?.[step]?.[index];
   }
 
+  /** Returns the position of a task among those of its occurrence. */
+  public positionOf({ step, index }: TaskEntry): number {
+    return (this.stepPositions[step] ?? 0) + index;
+  }
+
+  /** Returns tasks of an open occurrence by their positions in it. */
+  public tasksFrom(
+    occurrence: number,
+    position: number,
+    count: number,
+  ): readonly TaskEntry[] {
+    const steps = this.occurrences.get(occurrence) ?? [];
+    return steps.flatMap((tasks, step) => {
+      const first = position - (this.stepPositions[step] ?? 0);
+      return tasks.slice(Math.max(0, first), Math.max(0, first + count));
+    });
+  }
+
   /** Returns the phases of the tasks of an occurrence, by step. */
   public talliesOf(occurrence: number): readonly PhaseTally[] {
     return this.tallies.get(occurrence) ?? [];
--- a/packages/jobs/src/state/job-table.ts
+++ b/packages/jobs/src/state/job-table.ts
@@ -1,3 +1,5 @@
+import { memo } from '@basilcourse/foundation/util/memo';
+
 import type { JobSpecification } from '../model/job-specification.js';
 import type { QueueSettings } from '../model/queue-settings.js';
 import { JobEntry } from './job-entry.js';
@@ -14,8 +16,11 @@
   /** Tasks that were looked up before. */
   private readonly tasksByName = new Map<string, TaskEntry>();
 
-  /** Jobs whose progress has changed since it was last stored. */
-  public readonly changed = new Set<string>();
+  /**
+   * Jobs whose progress has changed since it was last stored, and their tasks of
+   * which it has.
+   */
+  public readonly changed = new Map<string, Set<TaskEntry>>();
 
   public add(
     specification: JobSpecification,
@@ -37,8 +42,9 @@
 
   /** Removes the tasks of a job's occurrences that are done. */
   public dropDoneOccurrences(job: JobEntry): void {
-    for (const { name } of job.dropDoneOccurrences()) {
-      this.tasksByName.delete(name);
+    for (const task of job.dropDoneOccurrences()) {
+      this.tasksByName.delete(task.name);
+      this.markChanged(task);
     }
   }
 
@@ -65,9 +71,14 @@
     return minion;
   }
 
-  /** Marks the progress of a task's job to be stored. */
+  /** Marks the progress of a task to be stored. */
   public markChanged(task: TaskEntry): void {
-    this.changed.add(task.jobIdentifier);
+    this.changedTasksOf(task.jobIdentifier).add(task);
+  }
+
+  /** Marks the progress of a job to be stored, apart from that of its tasks. */
+  public markJobChanged(job: JobEntry): void {
+    this.changedTasksOf(job.specification.identifier);
   }
 
   /** Removes a minion, releases its current tasks and returns them. */
@@ -87,6 +98,10 @@
     return released;
   }
 
+  private changedTasksOf(identifier: string): Set<TaskEntry> {
+    return memo(this.changed, identifier, () => new Set<TaskEntry>());
+  }
+
   private findTask(name: string): TaskEntry | undefined {
     const parts = splitTaskName(name);
     return parts === undefined
--- a/packages/jobs/src/state/number-ranges.ts
+++ b/packages/jobs/src/state/number-ranges.ts
@@ -33,6 +33,11 @@
     this.ranges = [...before, range, ...after];
   }
 
+  /** Returns whether a number is in the set. */
+  public has(number: number): boolean {
+    return this.nextMissing(number) !== number;
+  }
+
   /** Returns the lowest number from the given one on that is not in the set. */
   public nextMissing(from: number): number {
     const range = this.ranges.find(
--- a/packages/proving/src/measure/leader-load/run-leader-load.ts
+++ b/packages/proving/src/measure/leader-load/run-leader-load.ts
@@ -3,6 +3,7 @@
 import { anchoredTime } from '@basilcourse/job-nodes/time/anchored-time';
 import { pause } from '@basilcourse/job-nodes/time/pause';
 
+import { STORE_LIMITS } from '../store-limits.js';
 import type { JobKind } from './job-arrivals.js';
 import { arrivingJob, JOB_KINDS, REFERENCE_VMS } from './job-arrivals.js';
 import type { LeaderLoadFigures } from './leader-load-figures.js';
@@ -57,6 +58,7 @@
     processorCores: 1,
     epoch: 1,
     store,
+    storeLimits: STORE_LIMITS,
     time,
     logger: { info: countLine, warn: countLine, error: countLine },
     leaseMilliseconds: LEASE_MILLISECONDS,
