fix(job-nodes): what the store refuses keeps no other record from being stored

Cause: the writer put all changes of a moment into one append of any size and repeated it until it was stored, also after an answer that no repeat can change.

After a 400 or 413 the halves of an append are stored apart, down to the one value that is refused; it is left out, with its key, size and reason in the log. A job whose record is left out was never accepted, and its caller is told 503, which is true: starts leave only after the store's answer. A job whose progress is left out fails, alone. Everything that stands for 'no answer' (429, 503, 507, silence) is repeated as before; the log of it names records and bytes.

--- a/packages/job-nodes/src/leader/answer-call.ts
+++ b/packages/job-nodes/src/leader/answer-call.ts
@@ -54,7 +54,12 @@
     }
     state.accept({ specification, queue, acceptedAt: now });
   }
-  return (await waitUntilStored(context)) ? { kind: 'accepted' } : UNKNOWN;
+  if (!(await waitUntilStored(context))) {
+    return UNKNOWN;
+  }
+  return state.table.jobs.has(identifier)
+    ? { kind: 'accepted' }
+    : refused('the store does not accept the record of the job');
 }
 
 function refused(reason: string): JobAnswer {
--- a/packages/job-nodes/src/leader/leader-state.ts
+++ b/packages/job-nodes/src/leader/leader-state.ts
@@ -2,6 +2,7 @@
 import type { PlannedStart } from '@basilcourse/jobs/plan/planned-start';
 import type { JobRecord } from '@basilcourse/jobs/records/job-record';
 import { RecordLayout } from '@basilcourse/jobs/records/record-layout';
+import type { JobEntry } from '@basilcourse/jobs/state/job-entry';
 import { JobTable } from '@basilcourse/jobs/state/job-table';
 
 import type { QueueConfiguration } from '../configuration/queue-configuration.js';
@@ -11,6 +12,7 @@
 import { InterferenceWatch } from './interference-watch.js';
 import { PendingChanges } from './pending-changes.js';
 import { ESTIMATES_KEY } from './record-keys.js';
+import { splitRecordKey } from './split-record-key.js';
 
 /** Number of fencing tokens that one epoch can issue. */
 const TOKENS_PER_EPOCH = 1_000_000;
@@ -77,6 +79,27 @@
     return [...this.estimatesValue(now), ...this.changes.collect()];
   }
 
+  /**
+   * Handles a value that cannot be stored. A job whose record it is was never
+   * accepted; one whose progress it is cannot be run once for certain, and fails.
+   */
+  public handleUnstorable(key: string, now: number): void {
+    const parts = splitRecordKey(key);
+    const job = parts && this.table.jobs.get(parts.identifier);
+    if (job === undefined) {
+      return;
+    }
+    if (parts?.kind === 'job') {
+      this.withdraw(job);
+    } else if (job.storesRows) {
+      job.storesRows = false;
+      if (job.ended === undefined) {
+        job.end('failed', now);
+      }
+      this.table.markJobChanged(job);
+    }
+  }
+
   /** Assigns tasks to their planned minions; a gang shares a run number. */
   public assign(starts: readonly PlannedStart[], now: number): void {
     const gangRuns = new Map<string, number>();
@@ -115,4 +138,13 @@
     }
     return [{ key: ESTIMATES_KEY, value: JSON.stringify(estimates) }];
   }
+
+  /** Removes a job that was not accepted; none of its starts has left. */
+  private withdraw(job: JobEntry): void {
+    for (const task of job.tasks()) {
+      this.table.minions.get(task.incarnation)?.removeRun(task.name, task.run);
+    }
+    this.changes.removeJob(job);
+    this.table.remove(job);
+  }
 }
--- a/packages/job-nodes/src/leader/leader.ts
+++ b/packages/job-nodes/src/leader/leader.ts
@@ -55,10 +55,14 @@
     this.state = new LeaderState(options.epoch, options.storeLimits);
     this.writer = new StoreWriter({
       store: options.store,
+      limits: options.storeLimits,
       epoch: options.epoch,
       time: options.time,
       logger: options.logger,
       collect: () => this.state.collect(options.time.now()),
+      onUnstorable: key => {
+        this.state.handleUnstorable(key, options.time.now());
+      },
       onFenced: options.onFenced,
     });
     const context = {
--- a/packages/job-nodes/src/leader/store-writer.ts
+++ b/packages/job-nodes/src/leader/store-writer.ts
@@ -1,5 +1,8 @@
 import { messageOf } from '@basilcourse/foundation/errors/message-of';
 
+import { AppendRefusedError } from '../store/append-refused-error.js';
+import { recordBytes } from '../store/record-bytes.js';
+import { splitAppends } from '../store/split-appends.js';
 import type { StoredValue } from '../store/stored-value.js';
 import { pause } from '../time/pause.js';
 import type { StoreWriterOptions } from './store-writer-options.js';
@@ -12,7 +15,8 @@
 /**
  * Stores changes in order, one append at a time, and runs the actions that wait
  * for them afterwards. An append without an answer is retried under the
- * same sequence number until it is answered.
+ * same sequence number until it is answered. A value that can't be stored is left
+ * out, so that it keeps no other one from being stored.
  */
 export class StoreWriter {
   private readonly options: StoreWriterOptions;
@@ -80,7 +84,7 @@
       this.actionsInProgress = this.actions;
       this.actions = [];
       const values = this.options.collect();
-      const stored = values.length === 0 || (await this.store(values));
+      const stored = await this.storeAll(values);
       this.actionsInProgress.splice(0).forEach(action => {
         action(stored);
       });
@@ -94,6 +98,21 @@
     this.running = false;
   }
 
+  /** Stores values in as many appends as they need; false if that failed. */
+  private async storeAll(values: readonly StoredValue[]): Promise<boolean> {
+    const { appends, oversized } = splitAppends(values, this.options.limits);
+    for (const value of oversized) {
+      this.leaveOut(value, 'it is larger than a record of the store');
+    }
+    for (const append of appends) {
+      if (!(await this.store(append))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Stores the values of one append; false if that failed. */
   private async store(values: readonly StoredValue[]): Promise<boolean> {
     const { store, epoch, logger, time, onFenced } = this.options;
     this.appendStartedAt = time.steady();
@@ -108,10 +127,15 @@
         }
         return stored;
       } catch (error) {
+        if (error instanceof AppendRefusedError) {
+          return this.storeApart(values, messageOf(error));
+        }
         logger.warn('The store did not answer an append.', {
           reason: messageOf(error),
           tries,
           sequence: this.sequence,
+          records: values.length,
+          bytes: totalBytes(values),
         });
         await pause(RETRY_DELAY_MILLISECONDS);
       }
@@ -119,7 +143,40 @@
     return false;
   }
 
+  /** Stores the halves of a refused append, down to the value to leave out. */
+  private async storeApart(
+    values: readonly StoredValue[],
+    reason: string,
+  ): Promise<boolean> {
+    const [first] = values;
+    if (values.length === 1 && first !== undefined) {
+      this.appendStartedAt = 0;
+      this.leaveOut(first, reason);
+      return true;
+    }
+    const middle = Math.ceil(values.length / 2);
+    return (
+      (await this.store(values.slice(0, middle))) &&
+      (await this.store(values.slice(middle)))
+    );
+  }
+
+  private leaveOut(value: StoredValue, reason: string): void {
+    const { key } = value;
+    const bytes = recordBytes(value);
+    this.options.logger.error('A record cannot be stored.', {
+      key,
+      bytes,
+      reason,
+    });
+    this.options.onUnstorable(key);
+  }
+
   private isClosed(): boolean {
     return this.closed;
   }
 }
+
+function totalBytes(values: readonly StoredValue[]): number {
+  return values.reduce((sum, value) => sum + recordBytes(value), 0);
+}
--- a/packages/job-nodes/tests/leader/record-sizes.test.ts
+++ b/packages/job-nodes/tests/leader/record-sizes.test.ts
@@ -55,3 +55,54 @@
   );
   t.ok(largest <= harness.store.limits.recordBytes, `${largest} bytes`);
 });
+
+t.test('a job that the store refuses after all never runs', async t => {
+  const harness = await openLeaderHarness(t);
+  harness.report({});
+  harness.store.limits = { ...harness.store.limits, recordBytes: 1000 };
+  const specification = {
+    ...makeSpecification('large', [makeStep(2, 1)]),
+    payload: 'x'.repeat(2000),
+  };
+  const call = {
+    kind: 'submit',
+    specification,
+    queue: QUEUE_SETTINGS,
+  } as const;
+  const [large, small] = await Promise.all([
+    harness.leader.answer(call),
+    harness.submit(),
+  ]);
+  t.match(large, { kind: 'refused' });
+  t.match(small, { kind: 'accepted' });
+  await pause(200);
+  t.same([...harness.startedTasks()].sort(), ['job.0.0.0', 'job.0.0.1']);
+});
+
+t.test('a job whose progress the store refuses fails alone', async t => {
+  const harness = await openLeaderHarness(t);
+  const specification = makeSpecification('odd', [makeStep(20, 1)]);
+  const queue = QUEUE_SETTINGS;
+  const question = {
+    kind: 'status',
+    identifier: 'odd',
+    queue: 'queue',
+  } as const;
+  await harness.leader.answer({ kind: 'submit', specification, queue });
+  harness.store.refuses = ({ key, value }) =>
+    key === 'progress/odd' && value?.includes('"a"') === true;
+  harness.report({});
+  await pause(300);
+  t.match(await harness.submit(), { kind: 'accepted' });
+  t.same(await harness.leader.answer(question), {
+    kind: 'status',
+    status: 'failed',
+  });
+  await pause(200);
+  t.notOk(
+    harness.startedTasks().some(task => task.startsWith('odd.')),
+    'none of its starts has left',
+  );
+  const next = await openLeaderHarness(t, 2, harness.store);
+  t.match(await next.leader.answer(question), { status: 'failed' });
+});
--- a/packages/job-nodes/tests/leader/store-writer.test.ts
+++ b/packages/job-nodes/tests/leader/store-writer.test.ts
@@ -1,6 +1,7 @@
 import t from 'tap';
 
 import { StoreWriter } from '../../src/leader/store-writer.js';
+import { AppendRefusedError } from '../../src/store/append-refused-error.js';
 import type { JobStore } from '../../src/store/job-store.js';
 import type { StoredValue } from '../../src/store/stored-value.js';
 import { anchoredTime } from '../../src/time/anchored-time.js';
@@ -12,6 +13,7 @@
   append: Append,
   pending: StoredValue[],
   onFenced: () => void = () => undefined,
+  unstorable: string[] = [],
 ): StoreWriter {
   return new StoreWriter({
     store: {
@@ -19,10 +21,12 @@
       readAll: () => Promise.resolve([]),
       append,
     },
+    limits: { recordBytes: 100, appendBytes: 250, overheadBytes: 5 },
     epoch: 1,
     time: anchoredTime(),
     logger: quietLogger,
     collect: () => pending.splice(0),
+    onUnstorable: key => unstorable.push(key),
     onFenced,
   });
 }
@@ -80,3 +84,71 @@
   t.equal(await later, false);
   t.equal(await Promise.race([waiting, Promise.resolve('open')]), false);
 });
+
+// Guards against one value that keeps all others from being stored.
+t.test('a value that is too large is left out, others are stored', async t => {
+  const stores: string[] = [];
+  const append: Append = (_epoch, _sequence, values) => {
+    stores.push(values.map(({ key }) => key).join());
+    return Promise.resolve(true);
+  };
+  const unstorable: string[] = [];
+  const values = [
+    { key: 'a', value: '1' },
+    { key: 'large', value: 'x'.repeat(100) },
+    { key: 'b', value: '2' },
+  ];
+  const writer = createWriter(append, values, undefined, unstorable);
+  t.equal(await stored(writer), true);
+  t.same(stores, ['a,b']);
+  t.same(unstorable, ['large']);
+});
+
+t.test('changes of more than an append are stored in several', async t => {
+  const sequences: number[] = [];
+  const keys: string[] = [];
+  const append: Append = (_epoch, sequence, values) => {
+    sequences.push(sequence);
+    keys.push(...values.map(({ key }) => key));
+    return Promise.resolve(true);
+  };
+  const value = 'x'.repeat(90);
+  const names = ['a', 'b', 'c', 'd', 'e'];
+  const writer = createWriter(
+    append,
+    names.map(key => ({ key, value })),
+  );
+  t.equal(await stored(writer), true);
+  t.same(sequences, [0, 1, 2]);
+  t.same(keys, names);
+});
+
+// Guards against an append that is repeated for ever though no repeat can help.
+t.test('of a refused append only the refused value is left out', async t => {
+  const kept: string[] = [];
+  const sequences: number[] = [];
+  let calls = 0;
+  const append: Append = (_epoch, sequence, values) => {
+    calls += 1;
+    if (values.some(({ key }) => key === 'odd')) {
+      const refusal = new AppendRefusedError('store.append', 's', 'status 400');
+      return Promise.reject(refusal);
+    }
+    sequences.push(sequence);
+    kept.push(...values.map(({ key }) => key));
+    return Promise.resolve(true);
+  };
+  const unstorable: string[] = [];
+  const values = ['a', 'b', 'odd', 'c', 'd'].map(key => ({ key, value: '1' }));
+  const writer = createWriter(append, values, undefined, unstorable);
+  t.equal(await stored(writer), true);
+  t.same(kept, ['a', 'b', 'c', 'd']);
+  t.same(unstorable, ['odd']);
+  t.same(
+    sequences,
+    sequences.map((_, index) => index),
+    'a refused append uses no number',
+  );
+  t.ok(calls < 10, `${calls} calls`);
+  t.equal(writer.pendingMilliseconds(), 0);
+});
--- a/packages/jobs/src/records/encode-changes.ts
+++ b/packages/jobs/src/records/encode-changes.ts
@@ -13,7 +13,8 @@
 ): EncodedProgress {
   const { checkpointBytes } = layout;
   if (layout.isInMainRecord(job.specification)) {
-    const main = encodeProgress(job, job.tasks(), checkpointBytes);
+    const rows = job.storesRows ? job.tasks() : [];
+    const main = encodeProgress(job, rows, checkpointBytes);
     return { parts: [], main, obsoleteParts: [] };
   }
   const open = new Set<string>();
--- a/packages/jobs/src/state/job-entry.ts
+++ b/packages/jobs/src/state/job-entry.ts
@@ -15,6 +15,9 @@
   /** Whether the store has confirmed the record of the end. */
   public endStored = false;
 
+  /** Whether rows of its tasks are stored; not once the store refused them. */
+  public storesRows = true;
+
   /** Whether a minion has reported a run of any task, or its end. */
   public begun = false;
 
