fix(platform, job-nodes, jobs): a job that no record holds is refused at once

What callers saw: one request with a body just under body_bytes (a data_rack of 261,900 characters) got no answer, and neither did anything else until the entries were ended.

Cause: a job is stored with more than its caller sent (names of fields, settings of its queue); nothing compared that with record_bytes.

An image, a rack or a label has 256 characters at most (400): orders, reports and estimates repeat them for each task.

--- a/packages/job-nodes/src/leader/answer-call.ts
+++ b/packages/job-nodes/src/leader/answer-call.ts
@@ -1,6 +1,8 @@
 import type { JobStatus } from '@basilcourse/jobs/model/job-status';
 import type { JobEntry } from '@basilcourse/jobs/state/job-entry';
 
+import type { StoreLimits } from '../store/store-limits.js';
+import { checkJobSize } from './check-job-size.js';
 import type { JobAnswer } from './job-answer.js';
 import type { JobCall } from './job-call.js';
 import type { LeaderState } from './leader-state.js';
@@ -13,6 +15,7 @@
 export interface AnswerContext {
   readonly state: LeaderState;
   readonly now: number;
+  readonly limits: StoreLimits;
   /** The store has not answered an append before the timeout. */
   readonly storeUnresponsive: boolean;
   readonly afterStored: (action: (stored: boolean) => void) => void;
@@ -45,13 +48,17 @@
   call: SubmitCall,
   context: AnswerContext,
 ): Promise<JobAnswer> {
-  const { state, now, storeUnresponsive: storeBlocked } = context;
+  const { state, now, limits, storeUnresponsive: storeBlocked } = context;
   const { specification, queue } = call;
   const { identifier } = specification;
   if (!state.table.jobs.has(identifier)) {
     if (storeBlocked) {
       return refused('the store does not answer');
     }
+    const problem = checkJobSize(specification, queue, limits);
+    if (problem !== undefined) {
+      return refused(problem);
+    }
     state.accept({ specification, queue, acceptedAt: now });
   }
   if (!(await waitUntilStored(context))) {
--- a/packages/job-nodes/src/leader/leader.ts
+++ b/packages/job-nodes/src/leader/leader.ts
@@ -119,6 +119,7 @@
     const answer = await answerCall(call, {
       state: this.state,
       now: this.options.time.now(),
+      limits: this.options.storeLimits,
       storeUnresponsive: this.planner.isStoreUnresponsive(),
       afterStored: action => {
         this.writer.afterStored(action);
--- a/packages/job-nodes/tests/leader/record-sizes.test.ts
+++ b/packages/job-nodes/tests/leader/record-sizes.test.ts
@@ -56,6 +56,29 @@
   t.ok(largest <= harness.store.limits.recordBytes, `${largest} bytes`);
 });
 
+// Guards against a job that no record holds and that stops all others.
+t.test('a job that no record holds is refused, others are not', async t => {
+  const harness = await openLeaderHarness(t);
+  const specification = {
+    ...makeSpecification('large', [makeStep(1, 1)]),
+    payload: 'x'.repeat(harness.store.limits.recordBytes),
+  };
+  const call = {
+    kind: 'submit',
+    specification,
+    queue: QUEUE_SETTINGS,
+  } as const;
+  t.match(await harness.leader.answer(call), { kind: 'refused' });
+  t.match(await harness.submit(), { kind: 'accepted' });
+  t.equal(harness.store.refusals, 0);
+  const question = {
+    kind: 'status',
+    identifier: 'large',
+    queue: 'queue',
+  } as const;
+  t.same(await harness.leader.answer(question), { kind: 'no-such-job' });
+});
+
 t.test('a job that the store refuses after all never runs', async t => {
   const harness = await openLeaderHarness(t);
   harness.report({});
--- a/packages/jobs/src/model/check-specification.ts
+++ b/packages/jobs/src/model/check-specification.ts
@@ -4,6 +4,9 @@
 
 const MAXIMUM_STEPS = 64;
 
+/** Characters of an image, a rack or a label, which orders and reports repeat. */
+const MAXIMUM_NAME_CHARACTERS = 256;
+
 /** Returns the reason why a job is not valid; undefined if it is valid. */
 export function checkSpecification(
   specification: JobSpecification,
@@ -22,5 +25,13 @@
   if (invalid >= 0) {
     return `step ${invalid} names a step in "after" that is not an earlier one`;
   }
+  const tooLong = steps.findIndex(step =>
+    [step.image, step.dataRack, step.requiredLabel].some(
+      ({ length }) => length > MAXIMUM_NAME_CHARACTERS,
+    ),
+  );
+  if (tooLong >= 0) {
+    return `step ${tooLong} has an image, a rack or a label of more than ${MAXIMUM_NAME_CHARACTERS} characters`;
+  }
   return undefined;
 }
--- a/packages/jobs/tests/model/check-specification.test.ts
+++ b/packages/jobs/tests/model/check-specification.test.ts
@@ -12,6 +12,14 @@
   ['a million tasks', [makeStep({ taskCount: 1_000_000 })], false],
   ['a step after itself', [makeStep({ after: [0] })], false],
   ['a cycle', [makeStep({ after: [1] }), makeStep({ after: [0] })], false],
+  ['a long name', [makeStep({ image: 'i'.repeat(256) })], true],
+  ['an image without end', [makeStep({ image: 'i'.repeat(257) })], false],
+  ['a rack without end', [makeStep({ dataRack: 'r'.repeat(261_900) })], false],
+  [
+    'a label without end',
+    [makeStep({ requiredLabel: 'l'.repeat(5000) })],
+    false,
+  ],
   ['an unknown step', [makeStep(), makeStep({ after: [9] })], false],
 ];
 
