--- a/packages/job-nodes/src/leader/leader-state.ts
+++ b/packages/job-nodes/src/leader/leader-state.ts
@@ -1,3 +1,4 @@
+import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
 import type { QueueSettings } from '@basilcourse/jobs/model/queue-settings';
 import type { PlannedStart } from '@basilcourse/jobs/plan/planned-start';
 import type { JobRecord } from '@basilcourse/jobs/records/job-record';
@@ -9,6 +10,7 @@
 import type { StoreLimits } from '../store/store-limits.js';
 import type { StoredValue } from '../store/stored-value.js';
 import { AgentSessions } from './agent-sessions.js';
+import { encodeEstimates } from './encode-estimates.js';
 import { InterferenceWatch } from './interference-watch.js';
 import { PendingChanges } from './pending-changes.js';
 import { ESTIMATES_KEY } from './record-keys.js';
@@ -34,14 +36,20 @@
   /** Changes of jobs that `collect` has not returned yet. */
   public readonly changes: PendingChanges;
 
+  private readonly limits: StoreLimits;
+
   private readonly epoch: number;
 
   private queues: ReadonlyMap<string, QueueSettings> = new Map();
 
   private issuedTokens = 0;
 
-  public constructor(epoch: number, limits: StoreLimits) {
+  private readonly logger: PartLogger;
+
+  public constructor(epoch: number, limits: StoreLimits, logger: PartLogger) {
     this.epoch = epoch;
+    this.limits = limits;
+    this.logger = logger;
     this.layout = new RecordLayout(limits.recordBytes);
     this.changes = new PendingChanges(this.table, this.layout);
   }
@@ -136,7 +144,15 @@
     if (estimates === undefined) {
       return [];
     }
-    return [{ key: ESTIMATES_KEY, value: JSON.stringify(estimates) }];
+    const maximumBytes = this.limits.recordBytes - ESTIMATES_KEY.length;
+    const { text, leftOut } = encodeEstimates(estimates, maximumBytes);
+    if (leftOut > 0) {
+      this.logger.warn('Estimates that fit no record are not stored.', {
+        leftOut,
+        maximumBytes,
+      });
+    }
+    return [{ key: ESTIMATES_KEY, value: text }];
   }
 
   /** Removes a job that was not accepted; none of its starts has left. */
--- a/packages/job-nodes/src/leader/leader.ts
+++ b/packages/job-nodes/src/leader/leader.ts
@@ -52,7 +52,11 @@
 
   public constructor(options: LeaderOptions) {
     this.options = options;
-    this.state = new LeaderState(options.epoch, options.storeLimits);
+    this.state = new LeaderState(
+      options.epoch,
+      options.storeLimits,
+      options.logger,
+    );
     this.writer = new StoreWriter({
       store: options.store,
       limits: options.storeLimits,
--- a/packages/proving/src/measure/colocation-policy/play-policy.ts
+++ b/packages/proving/src/measure/colocation-policy/play-policy.ts
@@ -7,6 +7,7 @@
 import { applyReport } from '@basilcourse/jobs/reconcile/apply-report';
 import { throttledTasksToMove } from '@basilcourse/jobs/reconcile/throttled-tasks-to-move';
 
+import { silentLogger } from '../silent-logger.js';
 import { STORE_LIMITS } from '../store-limits.js';
 import { ColocationLoad } from './colocation-load.js';
 import { ModelAgent } from './model-agent.js';
@@ -41,7 +42,7 @@
   seconds: number,
 ): Promise<PolicyFigures> {
   const load = new ColocationLoad(seed, seconds);
-  const state = new LeaderState(1, STORE_LIMITS);
+  const state = new LeaderState(1, STORE_LIMITS, silentLogger);
   const random = seededRandom(seed + 1);
   const agents = Array.from(
     { length: VMS },
