fix(job-nodes): long checkpoints and texts close no stream

A report of over 4 MiB ends the agent's stream, as often as the agent joins again, and so do starts of over 1 MiB that the agent has not read.

A message of starts ends after 32 Ki characters of such texts.

--- a/packages/job-nodes/src/agent/minion-driver.ts
+++ b/packages/job-nodes/src/agent/minion-driver.ts
@@ -2,6 +2,7 @@
 
 import type { LeaderMessage } from '../lines/leader-message.js';
 import { pause } from '../time/pause.js';
+import { boundCheckpoints } from './bound-checkpoints.js';
 import { FencedError } from './fenced-error.js';
 import { GrantedLease } from './granted-lease.js';
 import type { MinionDriverOptions } from './minion-driver-options.js';
@@ -159,10 +160,10 @@
   }
 
   private async poll(peer: MinionIncarnation): Promise<void> {
-    const { client, time } = this.options;
+    const { client, time, logger } = this.options;
     const { fencingToken } = this;
     const requestedAt = time.steady();
-    const result = await client.poll(peer, {
+    const polled = await client.poll(peer, {
       fencingToken,
       expiresAt: this.expiry(),
       endsThrough: this.polled.endsThrough,
@@ -175,6 +176,7 @@
     if (!this.isCurrent(peer.description.incarnation)) {
       return;
     }
+    const result = boundCheckpoints(polled, logger);
     this.lease.recordAnswer(result.clock, time.steady());
     this.polled.apply(result, fencingToken);
     if (!result.hasMoreEnds) {
--- a/packages/job-nodes/src/leader/send-starts.ts
+++ b/packages/job-nodes/src/leader/send-starts.ts
@@ -13,6 +13,9 @@
 /** Starts in one message, which an agent reads as one line. */
 const MAXIMUM_STARTS_PER_MESSAGE = 16;
 
+/** Characters of texts from callers and minions in one message. */
+const MAXIMUM_TEXT_CHARACTERS = 32 * 1024;
+
 /**
  * Sends the orders for starts that are stored. A start whose job has since
  * ended is reverted. A start whose agent has since opened another stream is not
@@ -60,9 +63,9 @@
 ): readonly PlannedStart[] {
   let sent = 0;
   while (sent < starts.length && session.hasRoomForStarts()) {
-    const next = starts.slice(sent, sent + MAXIMUM_STARTS_PER_MESSAGE);
-    sendMessage(state, session, next, logger);
-    sent += next.length;
+    const count = countForMessage(state, starts, sent);
+    sendMessage(state, session, starts.slice(sent, sent + count), logger);
+    sent += count;
   }
   if (sent < starts.length) {
     logger.info('Starts wait until the agent has read earlier ones.', {
@@ -74,6 +77,23 @@
   return starts.slice(sent);
 }
 
+/** Returns how many starts, from a position on, one message has; at least one. */
+function countForMessage(
+  state: LeaderState,
+  starts: readonly PlannedStart[],
+  from: number,
+): number {
+  const candidates = starts.slice(from, from + MAXIMUM_STARTS_PER_MESSAGE);
+  let characters = 0;
+  const tooMany = candidates.findIndex(({ task }, position) => {
+    const job = state.table.jobs.get(task.jobIdentifier);
+    characters += job?.specification.payload.length ?? 0;
+    characters += task.checkpoint.length + task.specification.image.length;
+    return position > 0 && characters > MAXIMUM_TEXT_CHARACTERS;
+  });
+  return tooMany > 0 ? tooMany : candidates.length;
+}
+
 function sendMessage(
   state: LeaderState,
   session: AgentSession,
--- a/packages/job-nodes/tests/leader/send-starts.test.ts
+++ b/packages/job-nodes/tests/leader/send-starts.test.ts
@@ -47,6 +47,23 @@
   t.ok(longest < LONGEST_LINE, `a line of ${longest} characters`);
 });
 
+t.test('starts with long texts are sent in shorter messages', async t => {
+  const harness = await openLeaderHarness(t);
+  const step = { ...makeStep(64, 1), image: 'i'.repeat(20_000) };
+  await harness.leader.answer({
+    kind: 'submit',
+    specification: makeSpecification('job', [{ ...step, memoryMegabytes: 1 }]),
+    queue: QUEUE_SETTINGS,
+  });
+  harness.report({});
+  await pause(600);
+  t.equal(harness.startedTasks().length, 64);
+  const longest = Math.max(
+    ...harness.messages.map(message => JSON.stringify(message).length),
+  );
+  t.ok(longest < LONGEST_LINE / 4, `a line of ${longest} characters`);
+});
+
 /** An agent's end of a stream, which reads only while it is told to. */
 class SlowReader extends Writable {
   public reads = false;
