--- a/packages/job-nodes/src/agent/minion-driver.ts
+++ b/packages/job-nodes/src/agent/minion-driver.ts
@@ -24,7 +24,8 @@
 
   private readonly polled = new PolledRuns();
 
-  private readonly minion: MinionTracker;
+  /** Which incarnation of the minion is present. */
+  public readonly minion: MinionTracker;
 
   private readonly orders: OrderRunner;
 
@@ -224,11 +225,10 @@
   private handleSettled(
     message: Extract<LeaderMessage, { readonly kind: 'settled' }>,
   ): void {
-    if (!this.isCurrent(message.incarnation)) {
-      return;
+    if (this.isCurrent(message.incarnation)) {
+      this.orders.removeStoredRefusals(message.refusals);
+      this.polled.removeStoredEnds(message.endsThrough);
     }
-    this.orders.removeStoredRefusals(message.refusals);
-    this.polled.removeStoredEnds(message.endsThrough);
   }
 
   private handleFailure(minion: MinionIncarnation, error: unknown): void {
--- a/packages/job-nodes/src/agent/minion-tracker.ts
+++ b/packages/job-nodes/src/agent/minion-tracker.ts
@@ -28,6 +28,9 @@
 
   private named: MinionIncarnation | undefined;
 
+  /** The incarnation that answered last; empty before the first answer. */
+  private answered = '';
+
   public constructor(options: MinionTrackerOptions) {
     this.options = options;
   }
@@ -57,6 +60,11 @@
     return this.find(incarnation) !== undefined;
   }
 
+  /** Whether this is the present incarnation, and it has answered. */
+  public hasAnswered(incarnation: string): boolean {
+    return this.answered === incarnation && this.isCurrent(incarnation);
+  }
+
   /** Returns the present incarnation if it is the given one. */
   public find(incarnation: string): MinionIncarnation | undefined {
     const same = this.present?.description.incarnation === incarnation;
@@ -91,6 +99,7 @@
       this.warn('A departure was that of an earlier minion.', minion);
       this.describe();
     }
+    this.answered = minion.description.incarnation;
     if (this.silent && this.isCurrent(minion.description.incarnation)) {
       this.silent = false;
       this.describe();
