--- a/packages/job-nodes/tests/leader/load-table.test.ts
+++ b/packages/job-nodes/tests/leader/load-table.test.ts
@@ -100,15 +100,18 @@
     for (const to of layouts) {
       const { values, job } = storeJob(300, from);
       const moves = load(values, to).changes.collect();
+      const phases = phasesOf(job);
+      const keys = new Values(storeJob(300, to).values).keys().join();
+      let wrong = 0;
       for (let stored = 0; stored <= moves.length; stored += 1) {
         const store = new Values(values);
         store.write(moves.slice(0, stored));
         const next = load(store.read(), to);
-        t.equal(phasesOf(next.job), phasesOf(job));
         store.write(next.changes.collect());
-        const expected = new Values(storeJob(300, to).values).keys();
-        t.same(store.keys(), expected);
+        wrong += Number(phasesOf(next.job) !== phases);
+        wrong += Number(store.keys().join() !== keys);
       }
+      t.equal(wrong, 0, `${moves.length} moves`);
     }
   }
   t.end();
--- a/scripts/reproduce/random-troubles.mjs
+++ b/scripts/reproduce/random-troubles.mjs
@@ -68,6 +68,26 @@
       steps: [{ ...step, long_running: true }],
     };
   }
+  if (number % 9 === 7) {
+    // More tasks than a record of its progress has.
+    const narrow = { ...step, count: 200, cpu: 1, task_memory_mb: 1 };
+    return {
+      specification: `work_ms=${work} saves`,
+      steps: [
+        { ...narrow, checkpointing: true },
+        { ...narrow, checkpointing: true, after: [0] },
+      ],
+    };
+  }
+  if (number % 9 === 2) {
+    return {
+      specification: `work_ms=${Math.round(work / 4)}`,
+      steps: [{ ...step, cpu: 90, task_memory_mb: 50 }],
+      repetitions: 12,
+      first_run_ms: Date.now() - 1000,
+      interval_ms: 500,
+    };
+  }
   const saves = number % 3 === 0;
   return {
     specification: `work_ms=${work}${saves ? ' saves' : ''}`,
@@ -116,6 +136,8 @@
       { address: undefined },
       { address: '127.0.0.1:99999' },
       { seq: 1e300 },
+      { born: 9e15 },
+      { born: Date.now() + 30_000 },
       { capacity: { cpu: 1e300, task_memory_mb: 1 } },
     ]);
     const body = { ...minion.description(), born: Date.now(), ...odd };
