fix(job-nodes): a minion that still sends heartbeats has not left

Cause: after a departure, one call without an answer counts as its proof; an answer takes the departure back only after 1.5 s, and a poll may take longer than that.

Change: a heartbeat that arrives more than 0.1 s after the departure takes it back: a minion that has left sends none. Its tasks then wait for its lease.

Test: minion-end.test.ts (fails before: the minion is reported as gone).

Left: connections that are refused after a late DELETE and before the next heartbeat still look like a departure, for 1.5 s at most.

--- a/packages/job-nodes/src/agent/minion-driver.ts
+++ b/packages/job-nodes/src/agent/minion-driver.ts
@@ -70,7 +70,7 @@
 
   /** Applies a description of the minion; undefined once it has departed. */
   public updateMinion(minion: MinionIncarnation | undefined): void {
-    this.minion.update(minion);
+    this.minion.update(minion, this.options.time.steady());
   }
 
   /** Records that the minion leaves; it has left once it does not answer. */
--- a/packages/job-nodes/src/agent/minion-tracker.ts
+++ b/packages/job-nodes/src/agent/minion-tracker.ts
@@ -72,13 +72,15 @@
   }
 
   /** Applies a description of the minion; undefined once it has departed. */
-  public update(minion: MinionIncarnation | undefined): void {
+  public update(minion: MinionIncarnation | undefined, now: number): void {
     if (minion === undefined) {
       this.end('it has left');
-    } else if (
-      this.present === undefined ||
-      this.isCurrent(minion.description.incarnation)
-    ) {
+    } else if (this.present === undefined) {
+      this.replace(minion);
+    } else if (this.isCurrent(minion.description.incarnation)) {
+      if (this.vitals.recordHeartbeat(now)) {
+        this.warn('A departure was that of an earlier minion.', minion);
+      }
       this.replace(minion);
     } else {
       this.named = minion;
--- a/packages/job-nodes/src/agent/minion-vitals.ts
+++ b/packages/job-nodes/src/agent/minion-vitals.ts
@@ -7,6 +7,9 @@
 /** A minion that answers for this long after its departure has not left. */
 const DEPARTURE_TIMEOUT_MILLISECONDS = 1500;
 
+/** A last heartbeat may be overtaken by the departure by this much. */
+const OVERTAKEN_MILLISECONDS = 100;
+
 /** Number of earlier incarnations that are reported as departed. */
 const MAXIMUM_REPORTED_DEPARTURES = 16;
 
@@ -41,13 +44,15 @@
    * departure was that of an earlier incarnation.
    */
   public recordAnswer(now: number): boolean {
-    const stays =
-      this.leavingSince !== undefined &&
-      now - this.leavingSince > DEPARTURE_TIMEOUT_MILLISECONDS;
-    if (stays) {
-      this.leavingSince = undefined;
-    }
-    return stays;
+    return this.staysAfter(DEPARTURE_TIMEOUT_MILLISECONDS, now);
+  }
+
+  /**
+   * Records a heartbeat of the incarnation. Returns the same: a minion that has
+   * left sends none.
+   */
+  public recordHeartbeat(now: number): boolean {
+    return this.staysAfter(OVERTAKEN_MILLISECONDS, now);
   }
 
   /**
@@ -87,4 +92,14 @@
       this.departedIncarnations.splice(position, 1);
     }
   }
+
+  /** Forgets a departure that was announced longer ago than the given time. */
+  private staysAfter(milliseconds: number, now: number): boolean {
+    const stays =
+      this.leavingSince !== undefined && now - this.leavingSince > milliseconds;
+    if (stays) {
+      this.leavingSince = undefined;
+    }
+    return stays;
+  }
 }
--- a/packages/job-nodes/tests/agent/minion-end.test.ts
+++ b/packages/job-nodes/tests/agent/minion-end.test.ts
@@ -67,6 +67,22 @@
   t.same(minion.report?.gone, [FIRST]);
 });
 
+// Guards against two runs of a task after a late departure, as the path is cut.
+t.test('a minion that still sends heartbeats has not left', async t => {
+  const minion = new AnsweringMinion(t);
+  minion.driver.updateMinion(minion.incarnation(1));
+  await pause(200);
+  minion.driver.expectDeparture();
+  await pause(200);
+  minion.driver.updateMinion(minion.incarnation(1));
+  minion.answers = { 'vm#1': 'refused' };
+  await pause(500);
+  t.same(minion.report?.gone, []);
+  t.ok(minion.driver.isCurrent(FIRST));
+  await pause(LEASE_AND_MARGIN_MILLISECONDS);
+  t.same(minion.report?.gone, [FIRST], 'its last lease is over');
+});
+
 // Guards against two runs of a task after a departure that arrives late.
 t.test('a minion has left only if it does not answer any more', async t => {
   const minion = new AnsweringMinion(t);
