fix(job-nodes): a job that comes again as it is dropped is kept

Change: removals of jobs are stored first.

Test: load-table.test.ts (fails before: no key is left).

--- a/packages/job-nodes/src/leader/pending-changes.ts
+++ b/packages/job-nodes/src/leader/pending-changes.ts
@@ -18,6 +18,8 @@
 
   private readonly newJobs: JobRecord[] = [];
 
+  private readonly removedKeys: string[] = [];
+
   private readonly obsoleteKeys: string[] = [];
 
   /** Main records as they were last collected, of jobs with several records. */
@@ -40,7 +42,8 @@
 
   /**
    * Removes the records of a job. That of the job goes first: without it, the
-   * others are removed by the next leader.
+   * others are removed by the next leader. All go before new values, as a job may
+   * be handed in again under its identifier.
    */
   public removeJob(job: JobEntry): void {
     const { identifier } = job.specification;
@@ -49,15 +52,16 @@
       [...job.tasks(), ...changed].map(task => this.layout.partOf(job, task)),
     );
     this.table.changed.delete(identifier);
-    this.removeKeys([
+    this.removedKeys.push(
       jobKey(identifier),
       ...[...parts.add('')].map(part => progressKey(identifier, part)),
-    ]);
+    );
   }
 
   /** Returns the values to store, in order, and clears the changes. */
   public collect(): readonly StoredValue[] {
-    const values = this.newJobs.splice(0).map(jobValue);
+    const values: StoredValue[] = this.removedKeys.splice(0).map(toRemoval);
+    values.push(...this.newJobs.splice(0).map(jobValue));
     for (const [identifier, tasks] of this.table.changed) {
       const job = this.table.jobs.get(identifier);
       if (job !== undefined) {
@@ -65,9 +69,7 @@
       }
     }
     this.table.changed.clear();
-    for (const key of this.obsoleteKeys.splice(0)) {
-      values.push({ key, value: undefined });
-    }
+    values.push(...this.obsoleteKeys.splice(0).map(toRemoval));
     return values;
   }
 
@@ -89,8 +91,12 @@
       this.mainRecords.set(job, main);
     }
     for (const part of encoded.obsoleteParts) {
-      values.push({ key: progressKey(identifier, part), value: undefined });
+      values.push(toRemoval(progressKey(identifier, part)));
     }
     return values;
   }
 }
+
+function toRemoval(key: string): StoredValue {
+  return { key, value: undefined };
+}
--- a/packages/job-nodes/tests/leader/load-table.test.ts
+++ b/packages/job-nodes/tests/leader/load-table.test.ts
@@ -187,6 +187,23 @@
   t.end();
 });
 
+// Guards against a job that is lost as it comes again while the first one goes.
+t.test('a job may come again under the identifier of one that goes', t => {
+  const { values } = storeJob(1000, LAYOUT);
+  const store = new Values(values);
+  const { table, changes, job } = load(store.read());
+  if (job !== undefined) {
+    changes.removeJob(job);
+    table.remove(job);
+  }
+  const specification = makeSpecification('j', [makeStep(1, 1)]);
+  changes.add({ specification, queue: QUEUE_SETTINGS, acceptedAt: 9 });
+  store.write(changes.collect());
+  t.same(store.keys(), ['job/j']);
+  t.equal(load(store.read()).job?.acceptedAt, 9);
+  t.end();
+});
+
 t.test('a job whose record cannot be read keeps its progress', t => {
   const { values } = storeJob(1000, LAYOUT);
   const store = new Values(values);
