--- a/packages/foundation/src/http/http-call.ts
+++ b/packages/foundation/src/http/http-call.ts
@@ -6,7 +6,7 @@
   readonly step: string;
   /** IP address and port. */
   readonly address: string;
-  readonly method: 'GET' | 'POST' | 'DELETE';
+  readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
   readonly path: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: Buffer;
--- a/scripts/reproduce/record-size.mjs
+++ b/scripts/reproduce/record-size.mjs
@@ -3,8 +3,9 @@
  * jobs, and checks that these are still accepted, run and answered.
  *
  * Usage, from the root of the repository, after `node scripts/bundle.mjs`:
- * `node scripts/reproduce/record-size.mjs one-request|wide-job|long-checkpoints|many-names|restart`
+ * `node scripts/reproduce/record-size.mjs one-request|wide-job|wide-job-that-fits|long-checkpoints|many-names|restart`
  */
+import { readFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
@@ -18,6 +19,8 @@
 
 const FINISH_MILLISECONDS = 12_000;
 
+const MILLISECONDS_PER_TICK = 10;
+
 const step = {
   count: 4,
   cpu: 240,
@@ -47,6 +50,18 @@
   }
 }
 
+/** Processor time of the running entries so far, on Linux. */
+function entryMilliseconds(deployment) {
+  let ticks = 0;
+  for (const [name, child] of deployment.processes) {
+    if (name.startsWith('entry')) {
+      const fields = readFileSync(`/proc/${child.pid}/stat`, 'utf8').split(' ');
+      ticks += Number(fields[13]) + Number(fields[14]);
+    }
+  }
+  return ticks * MILLISECONDS_PER_TICK;
+}
+
 const CASES = {
   'one-request': () => ({
     ...smallJob,
@@ -61,6 +76,7 @@
     ...smallJob,
     steps: Array.from({ length: 1100 }, () => ({ ...step, count: 1 })),
   }),
+  'wide-job-that-fits': () => wideJob(3000),
   restart: deployment => {
     setTimeout(() => {
       deployment.signal(deployment.leader(), 'SIGKILL');
@@ -114,12 +130,13 @@
 const done = deployment.eventsOf(LARGE_JOB, 'done').length;
 const starts = deployment.eventsOf(LARGE_JOB, 'start').length;
 const overlaps = deployment.overlaps().length;
+const processor = entryMilliseconds(deployment);
 const seconds = (performance.now() - startedAt) / 1000;
 process.stdout.write(
   `${name}: the large job is answered ${status} in ${tookMilliseconds} ms; state ${state}, ` +
     `${starts} starts, ${done} done, ${overlaps} pairs of runs at once; small jobs: ${accepted.length} of ` +
     `${SMALL_JOBS} accepted, ${completed} completed; appends refused: ${refused}; ` +
-    `${Math.round(appended / seconds)} bytes stored a second\n`,
+    `${Math.round(appended / seconds)} bytes stored a second, ${processor} ms of the entries' processor time\n`,
 );
 const isHeld =
   accepted.length === SMALL_JOBS &&
--- a/scripts/reproduce/two-runs.mjs
+++ b/scripts/reproduce/two-runs.mjs
@@ -54,6 +54,14 @@
   'late-departure': async minion => {
     await tellAgent(minion, 'DELETE', minion.identifier, '');
   },
+  /** As above, and connections are refused as its next heartbeat has come. */
+  'late-departure-and-refused': async minion => {
+    await tellAgent(minion, 'DELETE', minion.identifier, '');
+    await pause(200);
+    minion.beat();
+    await pause(1000);
+    await refuse(minion, CUT_MILLISECONDS);
+  },
   /** The agent of the minion is killed, and starts again. */
   'agent-killed': async (_minion, deployment) => {
     deployment.signal('side-1', 'SIGKILL');
