--- a/packages/soak/src/soak-deployment.ts
+++ b/packages/soak/src/soak-deployment.ts
@@ -66,6 +66,9 @@
     this.options = options;
     this.onEvent = onEvent;
     const { pid } = process;
+    process.once('exit', () => {
+      this.close();
+    });
     this.block = `127.${1 + (pid % 250)}.${(pid >> 8) % 250}`;
   }
 
