--- a/packages/platform-stand-in/src/metadata-store/metadata-store-server.ts
+++ b/packages/platform-stand-in/src/metadata-store/metadata-store-server.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 
+import { readBody } from '../http/read-body.js';
+import { pause } from '../time/pause.js';
 import { KeyedLog } from './keyed-log.js';
 
 /** How the store treats calls of the system, apart from serving them. */
@@ -51,10 +53,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const chunks: Buffer[] = [];
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-      chunks.push(chunk);
-    }
+    const body = await readBody(request);
     const { trouble } = this;
     if (trouble === 'turns-away') {
       sendJson(response, 503, {});
@@ -69,7 +68,7 @@
     const url = new URL(request.url ?? '/', 'http://store');
     const log = this.topic(url.searchParams.get('topic') ?? '');
     if (url.pathname === '/-/log-append') {
-      this.append(log, url.searchParams, Buffer.concat(chunks), response);
+      this.append(log, url.searchParams, body, response);
     } else if (url.pathname === '/-/log-read') {
       await read(log, url.searchParams, response);
     } else if (url.pathname === '/-/log-newest') {
@@ -100,12 +99,6 @@
   }
 }
 
-function pause(milliseconds: number): Promise<void> {
-  return new Promise(resolve => {
-    setTimeout(resolve, milliseconds);
-  });
-}
-
 function numberOf(query: URLSearchParams, name: string): number | undefined {
   const text = query.get(name);
   return text === null ? undefined : Number(text);
--- a/packages/platform-stand-in/src/minion/minion-server.ts
+++ b/packages/platform-stand-in/src/minion/minion-server.ts
@@ -4,6 +4,8 @@
 import { callHttp } from '@basilcourse/foundation/http/call-http';
 import { listenOn } from '@basilcourse/foundation/net/listen-on';
 
+import { readBody } from '../http/read-body.js';
+import { pause } from '../time/pause.js';
 import type { MinionEvent } from './minion-event.js';
 import { MinionLife } from './minion-life.js';
 
@@ -150,13 +152,10 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const chunks: Buffer[] = [];
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-      chunks.push(chunk);
-    }
+    const received = await readBody(request);
     const { life } = this;
     const expected = request.headers['basilcourse-expected-instance'];
-    const text = Buffer.concat(chunks).toString('utf8');
+    const text = received.toString('utf8');
     const body = JSON.parse(text) as Readonly<Record<string, unknown>>;
     let answer: Answer;
     if (expected !== undefined && expected !== life.identifier) {
@@ -218,9 +217,3 @@
     return life.lists(this.clock());
   }
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise(resolve => {
-    setTimeout(resolve, milliseconds);
-  });
-}
--- a/packages/platform-stand-in/src/upstream/upstream-stand-in.ts
+++ b/packages/platform-stand-in/src/upstream/upstream-stand-in.ts
@@ -5,6 +5,7 @@
 import { listenOn } from '@basilcourse/foundation/net/listen-on';
 import type { RandomSource } from '@basilcourse/foundation/random/random-source';
 
+import { readBody } from '../http/read-body.js';
 import type { RequestRecorder } from './request-recorder.js';
 import type { UpstreamBehaviour } from './upstream-behaviour.js';
 
@@ -15,14 +16,6 @@
   return typeof value === 'string' ? value : '';
 }
 
-async function readBody(incoming: IncomingMessage): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of incoming) {
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks);
-}
-
 /**
  * A stand-in for one minion of a service: an HTTP server that echoes the body
  * of each request after a simulated service time.
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -6,10 +6,10 @@
 import { seededRandom } from '@basilcourse/foundation/random/seeded-random';
 import { JobCaller } from '@basilcourse/platform-stand-in/caller/job-caller';
 import type { JobRequest } from '@basilcourse/platform-stand-in/caller/job-request';
+import { pause } from '@basilcourse/platform-stand-in/time/pause';
 
 import { drawJob } from './draw-job.js';
 import { laneReport } from './lane-report.js';
-import { pause } from './pause.js';
 import { PromiseChecker } from './promise-checker.js';
 import { QUEUE, ROOM, SoakDeployment } from './soak-deployment.js';
 import type { SoakEvent } from './soak-event.js';
--- a/packages/soak/src/soak-deployment.ts
+++ b/packages/soak/src/soak-deployment.ts
@@ -8,8 +8,8 @@
 import { settingsText } from '@basilcourse/platform-stand-in/deployment/settings-text';
 import { MetadataStoreServer } from '@basilcourse/platform-stand-in/metadata-store/metadata-store-server';
 import { MinionServer } from '@basilcourse/platform-stand-in/minion/minion-server';
+import { pause } from '@basilcourse/platform-stand-in/time/pause';
 
-import { pause } from './pause.js';
 import { Program } from './program.js';
 import type { SoakEvent } from './soak-event.js';
 import type { SoakOptions } from './soak-options.js';
--- a/packages/soak/src/troubles.ts
+++ b/packages/soak/src/troubles.ts
@@ -1,6 +1,6 @@
 import type { StoreTrouble } from '@basilcourse/platform-stand-in/metadata-store/metadata-store-server';
+import { pause } from '@basilcourse/platform-stand-in/time/pause';
 
-import { pause } from './pause.js';
 import type { SoakDeployment } from './soak-deployment.js';
 import type { ProxyMode, TcpProxy } from './tcp-proxy.js';
 import type { Trouble } from './trouble.js';
