fix(soak): a start before the answer to a second try is no broken promise

From its trace: refused at 10,785 ms; its caller tries again; the first task starts at 13,497 ms, and the second call is answered 200 at 13,506 ms. That is allowed: the job is stored and accepted, the answer on its way.

Change: such a start is judged by the next answer: a refusal is a breach, and so is a job that was never answered otherwise by the end.

--- a/packages/soak/src/promise-checker.ts
+++ b/packages/soak/src/promise-checker.ts
@@ -14,6 +14,8 @@
   readonly request: JobRequest;
   readonly results: Set<CallResult>;
   readonly done: Set<string>;
+  /** Starts whose caller had been told nothing but refusals. */
+  readonly unexplainedStarts: string[];
 }
 
 /**
@@ -79,6 +81,7 @@
           request: event.job,
           results: new Set(),
           done: new Set(),
+          unexplainedStarts: [],
         });
         return;
       case 'answered':
@@ -106,8 +109,13 @@
       : undefined;
   }
 
-  /** Checks at the end that nothing of a cancelled job runs. */
-  public checkCancelled(): void {
+  /** Checks at the end that nothing runs of jobs that were cancelled or refused. */
+  public checkUnwanted(): void {
+    for (const { unexplainedStarts } of this.jobs.values()) {
+      this.breaches.push(
+        ...unexplainedStarts.map(text => `${text} began, and was not accepted`),
+      );
+    }
     for (const identifier of this.cancelled) {
       const runs = this.openRunsOf(identifier);
       if (runs > 0) {
@@ -122,12 +130,27 @@
     result: CallResult,
   ): void {
     if (call === 'submit') {
-      this.jobs.get(identifier)?.results.add(result);
+      const job = this.jobs.get(identifier);
+      job?.results.add(result);
+      this.checkRefusal(job, result);
     } else if (result === 'done' || result === 'unknown') {
       this.cancelled.add(identifier);
     }
   }
 
+  /**
+   * Checks a job that began before its caller was answered: the answer must not
+   * be a refusal.
+   */
+  private checkRefusal(job: JobState | undefined, result: CallResult): void {
+    const starts = job?.unexplainedStarts.splice(0) ?? [];
+    if (result === 'refused') {
+      this.breaches.push(
+        ...starts.map(text => `${text} began though the job was refused`),
+      );
+    }
+  }
+
   private checkStart(event: MinionEvent): void {
     const { task, run, minion } = event;
     const text = `${task} run ${run} on ${minion}`;
@@ -146,8 +169,8 @@
       this.breaches.push(`${text} began, which nobody asked for`);
       return;
     }
-    if (job.results.size === 1 && job.results.has('refused')) {
-      this.breaches.push(`${text} began though the job was refused`);
+    if (!job.results.has('done') && !job.results.has('unknown')) {
+      job.unexplainedStarts.push(text);
     }
     this.checkOrder(job, text, occurrence, Number(step));
     this.checkRoom(minion, text);
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -192,5 +192,5 @@
     record({ kind: 'shown', identifier: job.identifier, state });
     checker.breaches.push(checker.lackOf(job, state) ?? '');
   }
-  checker.checkCancelled();
+  checker.checkUnwanted();
 }
