--- a/packages/job-nodes/src/leader/agent-stream-handler.ts
+++ b/packages/job-nodes/src/leader/agent-stream-handler.ts
@@ -6,6 +6,7 @@
 
 import type { AgentSession } from './agent-session.js';
 import type { LeaderContext } from './leader-context.js';
+import { nameTasks } from './name-tasks.js';
 
 /**
  * Handles the messages on the streams of agents: renews leases, applies reports
@@ -167,7 +168,9 @@
       options.logger.warn('A minion is gone.', {
         incarnation,
         freed: released.length,
+        runs: nameTasks(released),
         agent: session.agent,
+        token: session.fencingToken,
       });
       this.onChange();
     }
--- a/packages/job-nodes/src/leader/leader.ts
+++ b/packages/job-nodes/src/leader/leader.ts
@@ -19,6 +19,7 @@
 import type { LeaderStatistics } from './leader-statistics.js';
 import { loadEstimates } from './load-estimates.js';
 import { loadTable } from './load-table.js';
+import { nameTasks } from './name-tasks.js';
 import { StartPlanner } from './start-planner.js';
 import { StoreWriter } from './store-writer.js';
 
@@ -187,14 +188,13 @@
     );
     const { table } = this.state;
     const { leaseMilliseconds, logger } = this.options;
-    for (const { incarnation, releasedTasks } of expireMinions(
-      table,
-      leaseMilliseconds,
-      now,
-    )) {
+    for (const expired of expireMinions(table, leaseMilliseconds, now)) {
+      const { incarnation, releasedTasks, silentMilliseconds } = expired;
       logger.warn('The lease of a silent minion is over.', {
         incarnation,
         freed: releasedTasks.length,
+        runs: nameTasks(releasedTasks),
+        silentMilliseconds: Math.round(silentMilliseconds),
       });
     }
     this.state.sessions.closeUnresponsive(now);
--- a/packages/job-nodes/src/leader/send-starts.ts
+++ b/packages/job-nodes/src/leader/send-starts.ts
@@ -113,6 +113,7 @@
   logger.info('Runs are started.', {
     runs: orders.map(({ task, run }) => `${task}/${run}`).join(' '),
     agent: session.agent,
+    incarnation,
     token: session.fencingToken,
     endangeredBounds: rounded(endangeredBounds),
   });
--- a/packages/jobs/src/reconcile/expire-minions.ts
+++ b/packages/jobs/src/reconcile/expire-minions.ts
@@ -11,6 +11,8 @@
 export interface ExpiredMinion {
   readonly incarnation: string;
   readonly releasedTasks: readonly TaskEntry[];
+  /** Time since the last message from the agent. */
+  readonly silentMilliseconds: number;
 }
 
 /**
@@ -31,8 +33,9 @@
       ({ connected, lastContactAt }) =>
         !connected && now - lastContactAt > expiryMilliseconds,
     )
-    .map(({ incarnation }) => ({
+    .map(({ incarnation, lastContactAt }) => ({
       incarnation,
       releasedTasks: table.removeMinion(incarnation, now),
+      silentMilliseconds: now - lastContactAt,
     }));
 }
