test(job-nodes): tasks that run twice around a minion that is back under its old id

Cause: the fake minion of our tests refused each call that was meant for an earlier life, so none of them could show what the protocol says: a call names the id, which both lives share.

--- a/packages/job-nodes/tests/support/fake-minion.test.ts
+++ b/packages/job-nodes/tests/support/fake-minion.test.ts
@@ -33,12 +33,11 @@
   };
   const minion = new FakeMinion('agent', runChecker, faults, 4000);
   const { self } = minion;
-  const expiresAt = performance.now() + LEASE_MILLISECONDS;
-  await minion.start(self, ORDER, expiresAt, 1);
+  await minion.start(self, ORDER, minion.clock + LEASE_MILLISECONDS, 1);
   blockEventLoop(LEASE_MILLISECONDS * 4);
   const poll = {
     fencingToken: 2,
-    expiresAt: performance.now() + 1000,
+    expiresAt: minion.clock + 1000,
     endsThrough: 0,
     waitMilliseconds: 0,
   };
--- a/packages/job-nodes/tests/support/fake-minion.ts
+++ b/packages/job-nodes/tests/support/fake-minion.ts
@@ -1,79 +1,96 @@
-import { PeerUnreachableError } from '@basilcourse/foundation/errors/peer-unreachable-error';
 import type { EndReason } from '@basilcourse/jobs/model/end-reason';
-import type { RunEnd } from '@basilcourse/jobs/model/run-end';
 
-import { FencedError } from '../../src/agent/fenced-error.js';
 import type { MinionClient } from '../../src/agent/minion-client.js';
 import type { MinionIncarnation } from '../../src/agent/minion-incarnation.js';
 import { WrongMinionError } from '../../src/agent/wrong-minion-error.js';
 import { pause } from '../../src/time/pause.js';
+import { FakeLife } from './fake-life.js';
 import type { FakeMinionFaults } from './fake-minion-faults.js';
+import { FakePath } from './fake-path.js';
 import type { FakeRun } from './fake-run.js';
+import { listRun } from './list-run.js';
 import { makeMinion } from './make-minion.js';
 import type { ObservedRun } from './observed-run.js';
 import type { RunChecker } from './run-checker.js';
 
 const STOP_DELAY_MILLISECONDS = 40;
 
-const ANSWER_TIMEOUT_MILLISECONDS = 60;
-
 const CHECK_INTERVAL_MILLISECONDS = 15;
 
-/** In-memory minion that fences orders, expires leases and lists ended runs. */
+/** The clock of the first life shows that it is old; those of others begin anew. */
+const FIRST_AGE_MILLISECONDS = 100_000;
+
+/**
+ * In-memory minion that fences orders, expires leases and lists ended runs. A call
+ * names the identifier only, so any life under that identifier carries it out.
+ */
 export class FakeMinion implements MinionClient {
   public self: MinionIncarnation;
 
   /** A poll lists no more ends than this. */
   public maximumEndsListed = 500;
-  private readonly runChecker: RunChecker;
 
-  private readonly faults: FakeMinionFaults;
+  private readonly name: string;
 
-  private fencingToken = 0;
+  private readonly capacity: number;
 
-  private leaseUntil = Number.POSITIVE_INFINITY;
-
-  private readonly runs = new Map<string, FakeRun>();
+  private readonly runChecker: RunChecker;
 
-  private readonly highestRuns = new Map<string, number>();
+  private readonly faults: FakeMinionFaults;
 
-  private ends: RunEnd[] = [];
+  private life = new FakeLife(FIRST_AGE_MILLISECONDS);
 
-  private readonly lapsedEnds = new Set<number>();
+  /** Time on the clock of the present life. */
+  public get clock(): number {
+    return this.life.lease.clock;
+  }
 
-  private nextEnd = 1;
+  /** The path from the agent. */
+  public readonly path = new FakePath();
 
   private restarts = 0;
 
+  /** Runs that have begun since the minion last started again. */
+  public startsOfNextLife = 0;
+
   public constructor(
     name: string,
     runChecker: RunChecker,
     faults: FakeMinionFaults,
     capacity: number,
   ) {
+    this.name = name;
     this.runChecker = runChecker;
     this.faults = faults;
+    this.capacity = capacity;
     this.self = makeMinion(name, 0, capacity);
     setInterval(() => {
       this.check();
     }, CHECK_INTERVAL_MILLISECONDS).unref();
   }
 
-  /** Ends this incarnation with all its runs, and begins another one. */
+  /** Ends this incarnation, and begins another one under another identifier. */
   public crash(): void {
-    for (const run of this.runs.values()) {
+    this.beginLife(`${this.name}#${this.restarts + 1}`);
+  }
+
+  /** Ends this incarnation, and begins another one under the same identifier. */
+  public restartUnderSameIdentifier(): void {
+    this.beginLife(this.self.identifier);
+  }
+
+  /** Carries out a call that was meant for an earlier life, with a lease. */
+  public extendLeaseByLateCall(): void {
+    this.life.lease.extend(Number.MAX_SAFE_INTEGER);
+  }
+
+  private beginLife(identifier: string): void {
+    for (const run of this.life.runs.values()) {
       this.runChecker.recordEnd(this.runOf(run), false);
     }
-    this.runs.clear();
-    this.highestRuns.clear();
-    this.ends = [];
-    this.nextEnd = 1;
-    this.lapsedEnds.clear();
-    this.fencingToken = 0;
+    this.life = new FakeLife(0);
     this.restarts += 1;
-    const { capacity } = this.self.description;
-    const [name = ''] = this.self.identifier.split('#');
-    this.self = makeMinion(name, this.restarts, capacity.processorMillicores);
+    this.self = makeMinion(this.name, this.restarts, this.capacity, identifier);
   }
 
   public start: MinionClient['start'] = async (
@@ -87,58 +104,47 @@
       void pause(200 + random.next() * 1500).then(() => {
         this.begin(minion, order, expiresAt, token);
       });
-      await pause(ANSWER_TIMEOUT_MILLISECONDS);
-      throw new PeerUnreachableError('minion.start', 'fake', 'no answer');
+      return this.path.leaveUnanswered();
     }
-    await pause(1);
-    this.checkIncarnation(minion);
+    await this.receive(minion);
     return this.begin(minion, order, expiresAt, token);
   };
 
   public stop: MinionClient['stop'] = async (minion, { task, run }, token) => {
-    await pause(1);
-    this.checkIncarnation(minion);
-    this.checkToken('minion.stop', token);
-    this.raiseHighestRun(task, run);
+    await this.receive(minion);
+    this.life.fence.check('minion.stop', token);
+    this.life.raiseHighestRun(task, run);
     this.runChecker.record(this.runOf({ task, run }), `is stopped by ${token}`);
-    if (this.runs.get(task)?.run === run) {
+    if (this.life.runs.get(task)?.run === run) {
       await pause(STOP_DELAY_MILLISECONDS);
       this.end(task, run, 'stopped');
     }
   };
 
   public poll: MinionClient['poll'] = async (minion, poll) => {
-    await pause(1);
-    this.checkIncarnation(minion);
-    this.checkToken('minion.look', poll.fencingToken);
+    await this.receive(minion);
+    const life = this.restarts;
+    this.life.fence.check('minion.look', poll.fencingToken);
     this.check();
-    for (const end of this.ends) {
-      if (end.number <= poll.endsThrough) {
-        this.storeEnd(end, poll.fencingToken);
-      }
-    }
-    this.ends = this.ends.filter(({ number }) => number > poll.endsThrough);
+    this.acknowledge(poll.endsThrough, poll.fencingToken);
     if (poll.expiresAt !== undefined) {
       this.extendLease(poll.expiresAt);
     }
     const until = performance.now() + poll.waitMilliseconds;
-    while (this.ends.length === 0 && performance.now() < until) {
+    while (this.life.ends.listed.length === 0 && performance.now() < until) {
       await pause(5);
-      this.checkIncarnation(minion);
+    }
+    if (this.restarts !== life || this.path.isCut) {
+      return this.path.leaveUnanswered();
+    }
+    if (minion.description.incarnation !== this.self.description.incarnation) {
+      throw new WrongMinionError('minion.look', this.self.identifier);
     }
     return {
-      clock: performance.now(),
-      running: [...this.runs.values()].map(({ task, run, endsAt }) => ({
-        task,
-        run,
-        checkpoint: '',
-        percent: Math.round(
-          Math.max(0, 100 - (endsAt - performance.now()) / 10),
-        ),
-        gauge: 0,
-      })),
-      ends: this.ends.slice(0, this.maximumEndsListed),
-      hasMoreEnds: this.ends.length >= this.maximumEndsListed,
+      clock: this.clock,
+      running: [...this.life.runs.values()].map(listRun),
+      ends: this.life.ends.listed.slice(0, this.maximumEndsListed),
+      hasMoreEnds: this.life.ends.listed.length >= this.maximumEndsListed,
     };
   };
 
@@ -152,25 +158,27 @@
     expiresAt: number,
     token: number,
   ): Awaited<ReturnType<MinionClient['start']>> {
-    if (peer.identifier !== this.self.identifier || token < this.fencingToken) {
+    const isForThis = peer.identifier === this.self.identifier;
+    if (!isForThis || !this.life.fence.accepts(token)) {
       return { kind: 'refused', reason: 'fence' };
     }
-    this.fencingToken = token;
-    if (this.runs.get(task)?.run === run) {
+    if (this.life.runs.get(task)?.run === run) {
       return { kind: 'started' };
     }
-    if (run <= (this.highestRuns.get(task) ?? 0)) {
+    if (run <= (this.life.highestRuns.get(task) ?? 0)) {
       return { kind: 'refused', reason: 'old' };
     }
-    if (expiresAt <= performance.now()) {
+    if (expiresAt <= this.life.lease.clock) {
       return { kind: 'refused', reason: 'late' };
     }
     this.extendLease(expiresAt);
-    this.raiseHighestRun(task, run);
+    this.life.raiseHighestRun(task, run);
     const endsAt = performance.now() + this.faults.workMilliseconds();
-    this.runs.set(task, { task, run, endsAt });
+    const startedAt = performance.now();
+    this.life.runs.set(task, { task, run, startedAt, endsAt });
+    this.startsOfNextLife += Number(this.restarts > 0);
     const observed = this.runOf({ task, run });
-    const leaseLeft = Math.round(this.leaseUntil - performance.now());
+    const leaseLeft = Math.round(this.life.lease.remaining);
     this.runChecker.record(observed, `by ${token}, lease for ${leaseLeft}`);
     this.runChecker.recordStart(observed);
     return { kind: 'started' };
@@ -178,23 +186,25 @@
 
   private extendLease(expiresAt: number): void {
     this.check();
-    const before = Number.isFinite(this.leaseUntil) ? this.leaseUntil : 0;
-    this.leaseUntil = Math.max(before, expiresAt);
+    this.life.lease.extend(expiresAt);
   }
 
   /** Marks the present ends as not final if the lease has expired. */
   private markLapsed(): void {
-    if (performance.now() >= this.leaseUntil) {
-      this.ends.forEach(({ number }) => this.lapsedEnds.add(number));
+    if (this.life.lease.remaining <= 0) {
+      this.life.ends.markLapsed();
     }
   }
 
-  private storeEnd({ number, task, run, reason }: RunEnd, token: number): void {
-    const isFinal = !this.lapsedEnds.has(number);
-    const text = `stored by ${token}, final: ${isFinal}`;
-    this.runChecker.record(this.runOf({ task, run }), text);
-    if (reason === 'done' && isFinal) {
-      this.runChecker.acknowledgedTasks.add(task);
+  private acknowledge(endsThrough: number, token: number): void {
+    const { ends } = this.life;
+    for (const end of ends.acknowledge(endsThrough)) {
+      const { task, run, reason } = end;
+      const text = `stored by ${token}, final: ${ends.isFinal(end)}`;
+      this.runChecker.record(this.runOf({ task, run }), text);
+      if (reason === 'done' && ends.isFinal(end)) {
+        this.runChecker.acknowledgedTasks.add(task);
+      }
     }
   }
 
@@ -202,14 +212,14 @@
   private check(): void {
     const now = performance.now();
     this.markLapsed();
-    for (const { task, run, endsAt } of [...this.runs.values()]) {
-      if (now >= endsAt && endsAt < this.leaseUntil) {
+    for (const { task, run, endsAt } of [...this.life.runs.values()]) {
+      if (now >= endsAt && endsAt < this.life.lease.endsAt) {
         this.end(
           task,
           run,
           this.faults.random.next() < 0.05 ? 'failed' : 'done',
         );
-      } else if (now >= this.leaseUntil) {
+      } else if (this.life.lease.remaining <= 0) {
         this.end(task, run, 'lapsed');
       }
     }
@@ -217,34 +227,24 @@
   }
 
   private end(task: string, run: number, reason: EndReason): void {
-    const current = this.runs.get(task);
+    const current = this.life.runs.get(task);
     if (current?.run !== run) {
       return;
     }
-    this.runs.delete(task);
+    this.life.runs.delete(task);
     this.runChecker.recordEnd(this.runOf(current), reason === 'done');
-    this.ends.push({ number: this.nextEnd, task, run, reason, checkpoint: '' });
-    this.nextEnd += 1;
+    this.life.ends.add(task, run, reason);
   }
 
-  private runOf({ task, run }: Omit<FakeRun, 'endsAt'>): ObservedRun {
+  private runOf({ task, run }: Pick<FakeRun, 'task' | 'run'>): ObservedRun {
     return { task, run, minion: this.self.identifier };
   }
 
-  private raiseHighestRun(task: string, run: number): void {
-    this.highestRuns.set(task, Math.max(run, this.highestRuns.get(task) ?? 0));
-  }
-
-  private checkIncarnation(minion: MinionIncarnation): void {
+  /** Waits until a call has arrived; rejects it if it names another minion. */
+  private async receive(minion: MinionIncarnation): Promise<void> {
+    await this.path.carry();
     if (minion.identifier !== this.self.identifier) {
       throw new WrongMinionError('minion.call', this.self.identifier);
     }
   }
-
-  private checkToken(step: string, token: number): void {
-    if (token < this.fencingToken) {
-      throw new FencedError(step, this.self.identifier);
-    }
-    this.fencingToken = token;
-  }
 }
--- a/packages/job-nodes/tests/support/job-simulation.ts
+++ b/packages/job-nodes/tests/support/job-simulation.ts
@@ -46,12 +46,14 @@
 
   public lateShare = 0;
 
+  /** Shortest time for which a run works; it may take 400 ms longer. */
+  public workMilliseconds = 50;
+
   public leader: Leader;
 
   public readonly vms: SimulatedVm[];
 
   private readonly time = anchoredTime();
-
   private readonly specifications = new Map<string, JobSpecification>();
 
   /**
@@ -61,7 +63,6 @@
   private readonly drivers: MinionDriver[] = [];
 
   private epoch = 1;
-
   private readonly heartbeatTimer: NodeJS.Timeout;
 
   public constructor(seed: number, agentCount: number) {
@@ -173,7 +174,8 @@
       {
         random: this.random,
         lateStartShare: () => this.lateShare,
-        workMilliseconds: () => 50 + this.random.next() * 400,
+        workMilliseconds: () =>
+          this.workMilliseconds + this.random.next() * 400,
       },
       CAPACITY_MILLICORES,
     );
--- a/packages/job-nodes/tests/support/make-minion.ts
+++ b/packages/job-nodes/tests/support/make-minion.ts
@@ -1,15 +1,20 @@
 import type { MinionIncarnation } from '../../src/agent/minion-incarnation.js';
 
-/** Returns an incarnation of a minion with the given processor capacity. */
+/**
+ * Returns an incarnation of a minion with the given processor capacity.
+ *
+ * @param identifier - That of an earlier incarnation, if it started again under it.
+ */
 export function makeMinion(
   name: string,
   incarnation: number,
   capacity: number,
+  identifier = `${name}#${incarnation}`,
 ): MinionIncarnation {
   return {
-    identifier: `${name}#${incarnation}`,
+    identifier,
     description: {
-      incarnation: `${name}|${name}#${incarnation}|${incarnation}`,
+      incarnation: `${name}|${identifier}|${incarnation}`,
       service: 'service',
       zone: 'zone',
       capacity: {
