--- a/packages/job-nodes/src/agent/agent-options.ts
+++ b/packages/job-nodes/src/agent/agent-options.ts
@@ -1,4 +1,5 @@
 import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
+import type { MinionLimits } from '@basilcourse/jobs/model/minion-limits';
 
 import type { TimeSource } from '../time/time-source.js';
 import type { MinionClient } from './minion-client.js';
@@ -7,6 +8,7 @@
 export interface AgentOptions {
   readonly name: string;
   readonly client: MinionClient;
+  readonly minionLimits: MinionLimits;
   readonly time: TimeSource;
   readonly logger: (part: string) => PartLogger;
   readonly configuredEntries: () => readonly string[];
--- a/packages/job-nodes/src/agent/agent-process.ts
+++ b/packages/job-nodes/src/agent/agent-process.ts
@@ -33,10 +33,14 @@
       imageStatistics,
       client: options.client,
       time: options.time,
+      minionLimits: options.minionLimits,
       logger: options.logger('minion-driver'),
       onFenced: () => {
         this.leaderConnection.disconnect('the minion accepted a later leader');
       },
+      onTokenNeeded: () => {
+        this.leaderConnection.reconnect('the next minion needs a later token');
+      },
       report: report => {
         const sentAt = options.time.steady();
         this.leaderConnection.send({ kind: 'report', sentAt, report });
--- a/packages/job-nodes/src/agent/granted-lease.ts
+++ b/packages/job-nodes/src/agent/granted-lease.ts
@@ -1,22 +1,33 @@
+import type { MinionLimits } from '@basilcourse/jobs/model/minion-limits';
+import { START_VALIDITY_MILLISECONDS } from '@basilcourse/jobs/model/start-validity';
+
 import { LeaseClock } from './lease-clock.js';
 
 /**
  * The lease of the minion, as the leader grants it and the minion may hold it. A
- * minion that is silent for as long as a lease, or that refuses a connection, gets
- * no further one until it answers, so that its runs end at a known time. All times are monotonic milliseconds.
+ * minion that did not answer the last call gets no further one until it answers,
+ * so that its runs end at a known time. All times are monotonic milliseconds.
  */
 export class GrantedLease {
-  private readonly clock = new LeaseClock();
+  private readonly clock: LeaseClock;
 
   private durationMilliseconds = 0;
 
+  /** When the newest message was sent that the leader answered with a grant. */
+  private grantedFrom = Number.NEGATIVE_INFINITY;
+
   private grantedUntil = Number.NEGATIVE_INFINITY;
 
-  /** Time of the first call without an answer since the last answer. */
-  private silentSince: number | undefined;
+  private silent = false;
+
+  public constructor(limits: MinionLimits) {
+    this.clock = new LeaseClock(limits);
+  }
 
-  /** Whether a connection was refused since the last answer. */
-  private refused = false;
+  /** Whether the minion did not answer the last call. */
+  public get isSilent(): boolean {
+    return this.silent;
+  }
 
   /** Sets the duration of the leases that the leader grants from now on. */
   public setDuration(milliseconds: number): void {
@@ -26,25 +37,19 @@
   /** Records a grant that answers a message that was sent at the given time. */
   public grant(sentAt: number): void {
     const until = sentAt + this.durationMilliseconds;
+    this.grantedFrom = Math.max(this.grantedFrom, sentAt);
     this.grantedUntil = Math.max(this.grantedUntil, until);
   }
 
   /** Records an answer of the minion with the time on its clock. */
   public recordAnswer(minionClock: number, now: number): void {
     this.clock.recordClock(minionClock, now);
-    this.silentSince = undefined;
-    this.refused = false;
+    this.silent = false;
   }
 
-  /**
-   * Records that the minion did not answer.
-   *
-   * @param refused - The connection was refused: the minion has ended, or the
-   * path to it is cut.
-   */
-  public recordSilence(refused: boolean, now: number): void {
-    this.silentSince ??= now;
-    this.refused ||= refused;
+  /** Records that the minion did not answer. */
+  public recordSilence(): void {
+    this.silent = true;
   }
 
   /**
@@ -52,12 +57,22 @@
    * minion may hold it; undefined if it gets no lease.
    */
   public expiry(now: number): number | undefined {
-    const silentMilliseconds = now - (this.silentSince ?? now);
-    return this.refused || silentMilliseconds > this.durationMilliseconds
+    return this.silent
       ? undefined
       : this.clock.expiryFor(this.grantedUntil, now);
   }
 
+  /** Returns the expiry to give with a start; undefined if it must not be sent. */
+  public startExpiry(now: number): number | undefined {
+    const isValid = now - this.grantedFrom <= START_VALIDITY_MILLISECONDS;
+    return isValid ? this.expiry(now) : undefined;
+  }
+
+  /** Whether a clock in an answer is certainly that of the same incarnation. */
+  public isSameClock(clock: number, now: number): boolean {
+    return this.clock.isSame(clock, now);
+  }
+
   /** Whether every lease that the minion may hold has expired. */
   public isExpired(now: number): boolean {
     return this.clock.isExpired(now);
@@ -65,8 +80,7 @@
 
   /** Clears what is known of an earlier incarnation of the minion. */
   public reset(): void {
-    this.silentSince = undefined;
-    this.refused = false;
+    this.silent = false;
     this.clock.reset();
   }
 }
--- a/packages/job-nodes/src/agent/leader-connection.ts
+++ b/packages/job-nodes/src/agent/leader-connection.ts
@@ -25,7 +25,10 @@
 
   private writeMessage: ((message: AgentMessage) => void) | undefined;
 
-  private endStream: (reason: string) => void = () => undefined;
+  private endStream: (reason: string, next?: string) => void = () => undefined;
+
+  /** Address of the entry that the stream leads to; undefined without one. */
+  private connectedAddress: string | undefined;
 
   /** Addresses of entries that the leader last sent. */
   private entries: readonly string[] = [];
@@ -57,6 +60,11 @@
     this.endStream(reason);
   }
 
+  /** Ends the current stream and opens another one to the same leader. */
+  public reconnect(reason: string): void {
+    this.endStream(reason, this.connectedAddress);
+  }
+
   /** Keeps a stream to the current leader until the process ends. */
   public async run(): Promise<void> {
     let reportedLeader: string | undefined;
@@ -121,6 +129,7 @@
         clearTimeout(timer);
         clearInterval(heartbeat);
         this.writeMessage = undefined;
+        this.connectedAddress = undefined;
         this.endedStreams += 1;
         clientRequest.destroy();
         this.options.logger.info('The stream to an entry has ended.', {
@@ -128,7 +137,7 @@
           reason,
           next: reportedLeader ?? '',
         });
-        resolve(reportedLeader === address ? undefined : reportedLeader);
+        resolve(reportedLeader);
       };
       const restartTimeout = (): void => {
         clearTimeout(timer);
@@ -146,13 +155,16 @@
           readLines(
             response,
             line => {
-              end('the entry is not the leader', leaderAddress(line));
+              const leader = leaderAddress(line);
+              const next = leader === address ? undefined : leader;
+              end('the entry is not the leader', next);
             },
             end,
           );
           return;
         }
         this.endedStreams = 0;
+        this.connectedAddress = address;
         this.writeMessage = message => {
           clientRequest.write(`${JSON.stringify(message)}\n`);
         };
--- a/packages/job-nodes/src/agent/minion-driver.ts
+++ b/packages/job-nodes/src/agent/minion-driver.ts
@@ -1,35 +1,24 @@
-import { connectionRefused } from '@basilcourse/foundation/errors/connection-refused';
-
 import type { LeaderMessage } from '../lines/leader-message.js';
 import { pause } from '../time/pause.js';
 import { boundCheckpoints } from './bound-checkpoints.js';
 import { FencedError } from './fenced-error.js';
-import { GrantedLease } from './granted-lease.js';
+import { listedRuns } from './listed-runs.js';
 import type { MinionDriverOptions } from './minion-driver-options.js';
 import type { MinionIncarnation } from './minion-incarnation.js';
-import { MinionTracker } from './minion-tracker.js';
-import { OrderRunner } from './order-runner.js';
+import type { MinionParts } from './minion-parts.js';
+import { createMinionParts } from './minion-parts.js';
+import type { MinionTracker } from './minion-tracker.js';
 import { pollCandidate } from './poll-candidate.js';
-import { pollWait } from './poll-wait.js';
-import { PolledRuns } from './polled-runs.js';
-import { Throttler } from './throttler.js';
 
 const RETRY_DELAY_MILLISECONDS = 120;
 
+const MAXIMUM_LOGGED_TASKS = 16;
+
 /** Sends orders to the minion, renews its lease, and reports its runs. */
 export class MinionDriver {
   private readonly options: MinionDriverOptions;
 
-  private readonly lease = new GrantedLease();
-
-  private readonly polled = new PolledRuns();
-
-  /** Which incarnation of the minion is present. */
-  public readonly minion: MinionTracker;
-
-  private readonly orders: OrderRunner;
-
-  private readonly throttler: Throttler;
+  private readonly parts: MinionParts;
 
   private fencingToken = 0;
 
@@ -40,8 +29,7 @@
 
   public constructor(options: MinionDriverOptions) {
     this.options = options;
-    this.minion = new MinionTracker({
-      logger: options.logger,
+    this.parts = createMinionParts(options, {
       onEnd: () => {
         this.resetIncarnation();
       },
@@ -49,23 +37,11 @@
         this.sendReport();
       },
     });
-    this.throttler = new Throttler({
-      client: options.client,
-      estimates: options.imageStatistics,
-      logger: options.logger,
-    });
-    this.orders = new OrderRunner({
-      client: options.client,
-      time: options.time,
-      logger: options.logger,
-      expiry: () => (this.minion.isSilent ? undefined : this.expiry()),
-      onStarted: (minion, order, token) => {
-        void this.throttler.started(minion, order, this.polled.running, token);
-      },
-      onRefusal: () => {
-        this.sendReport();
-      },
-    });
+  }
+
+  /** Which incarnation of the minion is present. */
+  public get minion(): MinionTracker {
+    return this.parts.minion;
   }
 
   /** Applies a description of the minion; undefined once it has departed. */
@@ -89,8 +65,8 @@
     switch (message.kind) {
       case 'welcome':
         this.fencingToken = message.fencingToken;
-        this.lease.setDuration(message.leaseMilliseconds);
-        this.orders.reset(message.fencingToken);
+        this.parts.lease.setDuration(message.leaseMilliseconds);
+        this.parts.orders.reset(message.fencingToken);
         if (this.minion.current === undefined) {
           this.sendReport();
         }
@@ -98,11 +74,11 @@
       case 'entries':
         return;
       case 'grant':
-        this.lease.grant(message.sentAt);
+        this.parts.lease.grant(message.sentAt);
         return;
       case 'traits':
         message.tasks.forEach(({ task, traits }) => {
-          this.throttler.recordTraits(task, traits);
+          this.parts.throttler.recordTraits(task, traits);
         });
         return;
       case 'images':
@@ -113,15 +89,15 @@
         return;
       case 'starts':
         message.starts.forEach(({ task, traits }) => {
-          this.throttler.recordTraits(task, traits);
+          this.parts.throttler.recordTraits(task, traits);
         });
-        this.orders.start(
+        this.parts.orders.start(
           this.minion.find(message.incarnation),
           message.starts,
         );
         return;
       case 'stops':
-        this.orders.stop(this.minion.current, message.stops);
+        this.parts.orders.stop(this.minion.current, message.stops);
         return;
       case 'settled':
         this.handleSettled(message);
@@ -144,6 +120,7 @@
       const { current: minion } = this.minion;
       if (minion === undefined || !this.hasUsableToken()) {
         await pause(RETRY_DELAY_MILLISECONDS / 2);
+        this.expireUnsettled();
         continue;
       }
       try {
@@ -161,37 +138,38 @@
   }
 
   private async poll(peer: MinionIncarnation): Promise<void> {
-    const { client, time, logger } = this.options;
-    const { fencingToken } = this;
+    const { time, logger } = this.options;
+    const { fencingToken, parts } = this;
+    const { incarnation } = peer.description;
     const requestedAt = time.steady();
-    const polled = await client.poll(peer, {
-      fencingToken,
-      expiresAt: this.expiry(),
-      endsThrough: this.polled.endsThrough,
-      waitMilliseconds: pollWait({
-        listsAreCurrent: this.polled.fencingToken === fencingToken,
-        leased: this.expiry() !== undefined,
-        throttling: this.throttler.needsFreshMeasurements(this.polled.running),
-      }),
-    });
-    if (!this.isCurrent(peer.description.incarnation)) {
+    const polled = await parts.poller.poll(peer, fencingToken, requestedAt);
+    if (!this.isCurrent(incarnation)) {
       return;
     }
     const result = boundCheckpoints(polled, logger);
-    this.lease.recordAnswer(result.clock, time.steady());
-    this.polled.apply(result, fencingToken);
-    if (!result.hasMoreEnds) {
-      this.orders.resolveRevoked(this.polled.listedRuns(), requestedAt);
+    const listed = listedRuns(result);
+    const complete = !result.hasMoreEnds;
+    this.parts.lease.recordAnswer(result.clock, time.steady());
+    this.parts.polled.apply(result, fencingToken);
+    this.parts.unsettled.applyLists({
+      incarnation,
+      fencingToken,
+      requestedAt,
+      listed,
+      complete,
+    });
+    if (complete) {
+      this.parts.orders.resolveRevoked(listed, requestedAt);
     }
     this.sendReport();
-    await this.throttler.apply(
+    await this.parts.throttler.apply(
       peer,
       result.running,
       fencingToken,
       time.steady(),
     );
     // While ends are not stored, a poll returns at once instead of waiting.
-    await this.polled.waitUntilEndsStored();
+    await this.parts.polled.waitUntilEndsStored();
   }
 
   /** Returns whether the minion has not refused the current token. */
@@ -203,22 +181,30 @@
     return this.stopped;
   }
 
-  private expiry(): number | undefined {
-    return this.lease.expiry(this.options.time.steady());
+  /** Reports starts that are settled by time alone, which no poll would do. */
+  private expireUnsettled(): void {
+    if (this.parts.unsettled.expire(this.options.time.steady())) {
+      this.sendReport();
+    }
   }
 
   private sendReport(): void {
     const { current: minion } = this.minion;
-    const listsAreCurrent = this.polled.fencingToken === this.fencingToken;
+    const listsAreCurrent =
+      this.parts.polled.fencingToken === this.fencingToken;
     if (minion !== undefined && !listsAreCurrent) {
       return;
     }
+    const unsettled = this.parts.unsettled.tasks(
+      minion?.description.incarnation,
+    );
     this.options.report({
       fencingToken: this.fencingToken,
       minion: minion?.description ?? null,
-      ...this.polled.lists(),
-      refusals: this.orders.refusals(),
+      ...this.parts.polled.lists(),
+      refusals: this.parts.orders.refusals(),
       gone: this.minion.departed(),
+      ...(unsettled.length > 0 ? { unsettled } : {}),
     });
   }
 
@@ -226,25 +212,39 @@
     message: Extract<LeaderMessage, { readonly kind: 'settled' }>,
   ): void {
     if (this.isCurrent(message.incarnation)) {
-      this.orders.removeStoredRefusals(message.refusals);
-      this.polled.removeStoredEnds(message.endsThrough);
+      this.parts.orders.removeStoredRefusals(message.refusals);
+      this.parts.polled.removeStoredEnds(message.endsThrough);
     }
   }
 
   private handleFailure(minion: MinionIncarnation, error: unknown): void {
     const now = this.options.time.steady();
     if (this.isCurrent(minion.description.incarnation)) {
-      this.lease.recordSilence(connectionRefused(error), now);
+      this.parts.lease.recordSilence();
     }
-    this.minion.recordFailure(minion, error, this.lease.isExpired(now));
+    this.minion.recordFailure(minion, error, this.parts.lease.isExpired(now));
   }
 
-  /** Clears the state of an incarnation that has ended. */
+  /**
+   * Clears the state of an incarnation that has ended. The next one may carry out
+   * starts for it, until it has seen a later token than theirs.
+   */
   private resetIncarnation(): void {
-    this.fencedToken = 0;
-    this.lease.reset();
-    this.polled.reset();
-    this.orders.reset(this.fencingToken);
-    this.throttler.reset();
+    this.parts.lease.reset();
+    this.parts.polled.reset();
+    this.parts.orders.reset(this.fencingToken);
+    this.parts.throttler.reset();
+    const tasks = this.parts.unsettled.tasks(undefined);
+    this.fencedToken = tasks.length > 0 ? this.fencingToken : 0;
+    if (tasks.length > 0) {
+      this.options.logger.warn(
+        'The next minion may carry out earlier starts.',
+        {
+          tasks: tasks.slice(0, MAXIMUM_LOGGED_TASKS).join(' '),
+          count: tasks.length,
+        },
+      );
+      this.options.onTokenNeeded();
+    }
   }
 }
--- a/packages/job-nodes/src/agent/order-runner-options.ts
+++ b/packages/job-nodes/src/agent/order-runner-options.ts
@@ -4,6 +4,7 @@
 import type { TimeSource } from '../time/time-source.js';
 import type { MinionClient } from './minion-client.js';
 import type { MinionIncarnation } from './minion-incarnation.js';
+import type { UnsettledStarts } from './unsettled-starts.js';
 
 /** Dependencies of an `OrderRunner`. */
 export interface OrderRunnerOptions {
@@ -15,6 +16,10 @@
    * gets no starts now.
    */
   readonly expiry: () => number | undefined;
+  /** Starts that no list of the minion has shown. */
+  readonly unsettled: UnsettledStarts;
+  /** Whether a clock in an answer is certainly that of the present incarnation. */
+  readonly isSameClock: (clock: number) => boolean;
   readonly onRefusal: () => void;
   readonly onStarted: (
     minion: MinionIncarnation,
--- a/packages/job-nodes/src/agent/order-runner.ts
+++ b/packages/job-nodes/src/agent/order-runner.ts
@@ -1,6 +1,4 @@
-import { ConcurrencyLimit } from '@basilcourse/foundation/async/concurrency-limit';
 import { messageOf } from '@basilcourse/foundation/errors/message-of';
-import { neverConnected } from '@basilcourse/foundation/errors/never-connected';
 import type { StartOrder } from '@basilcourse/jobs/model/start-order';
 import type { StartRefusal } from '@basilcourse/jobs/model/start-refusal';
 import type { StopOrder } from '@basilcourse/jobs/model/stop-order';
@@ -9,13 +7,7 @@
 import { FencedError } from './fenced-error.js';
 import type { MinionIncarnation } from './minion-incarnation.js';
 import type { OrderRunnerOptions } from './order-runner-options.js';
-import type { StartResult } from './start-result.js';
-
-/** A start that gets no answer is revoked after this many tries. */
-const MAXIMUM_START_TRIES = 2;
-
-/** Starts that the minion is called for at once; others wait their turn. */
-const MAXIMUM_CONCURRENT_STARTS = 3;
+import { StartSender } from './start-sender.js';
 
 const RETRY_DELAY_MILLISECONDS = 60;
 
@@ -40,7 +32,7 @@
 
   private readonly stopping = new Set<string>();
 
-  private readonly startCalls = new ConcurrencyLimit(MAXIMUM_CONCURRENT_STARTS);
+  private readonly starts: StartSender;
 
   private fencingToken = 0;
 
@@ -52,6 +44,7 @@
 
   public constructor(options: OrderRunnerOptions) {
     this.options = options;
+    this.starts = new StartSender(options);
   }
 
   /** Refused starts that the leader has not stored yet. */
@@ -137,65 +130,38 @@
       return;
     }
     const { generation } = this;
-    let unanswered = false;
-    for (let tries = 1; tries <= MAXIMUM_START_TRIES; tries += 1) {
-      try {
-        const result = await this.callStart(minion, order, token, generation);
-        if (result === undefined) {
-          return;
-        }
-        if (result.kind === 'started') {
-          this.options.onStarted(minion, order, token);
-          return;
-        }
-        if (!unanswered) {
-          this.refuse(order, token, result.reason);
-          return;
-        }
-        // The try without an answer may have begun the run, or may still begin it.
-        break;
-      } catch (error) {
-        unanswered = true;
-        this.warn('A start got no answer.', order, error);
-        await pause(RETRY_DELAY_MILLISECONDS);
-      }
-    }
-    if (await this.stopOne(minion, order, token, generation)) {
-      this.revoked.set(keyOf(order), {
+    try {
+      const result = await this.starts.send(
+        minion,
         order,
         token,
-        revokedAt: this.options.time.steady(),
-      });
+        () => generation !== this.generation,
+      );
+      if (result?.kind === 'started') {
+        this.options.onStarted(minion, order, token);
+      } else if (result !== undefined) {
+        this.refuse(order, token, result.reason);
+      }
+    } catch (error) {
+      this.warn('A start got no answer.', order, error);
+      await this.revoke(minion, order, token, generation);
     }
   }
 
-  /**
-   * Calls the minion when its turn has come; undefined if the order is abandoned.
-   * A start that certainly was not sent counts as refused.
-   */
-  private callStart(
+  /** A start is sent once, so that no second copy of it can be carried out late. */
+  private async revoke(
     minion: MinionIncarnation,
     order: StartOrder,
     token: number,
     generation: number,
-  ): Promise<StartResult | undefined> {
-    return this.startCalls.run(async () => {
-      if (generation !== this.generation) {
-        return undefined;
-      }
-      const expiresAt = this.options.expiry();
-      if (expiresAt === undefined) {
-        return { kind: 'refused', reason: 'no lease' };
-      }
-      try {
-        return await this.options.client.start(minion, order, expiresAt, token);
-      } catch (error) {
-        if (neverConnected(error)) {
-          return { kind: 'refused', reason: 'no connection' };
-        }
-        throw error;
-      }
-    });
+  ): Promise<void> {
+    if (await this.stopOne(minion, order, token, generation)) {
+      this.revoked.set(keyOf(order), {
+        order,
+        token,
+        revokedAt: this.options.time.steady(),
+      });
+    }
   }
 
   /**
--- a/packages/job-nodes/src/agent/polled-runs.ts
+++ b/packages/job-nodes/src/agent/polled-runs.ts
@@ -41,13 +41,6 @@
     return { running, ends, ...(hasMoreEnds ? { hasMoreEnds } : {}) };
   }
 
-  /** Returns `task/run` of each running task and of each end not stored yet. */
-  public listedRuns(): ReadonlySet<string> {
-    return new Set(
-      [...this.running, ...this.ends].map(({ task, run }) => `${task}/${run}`),
-    );
-  }
-
   /** Removes ends that the leader has stored. */
   public removeStoredEnds(endsThrough: number): void {
     this.endsThrough = Math.max(this.endsThrough, endsThrough);
--- a/packages/job-nodes/src/entry/entry-options.ts
+++ b/packages/job-nodes/src/entry/entry-options.ts
@@ -1,4 +1,5 @@
 import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
+import type { MinionLimits } from '@basilcourse/jobs/model/minion-limits';
 
 import type { StepObserver } from '../metrics/step-observer.js';
 import type { JobStore } from '../store/job-store.js';
@@ -18,6 +19,7 @@
   readonly logger: (part: string) => PartLogger;
   readonly observe: StepObserver;
   readonly leaseMilliseconds: number;
+  readonly minionLimits: MinionLimits;
   /** Processor time that this process can use, in cores. */
   readonly ownCores: number;
   /** Returns the addresses of the entries named in the settings. */
--- a/packages/job-nodes/src/entry/entry-process.ts
+++ b/packages/job-nodes/src/entry/entry-process.ts
@@ -168,6 +168,7 @@
       time: this.options.time,
       logger: this.options.logger('leader'),
       leaseMilliseconds: this.options.leaseMilliseconds,
+      minionLimits: this.options.minionLimits,
       processorCores: this.options.ownCores,
       isValid: () => this.leadership.isValid(),
       onFenced: () => {
--- a/packages/job-nodes/src/leader/agent-stream-handler.ts
+++ b/packages/job-nodes/src/leader/agent-stream-handler.ts
@@ -3,6 +3,7 @@
 import { applyReport } from '@basilcourse/jobs/reconcile/apply-report';
 import type { ReportOutcome } from '@basilcourse/jobs/reconcile/report-outcome';
 import type { MinionEntry } from '@basilcourse/jobs/state/minion-entry';
+import type { TaskEntry } from '@basilcourse/jobs/state/task-entry';
 
 import type { AgentSession } from './agent-session.js';
 import type { LeaderContext } from './leader-context.js';
@@ -79,26 +80,34 @@
 
   /** Applies an agent's report, unless it carries another fencing token. */
   public handleReport(session: AgentSession, report: AgentReport): void {
-    const { state, options, isReady } = this.context;
+    const { state, options, bounds, isReady } = this.context;
     if (!isReady() || report.fencingToken !== session.fencingToken) {
       return;
     }
     const now = options.time.now();
-    this.removeDepartedMinions(session, report, now);
+    const departed = state.sessions.departedIncarnations(session, report);
     const alreadyReported = state.sessions.hasReportedIncarnation(
       session,
       report,
     );
     const minion = state.sessions.updateMinion(session, report, now);
     if (minion === undefined) {
+      this.releaseDeparted(session, departed, report, now);
       return;
     }
+    minion.recordFirstReport(
+      bounds.grantedMilliseconds,
+      bounds.inheritedMilliseconds,
+      now,
+    );
     if (!alreadyReported) {
       const tasks = state.sessions.traitsFor(report);
       session.send({ kind: 'traits', tasks });
     }
     state.interference.applyReport(state.table, session, report, now);
     const outcome = applyReport(state.table, minion, report, now);
+    // Only now, as the report may list runs of an incarnation that has ended.
+    this.releaseDeparted(session, departed, report, now);
     this.logOutcome(session, outcome, now);
     if (outcome.stops.length > 0) {
       session.send({ kind: 'stops', stops: outcome.stops });
@@ -154,27 +163,48 @@
     }
   }
 
-  private removeDepartedMinions(
+  /** Releases the runs of incarnations that have ended, but for unsettled ones. */
+  private releaseDeparted(
     session: AgentSession,
+    departed: readonly string[],
     report: AgentReport,
     now: number,
   ): void {
-    const { state, options } = this.context;
-    for (const incarnation of state.sessions.departedIncarnations(
-      session,
-      report,
-    )) {
-      const released = state.table.removeMinion(incarnation, now);
-      options.logger.warn('A minion is gone.', {
+    const { table } = this.context.state;
+    const unsettled = new Set(report.unsettled);
+    for (const incarnation of departed) {
+      const released = table.releaseRuns(
         incarnation,
-        freed: released.length,
-        runs: nameTasks(released),
-        agent: session.agent,
-        token: session.fencingToken,
-      });
-      this.onChange();
+        ({ task, run }) =>
+          task.isOn(incarnation, run) && unsettled.has(task.name),
+        now,
+      );
+      const kept = table.minions.get(incarnation);
+      if (kept !== undefined) {
+        kept.connected = false;
+      }
+      if (released.length > 0 || kept === undefined) {
+        this.logDeparture(session, incarnation, released, kept);
+        this.onChange();
+      }
     }
   }
+
+  private logDeparture(
+    { agent, fencingToken }: AgentSession,
+    incarnation: string,
+    released: readonly TaskEntry[],
+    kept: MinionEntry | undefined,
+  ): void {
+    this.context.options.logger.warn('A minion is gone.', {
+      incarnation,
+      freed: released.length,
+      runs: nameTasks(released),
+      unsettled: kept?.runs.size ?? 0,
+      agent,
+      token: fencingToken,
+    });
+  }
 }
 
 /** Whether a report frees capacity, or lets tasks start that could not before. */
--- a/packages/job-nodes/src/leader/leader-options.ts
+++ b/packages/job-nodes/src/leader/leader-options.ts
@@ -1,4 +1,5 @@
 import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
+import type { MinionLimits } from '@basilcourse/jobs/model/minion-limits';
 
 import type { StepObserver } from '../metrics/step-observer.js';
 import type { JobStore } from '../store/job-store.js';
@@ -14,6 +15,7 @@
   readonly logger: PartLogger;
   /** Maximum duration of the lease of an agent's minion. */
   readonly leaseMilliseconds: number;
+  readonly minionLimits: MinionLimits;
   /** Returns whether this process's leadership lease is still valid. */
   readonly isValid: () => boolean;
   readonly onFenced: () => void;
--- a/packages/job-nodes/src/leader/leader.ts
+++ b/packages/job-nodes/src/leader/leader.ts
@@ -2,6 +2,7 @@
 import { addDueOccurrences } from '@basilcourse/jobs/plan/add-due-occurrences';
 import { expireMinions } from '@basilcourse/jobs/reconcile/expire-minions';
 import { findStuckRuns } from '@basilcourse/jobs/reconcile/find-stuck-runs';
+import { LeaseBounds } from '@basilcourse/jobs/reconcile/lease-bounds';
 import { runsOfEndedJobs } from '@basilcourse/jobs/reconcile/runs-of-ended-jobs';
 import { tasksToMove } from '@basilcourse/jobs/reconcile/tasks-to-move';
 import { throttledTasksToMove } from '@basilcourse/jobs/reconcile/throttled-tasks-to-move';
@@ -38,6 +39,8 @@
 
   private readonly writer: StoreWriter;
 
+  private readonly bounds: LeaseBounds;
+
   /** Handles the streams of agents. */
   public readonly agentStreams: AgentStreamHandler;
 
@@ -70,10 +73,13 @@
       },
       onFenced: options.onFenced,
     });
+    const { leaseMilliseconds, minionLimits } = options;
+    this.bounds = new LeaseBounds(leaseMilliseconds, minionLimits);
     const context = {
       options,
       state: this.state,
       writer: this.writer,
+      bounds: this.bounds,
       isReady: () => this.isReady(),
     };
     this.planner = new StartPlanner(context);
@@ -187,8 +193,8 @@
       Math.max(this.state.sessions.count, this.state.table.minions.size),
     );
     const { table } = this.state;
-    const { leaseMilliseconds, logger } = this.options;
-    for (const expired of expireMinions(table, leaseMilliseconds, now)) {
+    const { logger } = this.options;
+    for (const expired of expireMinions(table, this.bounds, now)) {
       const { incarnation, releasedTasks, silentMilliseconds } = expired;
       logger.warn('The lease of a silent minion is over.', {
         incarnation,
--- a/packages/job-nodes/src/leader/send-starts.ts
+++ b/packages/job-nodes/src/leader/send-starts.ts
@@ -18,7 +18,7 @@
 
 /**
  * Sends the orders for starts that are stored. A start whose job has since
- * ended is reverted. A start whose agent has since opened another stream is not
+ * ended is reverted, also one whose task has another run that a minion lists. A start whose agent has since opened another stream is not
  * sent; the agent's next report releases its task.
  *
  * @param onRoom - Called when an agent can be sent more of its starts.
@@ -38,7 +38,7 @@
     if (task.phase !== 'assigned' || job === undefined) {
       continue;
     }
-    if (job.ended !== undefined) {
+    if (job.ended !== undefined || hasAnotherRun(task)) {
       minion.removeRun(task.name, task.run);
       task.release(0);
       state.table.markChanged(task);
@@ -53,6 +53,11 @@
   );
 }
 
+/** Whether a run beside the planned one is on a minion, or may be. */
+function hasAnotherRun({ placements }: TaskEntry): boolean {
+  return placements > 1;
+}
+
 /** Sends starts to one agent while it reads; returns those that are left. */
 function sendWithinRoom(
   state: LeaderState,
--- a/packages/job-nodes/src/lines/report-decoder.ts
+++ b/packages/job-nodes/src/lines/report-decoder.ts
@@ -53,6 +53,7 @@
       ...(delta.hasMoreEnds === true ? { hasMoreEnds: true } : {}),
       refusals: delta.refusals ?? [],
       gone: delta.gone ?? [],
+      ...(delta.unsettled === undefined ? {} : { unsettled: delta.unsettled }),
     };
   }
 }
--- a/packages/job-nodes/src/lines/report-delta.ts
+++ b/packages/job-nodes/src/lines/report-delta.ts
@@ -24,4 +24,5 @@
   readonly hasMoreEnds?: boolean;
   readonly refusals?: readonly StartRefusal[];
   readonly gone?: readonly string[];
+  readonly unsettled?: readonly string[];
 }
--- a/packages/job-nodes/src/lines/report-encoder.ts
+++ b/packages/job-nodes/src/lines/report-encoder.ts
@@ -66,6 +66,9 @@
       ...(report.hasMoreEnds === true ? { hasMoreEnds: true } : {}),
       ...(report.refusals.length > 0 ? { refusals: report.refusals } : {}),
       ...(report.gone.length > 0 ? { gone: report.gone } : {}),
+      ...(report.unsettled === undefined
+        ? {}
+        : { unsettled: report.unsettled }),
     };
   }
 
--- a/packages/job-nodes/tests/agent/minion-driver.test.ts
+++ b/packages/job-nodes/tests/agent/minion-driver.test.ts
@@ -8,6 +8,7 @@
 import type { MinionIncarnation } from '../../src/agent/minion-incarnation.js';
 import { anchoredTime } from '../../src/time/anchored-time.js';
 import { pause } from '../../src/time/pause.js';
+import { MINION_LIMITS } from '../support/minion-limits.js';
 import { quietLogger } from '../support/quiet-logger.js';
 
 function makeMinion(number: number): MinionIncarnation {
@@ -64,6 +65,8 @@
     imageStatistics: new ImageMemory(),
     client,
     time: anchoredTime(),
+    minionLimits: MINION_LIMITS,
+    onTokenNeeded: () => undefined,
     logger: quietLogger,
     onFenced: () => {
       fenced += 1;
@@ -191,56 +194,3 @@
   t.equal(reports.at(-1)?.minion, null);
   t.same(reports.at(-1)?.gone, ['agent|minion|1']);
 });
-
-t.test(
-  'a minion that stays silent gets no lease any more, and is given up',
-  async t => {
-    const expiries: (number | undefined)[] = [];
-    let silent = false;
-    const reports: AgentReport[] = [];
-    const client = {
-      poll: async (
-        _minion: MinionIncarnation,
-        poll: { readonly expiresAt: number | undefined },
-      ) => {
-        await pause(10);
-        if (silent) {
-          expiries.push(poll.expiresAt);
-          throw new Error('no answer');
-        }
-        return { clock: performance.now(), running: [], ends: [] };
-      },
-    } as unknown as MinionClient;
-    const driver = new MinionDriver({
-      imageStatistics: new ImageMemory(),
-      client,
-      time: anchoredTime(),
-      logger: quietLogger,
-      onFenced: () => undefined,
-      report: report => reports.push(report),
-    });
-    void driver.run();
-    const grants = setInterval(() => {
-      const sentAt = anchoredTime().steady();
-      driver.handleMessage({ kind: 'grant', sentAt, entries: [] });
-    }, 50);
-    t.teardown(() => {
-      driver.stop();
-      clearInterval(grants);
-    });
-    sendWelcome(driver, 1);
-    driver.updateMinion(makeMinion(1));
-    await pause(200);
-    silent = true;
-    await pause(700);
-    t.ok(
-      expiries.length > 1 && expiries.every(expiry => expiry !== undefined),
-      'a short silence costs no lease',
-    );
-    t.same(reports.at(-1)?.gone, []);
-    await pause(2600);
-    t.equal(expiries.at(-1), undefined, 'after a lease of silence');
-    t.equal(reports.at(-1)?.minion, null, 'once its last lease is over');
-    t.same(reports.at(-1)?.gone, ['agent|minion|1']);
-  },
-);
--- a/packages/job-nodes/tests/agent/order-runner.test.ts
+++ b/packages/job-nodes/tests/agent/order-runner.test.ts
@@ -4,8 +4,10 @@
 import type { MinionClient } from '../../src/agent/minion-client.js';
 import type { MinionIncarnation } from '../../src/agent/minion-incarnation.js';
 import { OrderRunner } from '../../src/agent/order-runner.js';
+import { UnsettledStarts } from '../../src/agent/unsettled-starts.js';
 import { anchoredTime } from '../../src/time/anchored-time.js';
 import { pause } from '../../src/time/pause.js';
+import { MINION_LIMITS } from '../support/minion-limits.js';
 import { quietLogger } from '../support/quiet-logger.js';
 
 const TOKEN = 7;
@@ -83,6 +85,8 @@
   const runner = new OrderRunner({
     client,
     time: anchoredTime(),
+    unsettled: new UnsettledStarts(MINION_LIMITS),
+    isSameClock: () => true,
     logger: quietLogger,
     expiry: () => 1000,
     onRefusal: () => undefined,
--- a/packages/job-nodes/tests/agent/start-queue.test.ts
+++ b/packages/job-nodes/tests/agent/start-queue.test.ts
@@ -5,9 +5,11 @@
 import type { MinionClient } from '../../src/agent/minion-client.js';
 import type { MinionIncarnation } from '../../src/agent/minion-incarnation.js';
 import { OrderRunner } from '../../src/agent/order-runner.js';
+import { UnsettledStarts } from '../../src/agent/unsettled-starts.js';
 import { anchoredTime } from '../../src/time/anchored-time.js';
 import { pause } from '../../src/time/pause.js';
 import { makeMinion } from '../support/make-minion.js';
+import { MINION_LIMITS } from '../support/minion-limits.js';
 import { quietLogger } from '../support/quiet-logger.js';
 
 const MINION = makeMinion('vm', 1, 1000);
@@ -34,6 +36,8 @@
   const runner = new OrderRunner({
     client: client as MinionClient,
     time: anchoredTime(),
+    unsettled: new UnsettledStarts(MINION_LIMITS),
+    isSameClock: () => true,
     logger: quietLogger,
     expiry,
     onRefusal: () => undefined,
--- a/packages/job-nodes/tests/entry/job-gateway.test.ts
+++ b/packages/job-nodes/tests/entry/job-gateway.test.ts
@@ -10,8 +10,8 @@
 import type { JobCall } from '../../src/leader/job-call.js';
 import type { LeaderRecord } from '../../src/leadership/leader-record.js';
 import { anchoredTime } from '../../src/time/anchored-time.js';
-import { QUEUE_SETTINGS } from '../support/job-simulation.js';
 import { makeSpecification, makeStep } from '../support/make-specification.js';
+import { QUEUE_SETTINGS } from '../support/queue-settings.js';
 import { quietLogger } from '../support/quiet-logger.js';
 
 const SUBMIT: JobCall = {
--- a/packages/job-nodes/tests/leader/leader.test.ts
+++ b/packages/job-nodes/tests/leader/leader.test.ts
@@ -1,8 +1,8 @@
 import t from 'tap';
 
 import { pause } from '../../src/time/pause.js';
-import { QUEUE_SETTINGS } from '../support/job-simulation.js';
 import { openLeaderHarness, SPECIFICATION } from '../support/leader-harness.js';
+import { QUEUE_SETTINGS } from '../support/queue-settings.js';
 
 t.test('a start is sent only after it is stored', async t => {
   const harness = await openLeaderHarness(t);
@@ -147,6 +147,8 @@
       const stop = next.keepContact();
       other.report({});
       await pause(epoch === 2 ? 300 : 3200);
+      t.same(other.startedTasks(), [], `in epoch ${epoch}, while they may run`);
+      await pause(epoch === 2 ? 0 : 2200);
       stop();
       const expected = epoch === 2 ? [] : ['job.0.0.0', 'job.0.0.1'];
       t.same(other.startedTasks(), expected, `in epoch ${epoch}`);
--- a/packages/job-nodes/tests/leader/load-table.test.ts
+++ b/packages/job-nodes/tests/leader/load-table.test.ts
@@ -7,8 +7,8 @@
 import { loadTable } from '../../src/leader/load-table.js';
 import { PendingChanges } from '../../src/leader/pending-changes.js';
 import type { StoredValue } from '../../src/store/stored-value.js';
-import { QUEUE_SETTINGS } from '../support/job-simulation.js';
 import { makeSpecification, makeStep } from '../support/make-specification.js';
+import { QUEUE_SETTINGS } from '../support/queue-settings.js';
 import { quietLogger } from '../support/quiet-logger.js';
 
 const LAYOUT = new RecordLayout(262_144);
--- a/packages/job-nodes/tests/leader/record-sizes.test.ts
+++ b/packages/job-nodes/tests/leader/record-sizes.test.ts
@@ -2,9 +2,9 @@
 import t from 'tap';
 
 import { pause } from '../../src/time/pause.js';
-import { QUEUE_SETTINGS } from '../support/job-simulation.js';
 import { openLeaderHarness } from '../support/leader-harness.js';
 import { makeSpecification, makeStep } from '../support/make-specification.js';
+import { QUEUE_SETTINGS } from '../support/queue-settings.js';
 
 const WIDE_TASKS = 9600;
 
--- a/packages/job-nodes/tests/leader/send-starts.test.ts
+++ b/packages/job-nodes/tests/leader/send-starts.test.ts
@@ -6,12 +6,12 @@
 import type { LeaderMessage } from '../../src/lines/leader-message.js';
 import { pause } from '../../src/time/pause.js';
 import { HarnessAgent } from '../support/harness-agent.js';
-import { QUEUE_SETTINGS } from '../support/job-simulation.js';
 import {
   type LeaderHarness,
   openLeaderHarness,
 } from '../support/leader-harness.js';
 import { makeSpecification, makeStep } from '../support/make-specification.js';
+import { QUEUE_SETTINGS } from '../support/queue-settings.js';
 
 const TASKS = 300;
 
--- a/packages/job-nodes/tests/live/next-life.test.ts
+++ b/packages/job-nodes/tests/live/next-life.test.ts
@@ -1,4 +1,3 @@
-import type { Test } from 'tap';
 import t from 'tap';
 
 import { pause } from '../../src/time/pause.js';
@@ -14,27 +13,26 @@
 /** Heartbeats of the next life arrive after this time. */
 const HEARTBEAT_DELAY_MILLISECONDS = 400;
 
+/** An order that gets no answer is carried out before this time. */
+const START_TIMEOUT_MILLISECONDS = 2000;
+
+/** Times that a case is set up until the next life begins runs. */
+const MAXIMUM_TRIES = 6;
+
 const CUT_MILLISECONDS = 12_000;
 
 /** Time in which tasks that were given away have been started elsewhere. */
 const WATCH_MILLISECONDS = 9000;
 
-t.jobs = 6;
-
-const CONCURRENT = { buffered: true };
-
+/** Three VMs; the minion of `vm` starts again under its identifier. */
 interface Scene {
   readonly simulation: JobSimulation;
   readonly vm: SimulatedVm;
 }
 
-/** Opens three VMs; the minion of the first one will start again. */
-async function openScene(t: Test): Promise<Scene> {
+async function openScene(): Promise<Scene> {
   const simulation = new JobSimulation(1, 3);
   simulation.workMilliseconds = WORK_MILLISECONDS;
-  t.teardown(() => {
-    simulation.close();
-  });
   const [vm] = simulation.vms;
   if (vm === undefined) {
     throw new Error('the simulation has no VM');
@@ -43,111 +41,121 @@
   return { simulation, vm };
 }
 
-/** The minion starts again, and is sent starts that were meant for its last life. */
-async function restartAsJobArrives({ simulation, vm }: Scene): Promise<void> {
-  vm.minion.restartUnderSameIdentifier();
+function submitJob({ simulation }: Scene): Promise<void> {
   const step = makeStep(24, TASK_MILLICORES);
-  await simulation.submit(makeSpecification('job', [step]));
-  await pause(60);
+  return simulation.submit(makeSpecification('job', [step]));
 }
 
-function checkRuns(t: Test, { simulation, vm }: Scene): void {
-  const { runChecker } = simulation;
-  t.same(runChecker.violations, [], 'no task ran twice');
-  t.ok(
-    vm.minion.startsOfNextLife > 0,
-    `${vm.minion.startsOfNextLife} runs began on the next life`,
-  );
+/** Waits until the next life has begun runs, or certainly will begin none. */
+async function waitForRuns({ vm }: Scene): Promise<void> {
+  const until = performance.now() + START_TIMEOUT_MILLISECONDS;
+  while (vm.minion.startsOfNextLife === 0 && performance.now() < until) {
+    await pause(5);
+  }
 }
 
-// Guards against tasks given away as the next life is met, which runs them.
-t.test(
-  'no task runs twice once the next life has answered',
-  CONCURRENT,
-  async t => {
-    const scene = await openScene(t);
-    await restartAsJobArrives(scene);
-    await pause(HEARTBEAT_DELAY_MILLISECONDS);
-    scene.vm.driver?.updateMinion(scene.vm.minion.self);
-    await pause(WATCH_MILLISECONDS);
-    checkRuns(t, scene);
-  },
-);
+async function restartAsJobArrives(scene: Scene): Promise<void> {
+  scene.vm.minion.restartUnderSameIdentifier();
+  await submitJob(scene);
+  await waitForRuns(scene);
+  await pause(30);
+}
 
-// Guards against tasks given away before the lease of a life nobody met is over.
-t.test(
-  'no task runs twice while the next life is cut off',
-  CONCURRENT,
-  async t => {
-    const scene = await openScene(t);
-    await restartAsJobArrives(scene);
-    scene.vm.minion.path.cut(CUT_MILLISECONDS);
-    await pause(WATCH_MILLISECONDS);
-    checkRuns(t, scene);
-  },
-);
+function sendHeartbeat({ vm }: Scene): void {
+  vm.driver?.updateMinion(vm.minion.self);
+}
 
-// Guards against a later leader that reckons with a lease of the former life.
-t.test(
-  'no task runs twice as the leader changes meanwhile',
-  CONCURRENT,
-  async t => {
-    const scene = await openScene(t);
-    await restartAsJobArrives(scene);
-    scene.simulation.changeLeader();
-    scene.vm.minion.path.cut(CUT_MILLISECONDS);
-    scene.simulation.disconnectAgent(scene.vm, CUT_MILLISECONDS);
-    await pause(WATCH_MILLISECONDS);
-    checkRuns(t, scene);
-  },
-);
+/** The VM is cut off from its minion and from the leader, which changes. */
+function cutVmAsLeaderChanges({ simulation, vm }: Scene): void {
+  simulation.changeLeader();
+  vm.minion.path.cut(CUT_MILLISECONDS);
+  simulation.disconnectAgent(vm, CUT_MILLISECONDS);
+}
 
-// Guards against an agent that does not know what the one before it has sent.
-t.test(
-  'no task runs twice as the agent changes meanwhile',
-  CONCURRENT,
-  async t => {
-    const scene = await openScene(t);
+/** How a task could run twice, by what each case guards against. */
+const CASES: Readonly<Record<string, (scene: Scene) => Promise<void>>> = {
+  'tasks that are given away as the next life is met, which runs them':
+    async scene => {
+      await restartAsJobArrives(scene);
+      await pause(HEARTBEAT_DELAY_MILLISECONDS);
+      sendHeartbeat(scene);
+    },
+  'tasks that are given away while a life that nobody met is cut off':
+    async scene => {
+      await restartAsJobArrives(scene);
+      scene.vm.minion.path.cut(CUT_MILLISECONDS);
+    },
+  'a later leader that reckons with the lease of the former life':
+    async scene => {
+      await restartAsJobArrives(scene);
+      cutVmAsLeaderChanges(scene);
+    },
+  'a later agent that does not know the starts of the one before it':
+    async scene => {
+      await restartAsJobArrives(scene);
+      scene.vm.minion.path.cut(CUT_MILLISECONDS);
+      scene.simulation.restartAgent(scene.vm);
+    },
+  'a later agent that meets the next life': async scene => {
     await restartAsJobArrives(scene);
-    scene.vm.minion.path.cut(CUT_MILLISECONDS);
     scene.simulation.restartAgent(scene.vm);
-    await pause(WATCH_MILLISECONDS);
-    checkRuns(t, scene);
   },
-);
-
-// Guards against a lease that a call for the former life gave to the next one.
-t.test('no task runs twice while a longer lease lasts', CONCURRENT, async t => {
-  const scene = await openScene(t);
-  scene.vm.minion.restartUnderSameIdentifier();
-  scene.vm.driver?.updateMinion(scene.vm.minion.self);
-  scene.vm.minion.extendLeaseByLateCall();
-  await pause(300);
-  const step = makeStep(24, TASK_MILLICORES);
-  await scene.simulation.submit(makeSpecification('job', [step]));
-  await pause(60);
-  scene.simulation.changeLeader();
-  scene.vm.minion.path.cut(CUT_MILLISECONDS);
-  scene.simulation.disconnectAgent(scene.vm, CUT_MILLISECONDS);
-  await pause(WATCH_MILLISECONDS);
-  checkRuns(t, scene);
-});
-
-// Guards against an order without an answer that the next life carries out.
-t.test(
-  'no task runs twice as the next life gets a late order',
-  CONCURRENT,
-  async t => {
-    const scene = await openScene(t);
+  'a lease that a call for the former life gave to the next one':
+    async scene => {
+      scene.vm.minion.restartUnderSameIdentifier();
+      sendHeartbeat(scene);
+      scene.vm.minion.extendLeaseByLateCall();
+      await pause(300);
+      await submitJob(scene);
+      await waitForRuns(scene);
+      await pause(1000);
+      cutVmAsLeaderChanges(scene);
+    },
+  'an order without an answer that the next life carries out': async scene => {
     scene.simulation.lateShare = 1;
-    const step = makeStep(24, TASK_MILLICORES);
-    await scene.simulation.submit(makeSpecification('job', [step]));
-    await pause(40);
+    await submitJob(scene);
     scene.vm.minion.restartUnderSameIdentifier();
     scene.simulation.lateShare = 0;
     await pause(HEARTBEAT_DELAY_MILLISECONDS);
-    scene.vm.driver?.updateMinion(scene.vm.minion.self);
-    await pause(WATCH_MILLISECONDS);
-    checkRuns(t, scene);
+    sendHeartbeat(scene);
   },
+};
+
+interface Outcome {
+  readonly violations: readonly string[];
+  readonly startsOfNextLife: number;
+}
+
+/** Sets a case up: on a busy computer the agent may meet the next life too early. */
+async function setUp(cause: (scene: Scene) => Promise<void>): Promise<Scene> {
+  for (let tries = 1; ; tries += 1) {
+    const scene = await openScene();
+    await cause(scene);
+    if (scene.vm.minion.startsOfNextLife > 0 || tries === MAXIMUM_TRIES) {
+      return scene;
+    }
+    scene.simulation.close();
+  }
+}
+
+async function play(cause: (scene: Scene) => Promise<void>): Promise<Outcome> {
+  const { simulation, vm } = await setUp(cause);
+  await pause(WATCH_MILLISECONDS);
+  simulation.close();
+  return {
+    violations: simulation.runChecker.violations,
+    startsOfNextLife: vm.minion.startsOfNextLife,
+  };
+}
+
+const outcomes = Object.entries(CASES).map(
+  ([name, cause]) => [name, play(cause)] as const,
 );
+
+for (const [name, outcome] of outcomes) {
+  t.test(`no task runs twice: ${name}`, async t => {
+    const { violations, startsOfNextLife } = await outcome;
+    t.same(violations, []);
+    t.ok(startsOfNextLife > 0, `${startsOfNextLife} runs on the next life`);
+  });
+}
--- a/packages/job-nodes/tests/support/answering-minion.ts
+++ b/packages/job-nodes/tests/support/answering-minion.ts
@@ -37,7 +37,12 @@
       client: this.client(),
       time: anchoredTime(),
       logger: quietLogger,
+      minionLimits: {
+        longestLeaseMilliseconds: LEASE_MILLISECONDS,
+        longestCallDelayMilliseconds: 0,
+      },
       onFenced: () => undefined,
+      onTokenNeeded: () => undefined,
       report: report => this.reports.push(report),
     });
     void this.driver.run();
--- a/packages/job-nodes/tests/support/fake-life.ts
+++ b/packages/job-nodes/tests/support/fake-life.ts
@@ -2,9 +2,7 @@
 import { FakeFence } from './fake-fence.js';
 import { FakeLease } from './fake-lease.js';
 import type { FakeRun } from './fake-run.js';
-
-/** Longest lease; an expiry that is further ahead is shortened to it. */
-const LONGEST_LEASE_MILLISECONDS = 4000;
+import { MINION_LIMITS } from './minion-limits.js';
 
 /** What one life of a fake minion holds and knows; nothing of it outlives it. */
 export class FakeLife {
@@ -23,7 +21,10 @@
    * @param ageMilliseconds - Present time of its clock.
    */
   public constructor(ageMilliseconds: number) {
-    this.lease = new FakeLease(LONGEST_LEASE_MILLISECONDS, ageMilliseconds);
+    this.lease = new FakeLease(
+      MINION_LIMITS.longestLeaseMilliseconds,
+      ageMilliseconds,
+    );
   }
 
   /** Records that a run has begun or was stopped, so that lower ones are old. */
--- a/packages/job-nodes/tests/support/job-simulation.ts
+++ b/packages/job-nodes/tests/support/job-simulation.ts
@@ -16,6 +16,8 @@
 import { pause } from '../../src/time/pause.js';
 import { FakeMinion } from './fake-minion.js';
 import { MemoryStore } from './memory-store.js';
+import { MINION_LIMITS } from './minion-limits.js';
+import { QUEUE_SETTINGS } from './queue-settings.js';
 import { quietLogger } from './quiet-logger.js';
 import { RunChecker } from './run-checker.js';
 import { SimulatedVm } from './simulated-vm.js';
@@ -26,16 +28,6 @@
 
 const HEARTBEAT_INTERVAL_MILLISECONDS = 100;
 
-/** Settings of the queue of all jobs. */
-export const QUEUE_SETTINGS = {
-  name: 'queue',
-  service: 'service',
-  priority: 0,
-  maximumAttempts: 1000,
-  slackFactor: 2,
-  targetLatencyMilliseconds: 500,
-};
-
 /** Real leaders and drivers over fake minions, links and an in-memory store. */
 export class JobSimulation {
   public readonly store: MemoryStore;
@@ -54,6 +46,13 @@
   public readonly vms: SimulatedVm[];
 
   private readonly time = anchoredTime();
+
+  private readonly surroundings = {
+    time: this.time,
+    logger: quietLogger,
+    minionLimits: MINION_LIMITS,
+  };
+
   private readonly specifications = new Map<string, JobSpecification>();
 
   /**
@@ -104,7 +103,7 @@
   }
 
   /** Sends a call to the current leader. */
-  public async callLeader(call: JobCall): Promise<JobAnswer> {
+  public callLeader(call: JobCall): Promise<JobAnswer> {
     return this.leader.answer(call);
   }
 
@@ -154,8 +153,7 @@
       epoch,
       store: this.store,
       storeLimits: this.store.limits,
-      time: this.time,
-      logger: quietLogger,
+      ...this.surroundings,
       leaseMilliseconds: LEASE_MILLISECONDS,
       isValid: () => epoch === this.epoch,
       onFenced: () => {
@@ -189,9 +187,11 @@
     const driver: MinionDriver = new MinionDriver({
       imageStatistics: new ImageMemory(),
       client: vm.minion,
-      time: this.time,
-      logger: quietLogger,
+      ...this.surroundings,
       onFenced: () => undefined,
+      onTokenNeeded: () => {
+        this.disconnect(vm);
+      },
       report: report => {
         const { session, leader, driver: current } = vm;
         if (session?.open && current === driver) {
--- a/packages/job-nodes/tests/support/leader-harness.ts
+++ b/packages/job-nodes/tests/support/leader-harness.ts
@@ -7,9 +7,9 @@
 import type { LeaderMessage } from '../../src/lines/leader-message.js';
 import { anchoredTime } from '../../src/time/anchored-time.js';
 import { HarnessAgent } from './harness-agent.js';
-import { QUEUE_SETTINGS } from './job-simulation.js';
 import { makeSpecification, makeStep } from './make-specification.js';
 import { MemoryStore } from './memory-store.js';
+import { QUEUE_SETTINGS } from './queue-settings.js';
 import { quietLogger } from './quiet-logger.js';
 
 /** A job of one step of two tasks. */
@@ -40,6 +40,10 @@
       time: this.time,
       logger: quietLogger,
       leaseMilliseconds: 1000,
+      minionLimits: {
+        longestLeaseMilliseconds: 1000,
+        longestCallDelayMilliseconds: 0,
+      },
       isValid: () => this.valid,
       onFenced: () => undefined,
       entries: () => [],
--- a/packages/jobs/src/model/agent-report.ts
+++ b/packages/jobs/src/model/agent-report.ts
@@ -19,4 +19,9 @@
   readonly refusals: readonly StartRefusal[];
   /** Incarnations whose processes and runs have ended. */
   readonly gone: readonly string[];
+  /**
+   * Tasks with a start that no list has shown, and that an incarnation which the
+   * agent has not met may have carried out, or may carry out; absent if none.
+   */
+  readonly unsettled?: readonly string[];
 }
--- a/packages/jobs/src/plan/startable-steps.ts
+++ b/packages/jobs/src/plan/startable-steps.ts
@@ -27,6 +27,9 @@
   return startable;
 }
 
+/** Whether a task is due, and none of its runs may still be on a minion. */
 function mayStart(task: TaskEntry, now: number): boolean {
-  return task.phase === 'waiting' && task.notBefore <= now;
+  return (
+    task.phase === 'waiting' && task.notBefore <= now && task.placements === 0
+  );
 }
--- a/packages/jobs/src/reconcile/apply-report.ts
+++ b/packages/jobs/src/reconcile/apply-report.ts
@@ -7,6 +7,7 @@
 import type { JobTable } from '../state/job-table.js';
 import type { MinionEntry } from '../state/minion-entry.js';
 import type { TaskEntry } from '../state/task-entry.js';
+import { adoptListedRun } from './adopt-listed-run.js';
 import { END_HANDLERS } from './end-handlers.js';
 import { recordProgress } from './record-progress.js';
 import type { ReportOutcome } from './report-outcome.js';
@@ -72,13 +73,16 @@
   begun: JobEntry[],
   now: number,
 ): boolean {
-  minion.removeRun(end.task, end.run);
   const task = table.task(end.task);
   const job = task && table.jobs.get(task.jobIdentifier);
+  if (task?.phase === 'assigned') {
+    adoptListedRun(table, minion, task, end.run, now);
+  }
+  minion.removeRun(end.task, end.run);
   if (!task || !job) {
     return false;
   }
-  if (!isCurrent(task, minion, end.run)) {
+  if (!task.isOn(minion.incarnation, end.run)) {
     return acceptLateSuccess(table, task, end, now);
   }
   markBegun(job, begun);
@@ -151,17 +155,38 @@
   if (!task || !job) {
     return [{ task: running.task, run: running.run }];
   }
+  if (job.ended === undefined) {
+    adoptListedRun(table, minion, task, running.run, now);
+  }
   minion.addRun(task, running.run);
-  if (!isCurrent(task, minion, running.run) || job.ended !== undefined) {
+  const isCurrent = task.isOn(minion.incarnation, running.run);
+  if (!isCurrent || job.ended !== undefined) {
     return [{ task: running.task, run: running.run }];
   }
   if (markBegun(job, begun)) {
     table.markChanged(task);
   }
   recordProgress(task, running, now);
+  confirmRun(table, minion, task, now);
   return [];
 }
 
+/** Marks a run that ends with a granted lease; that of a lasting task is stored. */
+function confirmRun(
+  table: JobTable,
+  minion: MinionEntry,
+  task: TaskEntry,
+  now: number,
+): void {
+  if (task.confirmed || now < minion.confirmsRunsFrom) {
+    return;
+  }
+  task.confirmed = true;
+  if (task.specification.longRunning) {
+    table.markChanged(task);
+  }
+}
+
 function applyRefusal(
   table: JobTable,
   minion: MinionEntry,
@@ -171,7 +196,7 @@
   minion.removeRun(refusal.task, refusal.run);
   minion.backoffUntil = now + REFUSAL_BACKOFF_MILLISECONDS;
   const task = table.task(refusal.task);
-  if (task && isCurrent(task, minion, refusal.run)) {
+  if (task?.isOn(minion.incarnation, refusal.run) === true) {
     task.release(now);
     table.markChanged(task);
   }
@@ -192,7 +217,7 @@
       continue;
     }
     minion.removeRun(task.name, run);
-    if (isCurrent(task, minion, run)) {
+    if (task.isOn(minion.incarnation, run)) {
       task.release(now);
       table.markChanged(task);
       neverBegan.push(task.name);
@@ -209,11 +234,3 @@
   const current = task.run === run && task.phase === 'assigned';
   return current && task.orderToken >= report.fencingToken;
 }
-
-function isCurrent(task: TaskEntry, minion: MinionEntry, run: number): boolean {
-  return (
-    task.phase === 'assigned' &&
-    task.run === run &&
-    task.incarnation === minion.incarnation
-  );
-}
--- a/packages/jobs/src/reconcile/expire-minions.ts
+++ b/packages/jobs/src/reconcile/expire-minions.ts
@@ -1,11 +1,8 @@
 import type { JobTable } from '../state/job-table.js';
+import type { MinionEntry } from '../state/minion-entry.js';
+import type { MinionRun } from '../state/minion-run.js';
 import type { TaskEntry } from '../state/task-entry.js';
-
-/** The clock of a minion may be slower than the leader's by this factor. */
-const CLOCK_DRIFT_FACTOR = 1.02;
-
-/** Covers the transit time of a lease grant and the late stop of a run. */
-const EXPIRY_MARGIN_MILLISECONDS = 500;
+import type { LeaseBounds } from './lease-bounds.js';
 
 /** A minion whose lease has expired, and the tasks released from it. */
 export interface ExpiredMinion {
@@ -16,26 +13,45 @@
 }
 
 /**
- * Removes minions whose agents have sent nothing for longer than a lease can
- * last, and releases their tasks.
- *
- * @param leaseMilliseconds - Longest lease that any leader grants.
+ * Releases the tasks of minions whose agents have sent nothing for longer than
+ * their runs can last, and removes the minions that have no run left.
  */
 export function expireMinions(
   table: JobTable,
-  leaseMilliseconds: number,
+  bounds: LeaseBounds,
   now: number,
 ): readonly ExpiredMinion[] {
-  const expiryMilliseconds =
-    leaseMilliseconds * CLOCK_DRIFT_FACTOR + EXPIRY_MARGIN_MILLISECONDS;
-  return [...table.minions.values()]
-    .filter(
-      ({ connected, lastContactAt }) =>
-        !connected && now - lastContactAt > expiryMilliseconds,
-    )
-    .map(({ incarnation, lastContactAt }) => ({
+  const expired: ExpiredMinion[] = [];
+  for (const minion of table.minions.values()) {
+    const silentMilliseconds = now - minion.lastContactAt;
+    if (minion.connected || silentMilliseconds <= bounds.grantedMilliseconds) {
+      continue;
+    }
+    const { incarnation } = minion;
+    const releasedTasks = table.releaseRuns(
       incarnation,
-      releasedTasks: table.removeMinion(incarnation, now),
-      silentMilliseconds: now - lastContactAt,
-    }));
+      run => mayGoOn(minion, run, bounds, now),
+      now,
+    );
+    if (releasedTasks.length > 0 || !table.minions.has(incarnation)) {
+      expired.push({ incarnation, releasedTasks, silentMilliseconds });
+    }
+  }
+  return expired;
+}
+
+function mayGoOn(
+  minion: MinionEntry,
+  { task, run }: MinionRun,
+  bounds: LeaseBounds,
+  now: number,
+): boolean {
+  const isCurrent = task.isOn(minion.incarnation, run);
+  if (isCurrent && task.confirmed) {
+    return false;
+  }
+  if (isCurrent && task.firstListedAt === 0) {
+    return now - minion.lastContactAt <= bounds.unlistedMilliseconds;
+  }
+  return now <= minion.inheritedLeaseUntil;
 }
--- a/packages/jobs/src/records/apply-rows.ts
+++ b/packages/jobs/src/records/apply-rows.ts
@@ -65,7 +65,7 @@
   incarnations: readonly string[],
   now: number,
 ): void {
-  const [, , , letter, run, failedRuns, position, checkpoint] = row;
+  const [, , , letter, run, failedRuns, position, checkpoint, confirmed] = row;
   const incarnation = incarnations[position] ?? '';
   table.minions.get(task.incarnation)?.removeRun(task.name, task.run);
   task.phase = PHASES[letter];
@@ -75,6 +75,7 @@
   task.incarnation = incarnation;
   if (task.phase === 'assigned') {
     task.startSent = true;
+    task.confirmed = confirmed === 1;
     task.assignedAt = now;
     task.progressAt = now;
     table.getOrAddMinion(incarnation, now).addRun(task, run);
--- a/packages/jobs/src/records/encode-rows.ts
+++ b/packages/jobs/src/records/encode-rows.ts
@@ -39,7 +39,7 @@
 ): TaskRow {
   const isStored =
     task.phase !== 'done' && fits(task.checkpoint, checkpointBytes);
-  return [
+  const row = [
     task.occurrence,
     task.step,
     task.index,
@@ -48,7 +48,8 @@
     task.failedRuns,
     positionOf(task.incarnation, incarnations),
     isStored ? task.checkpoint : '',
-  ];
+  ] as const;
+  return task.confirmed ? [...row, 1] : row;
 }
 
 function fits(checkpoint: string, maximumBytes: number): boolean {
--- a/packages/jobs/src/records/task-rows.ts
+++ b/packages/jobs/src/records/task-rows.ts
@@ -7,7 +7,7 @@
 
 /**
  * A task: occurrence, step, index, phase, run, failed runs, position of the
- * incarnation (-1 for none), checkpoint.
+ * incarnation (-1 for none), checkpoint, and 1 if the run is confirmed.
  */
 export type TaskRow = readonly [
   number,
@@ -18,6 +18,7 @@
   number,
   number,
   string,
+  1?,
 ];
 
 /** Short form of a task's phase. */
--- a/packages/jobs/src/state/job-table.ts
+++ b/packages/jobs/src/state/job-table.ts
@@ -4,6 +4,7 @@
 import type { QueueSettings } from '../model/queue-settings.js';
 import { JobEntry } from './job-entry.js';
 import { MinionEntry } from './minion-entry.js';
+import type { MinionRun } from './minion-run.js';
 import { splitTaskName } from './split-task-name.js';
 import type { TaskEntry } from './task-entry.js';
 
@@ -83,17 +84,39 @@
 
   /** Removes a minion, releases its current tasks and returns them. */
   public removeMinion(incarnation: string, now: number): readonly TaskEntry[] {
+    return this.releaseRuns(incarnation, () => false, now);
+  }
+
+  /**
+   * Removes runs from a minion, releases those tasks whose current runs they are,
+   * and returns them. Removes the minion if it has no run left.
+   *
+   * @param isKept - Whether a run may still be at work, or may still begin.
+   */
+  public releaseRuns(
+    incarnation: string,
+    isKept: (run: MinionRun) => boolean,
+    now: number,
+  ): readonly TaskEntry[] {
     const minion = this.minions.get(incarnation);
     if (minion === undefined) {
       return [];
     }
-    this.minions.delete(incarnation);
-    const released = [...minion.runs.values()]
-      .filter(({ task, run }) => isCurrent(task, run, incarnation))
-      .map(({ task }) => task);
-    for (const task of released) {
-      task.release(now);
-      this.markChanged(task);
+    const released: TaskEntry[] = [];
+    for (const minionRun of [...minion.runs.values()]) {
+      const { task, run } = minionRun;
+      if (isKept(minionRun)) {
+        continue;
+      }
+      minion.removeRun(task.name, run);
+      if (task.isOn(incarnation, run)) {
+        task.release(now);
+        this.markChanged(task);
+        released.push(task);
+      }
+    }
+    if (minion.runs.size === 0) {
+      this.minions.delete(incarnation);
     }
     return released;
   }
@@ -111,11 +134,3 @@
           ?.task(parts.occurrence, parts.step, parts.index);
   }
 }
-
-function isCurrent(task: TaskEntry, run: number, incarnation: string): boolean {
-  return (
-    task.phase === 'assigned' &&
-    task.run === run &&
-    task.incarnation === incarnation
-  );
-}
--- a/packages/jobs/src/state/minion-entry.ts
+++ b/packages/jobs/src/state/minion-entry.ts
@@ -31,6 +31,18 @@
   /** Unix milliseconds of the last report about the minion, or of its record. */
   public reportedAt: number;
 
+  /**
+   * Unix milliseconds until which the minion may hold a lease that a call for an
+   * earlier incarnation gave it; 0 before its first report.
+   */
+  public inheritedLeaseUntil = 0;
+
+  /**
+   * Unix milliseconds from which on a lease that the leader grants ends later than
+   * an inherited one, so that a run that is listed ends with it.
+   */
+  public confirmsRunsFrom = Number.POSITIVE_INFINITY;
+
   /** Unix milliseconds before which the minion gets no new starts. */
   public backoffUntil = 0;
 
@@ -50,11 +62,24 @@
     return this.runsByKey;
   }
 
+  /** Records the first report on the incarnation, after which its leases are known. */
+  public recordFirstReport(
+    grantedMilliseconds: number,
+    inheritedMilliseconds: number,
+    now: number,
+  ): void {
+    if (this.inheritedLeaseUntil === 0) {
+      this.inheritedLeaseUntil = now + inheritedMilliseconds;
+      this.confirmsRunsFrom = this.inheritedLeaseUntil - grantedMilliseconds;
+    }
+  }
+
   /** Records that a run is or may be on the minion. */
   public addRun(task: TaskEntry, run: number): void {
     const key = `${task.name}/${run}`;
     if (!this.runsByKey.has(key)) {
       this.runsByKey.set(key, { task, run });
+      task.placements += 1;
       this.usage.add(task);
     }
   }
@@ -65,6 +90,7 @@
     const removed = this.runsByKey.get(key);
     if (removed !== undefined) {
       this.runsByKey.delete(key);
+      removed.task.placements -= 1;
       this.usage.remove(removed.task);
     }
   }
--- a/packages/jobs/src/state/task-entry.ts
+++ b/packages/jobs/src/state/task-entry.ts
@@ -25,6 +25,15 @@
   /** Unix milliseconds of the first report of the current run; 0 for none. */
   public firstListedAt = 0;
 
+  /**
+   * Whether the current run is known to end with a lease that a leader granted; it
+   * is listed, and no longer lease can be in force.
+   */
+  public confirmed = false;
+
+  /** Number of runs of the task that are or may be on minions. */
+  public placements = 0;
+
   /** Unix milliseconds at which the current run was assigned. */
   public assignedAt = 0;
 
@@ -121,6 +130,7 @@
     this.orderToken = orderToken;
     this.startSent = false;
     this.firstListedAt = 0;
+    this.confirmed = false;
     this.throttledSince = 0;
     this.waitingSince = 0;
     this.assignedAt = now;
@@ -129,6 +139,21 @@
     this.stopping = false;
   }
 
+  /** Whether the current run of the task is on a minion, or may be. */
+  public isOn(incarnation: string, run: number): boolean {
+    return (
+      this.phase === 'assigned' &&
+      this.run === run &&
+      this.incarnation === incarnation
+    );
+  }
+
+  /** Assigns the current run to the minion that lists it. */
+  public adopt(incarnation: string, orderToken: number, now: number): void {
+    this.assign(incarnation, this.run, orderToken, now);
+    this.startSent = true;
+  }
+
   /** Takes the task off its minion, so that it can be started again. */
   public release(notBefore: number): void {
     this.phase = 'waiting';
@@ -146,6 +171,7 @@
     this.incarnation = '';
     this.orderToken = 0;
     this.firstListedAt = 0;
+    this.confirmed = false;
     this.stopping = false;
   }
 }
--- a/packages/jobs/tests/reconcile/minion-runs.test.ts
+++ b/packages/jobs/tests/reconcile/minion-runs.test.ts
@@ -2,6 +2,7 @@
 
 import { expireMinions } from '../../src/reconcile/expire-minions.js';
 import { findStuckRuns } from '../../src/reconcile/find-stuck-runs.js';
+import { LeaseBounds } from '../../src/reconcile/lease-bounds.js';
 import { recordProgress } from '../../src/reconcile/record-progress.js';
 import { tasksToMove } from '../../src/reconcile/tasks-to-move.js';
 import { JobTable } from '../../src/state/job-table.js';
@@ -11,6 +12,11 @@
 import { makeStep } from '../support/make-step.js';
 import { startOn } from '../support/start-on.js';
 
+const BOUNDS = new LeaseBounds(6000, {
+  longestLeaseMilliseconds: 9000,
+  longestCallDelayMilliseconds: 3000,
+});
+
 t.test(
   'a disconnected minion keeps its tasks until its lease has expired',
   t => {
@@ -18,11 +24,12 @@
     const minion = addMinion(table, 'a');
     const task = firstTask(addJob(table, 'j', [makeStep()]));
     startOn(minion, task);
+    task.firstListedAt = 1000;
     minion.lastContactAt = 1000;
     minion.connected = false;
-    t.same(expireMinions(table, 6000, 7500), []);
+    t.same(expireMinions(table, BOUNDS, 7500), []);
     t.equal(task.phase, 'assigned');
-    const [expired] = expireMinions(table, 6000, 7621);
+    const [expired] = expireMinions(table, BOUNDS, 7621);
     t.equal(expired?.incarnation, 'a');
     t.equal(task.phase, 'waiting');
     t.end();
@@ -32,7 +39,7 @@
 t.test('a connected minion never expires', t => {
   const table = new JobTable();
   addMinion(table, 'a').lastContactAt = 0;
-  t.same(expireMinions(table, 6000, 1_000_000), []);
+  t.same(expireMinions(table, BOUNDS, 1_000_000), []);
   t.end();
 });
 
--- a/packages/proving/src/measure/leader-load/run-leader-load.ts
+++ b/packages/proving/src/measure/leader-load/run-leader-load.ts
@@ -62,6 +62,10 @@
     time,
     logger: { info: countLine, warn: countLine, error: countLine },
     leaseMilliseconds: LEASE_MILLISECONDS,
+    minionLimits: {
+      longestLeaseMilliseconds: LEASE_MILLISECONDS,
+      longestCallDelayMilliseconds: 0,
+    },
     isValid: () => true,
     onFenced: () => undefined,
     observe: () => undefined,
