fix(job-nodes): the ends of a next life are not forgotten under the numbers of the last

Cause: a poll names the minion by an id that its next life shares. It carried the highest stored number of an end each time; the next life took that as said of its own ends, which nobody had read. Change: an end is acknowledged only while the last lists of the life had it, and never in the first poll after one without an answer. Conclusion: what remains is an acknowledgement that is carried out late, on a next life that has ended runs by then: not shown.

--- a/packages/job-nodes/src/agent/minion-poller.ts
+++ b/packages/job-nodes/src/agent/minion-poller.ts
@@ -40,8 +40,8 @@
       return await client.poll(minion, {
         fencingToken,
         expiresAt,
-        // The next incarnation may answer, with other ends under these numbers.
-        endsThrough: lease.isSilent ? 0 : polled.endsThrough,
+        // A minion that did not answer may be the next incarnation.
+        endsThrough: lease.isSilent ? 0 : polled.acknowledgedThrough,
         waitMilliseconds: pollWait({
           listsAreCurrent: polled.fencingToken === fencingToken,
           leased: expiresAt !== undefined,
--- a/packages/job-nodes/src/agent/polled-runs.ts
+++ b/packages/job-nodes/src/agent/polled-runs.ts
@@ -17,19 +17,31 @@
   public hasMoreEnds = false;
 
   /** The leader has stored ends up to this number. */
-  public endsThrough = 0;
+  private endsThrough = 0;
+
+  /** Lowest number of an end in the last lists; infinite if there was none. */
+  private lowestListed = Number.POSITIVE_INFINITY;
 
   /** Fencing token of the last poll; 0 before the first one. */
   public fencingToken = 0;
 
   private onEndsStored: () => void = () => undefined;
 
+  /**
+   * Ends up to this number can be dropped; 0 if the last lists had none of them.
+   * The next incarnation may take a poll, and has other ends under these numbers.
+   */
+  public get acknowledgedThrough(): number {
+    return this.lowestListed <= this.endsThrough ? this.endsThrough : 0;
+  }
+
   /** Applies the result of a poll. */
   public apply(
     { running, ends, hasMoreEnds }: PollResult,
     fencingToken: number,
   ): void {
     this.running = running;
+    this.lowestListed = Math.min(...ends.map(({ number }) => number));
     this.ends = ends.filter(({ number }) => number > this.endsThrough);
     this.hasMoreEnds = hasMoreEnds;
     this.fencingToken = fencingToken;
@@ -70,6 +82,7 @@
     this.ends = [];
     this.hasMoreEnds = false;
     this.endsThrough = 0;
+    this.lowestListed = Number.POSITIVE_INFINITY;
     this.fencingToken = 0;
   }
 }
--- a/packages/job-nodes/tests/live/next-life.test.ts
+++ b/packages/job-nodes/tests/live/next-life.test.ts
@@ -72,6 +72,18 @@
   simulation.disconnectAgent(vm, CUT_MILLISECONDS);
 }
 
+/** The next life ends runs before the agent polls it, under numbers already stored. */
+async function endRunsUnseen(scene: Scene): Promise<void> {
+  const { simulation, vm } = scene;
+  simulation.workMilliseconds = 20;
+  await submitJob(scene);
+  await pause(1500);
+  vm.minion.restartUnderSameIdentifier();
+  const step = makeStep(24, TASK_MILLICORES);
+  await simulation.submit(makeSpecification('later', [step]));
+  await waitForRuns(scene);
+}
+
 /** How a task could run twice, by what each case guards against. */
 const CASES: Readonly<Record<string, (scene: Scene) => Promise<void>>> = {
   'tasks that are given away as the next life is met, which runs them':
@@ -111,6 +123,8 @@
       await pause(1000);
       cutVmAsLeaderChanges(scene);
     },
+  'an acknowledgement for the former life that the next one takes':
+    endRunsUnseen,
   'an order without an answer that the next life carries out': async scene => {
     scene.simulation.lateShare = 1;
     await submitJob(scene);
