--- a/packages/job-nodes/src/agent/lease-clock.ts
+++ b/packages/job-nodes/src/agent/lease-clock.ts
@@ -22,13 +22,13 @@
   private readAt = Number.NaN;
 
   /**
-   * When a lease is over that a call for an earlier incarnation may have given;
-   * infinite before the first answer.
+   * When a lease is over that an earlier agent, or a call for an earlier
+   * incarnation, may have given; infinite before the first answer.
    */
   private inheritedUntil = Number.POSITIVE_INFINITY;
 
-  /** Infinite while the minion may hold a lease that this agent did not send. */
-  private latestExpiryAt = Number.POSITIVE_INFINITY;
+  /** When the last lease that this agent sent has expired. */
+  private latestExpiryAt = Number.NEGATIVE_INFINITY;
 
   public constructor(limits: MinionLimits) {
     this.limits = limits;
@@ -47,7 +47,7 @@
   public reset(): void {
     this.readAt = Number.NaN;
     this.inheritedUntil = Number.POSITIVE_INFINITY;
-    this.latestExpiryAt = Number.POSITIVE_INFINITY;
+    this.latestExpiryAt = Number.NEGATIVE_INFINITY;
   }
 
   /** Whether a clock in an answer is certainly that of the same incarnation. */
@@ -74,9 +74,7 @@
       now +
       (grantedUntil - now) * CLOCK_DRIFT_FACTOR +
       KILL_MARGIN_MILLISECONDS;
-    this.latestExpiryAt = Number.isFinite(this.latestExpiryAt)
-      ? Math.max(this.latestExpiryAt, latestExpiryAt)
-      : latestExpiryAt;
+    this.latestExpiryAt = Math.max(this.latestExpiryAt, latestExpiryAt);
     return Math.floor(this.minionClock + (grantedUntil - this.readAt));
   }
 
--- a/packages/job-nodes/src/agent/minion-driver.ts
+++ b/packages/job-nodes/src/agent/minion-driver.ts
@@ -7,6 +7,7 @@
 import type { MinionIncarnation } from './minion-incarnation.js';
 import type { MinionParts } from './minion-parts.js';
 import { createMinionParts } from './minion-parts.js';
+import { MinionTokens } from './minion-tokens.js';
 import type { MinionTracker } from './minion-tracker.js';
 import { pollCandidate } from './poll-candidate.js';
 
@@ -20,18 +21,15 @@
 
   private readonly parts: MinionParts;
 
-  private fencingToken = 0;
-
-  /** Highest token that the minion refused after it had accepted a higher one. */
-  private fencedToken = 0;
+  private readonly tokens = new MinionTokens();
 
   private stopped = false;
 
   public constructor(options: MinionDriverOptions) {
     this.options = options;
     this.parts = createMinionParts(options, {
-      onEnd: () => {
-        this.resetIncarnation();
+      onEnd: minion => {
+        this.resetIncarnation(minion);
       },
       onChange: () => {
         this.sendReport();
@@ -64,12 +62,10 @@
     const { imageStatistics, time } = this.options;
     switch (message.kind) {
       case 'welcome':
-        this.fencingToken = message.fencingToken;
+        this.tokens.current = message.fencingToken;
         this.parts.lease.setDuration(message.leaseMilliseconds);
         this.parts.orders.reset(message.fencingToken);
-        if (this.minion.current === undefined) {
-          this.sendReport();
-        }
+        this.sendReport();
         return;
       case 'entries':
         return;
@@ -113,12 +109,12 @@
   /** Polls the minion until the driver is stopped. */
   public async run(): Promise<void> {
     while (!this.isStopped()) {
-      const { fencingToken } = this;
-      if (this.hasUsableToken()) {
+      const fencingToken = this.tokens.current;
+      if (this.tokens.isAccepted) {
         await pollCandidate(this.minion, this.options.client, fencingToken);
       }
       const { current: minion } = this.minion;
-      if (minion === undefined || !this.hasUsableToken()) {
+      if (minion === undefined || !this.isCallable(minion)) {
         await pause(RETRY_DELAY_MILLISECONDS / 2);
         this.expireUnsettled();
         continue;
@@ -129,7 +125,7 @@
       } catch (error) {
         this.handleFailure(minion, error);
         if (error instanceof FencedError) {
-          this.fencedToken = fencingToken;
+          this.tokens.recordRefusal(fencingToken);
           this.options.onFenced();
         }
         await pause(RETRY_DELAY_MILLISECONDS);
@@ -139,7 +135,8 @@
 
   private async poll(peer: MinionIncarnation): Promise<void> {
     const { time, logger } = this.options;
-    const { fencingToken, parts } = this;
+    const { parts } = this;
+    const fencingToken = this.tokens.current;
     const { incarnation } = peer.description;
     const requestedAt = time.steady();
     const polled = await parts.poller.poll(peer, fencingToken, requestedAt);
@@ -172,9 +169,12 @@
     await this.parts.polled.waitUntilEndsStored();
   }
 
-  /** Returns whether the minion has not refused the current token. */
-  private hasUsableToken(): boolean {
-    return this.fencingToken > this.fencedToken;
+  /** Returns whether the minion can be called; asks for a later token if need be. */
+  private isCallable({ identifier }: MinionIncarnation): boolean {
+    if (this.tokens.needsRenewal(identifier)) {
+      this.options.onTokenNeeded();
+    }
+    return this.tokens.isAccepted && !this.tokens.isSpentFor(identifier);
   }
 
   private isStopped(): boolean {
@@ -188,23 +188,22 @@
     }
   }
 
+  /** Reports the lists; an incarnation without lists is reported as none. */
   private sendReport(): void {
-    const { current: minion } = this.minion;
-    const listsAreCurrent =
-      this.parts.polled.fencingToken === this.fencingToken;
-    if (minion !== undefined && !listsAreCurrent) {
+    const { polled, unsettled, orders } = this.parts;
+    const fencingToken = this.tokens.current;
+    const minion = polled.isEmpty ? undefined : this.minion.current;
+    if (minion !== undefined && polled.fencingToken !== fencingToken) {
       return;
     }
-    const unsettled = this.parts.unsettled.tasks(
-      minion?.description.incarnation,
-    );
+    const tasks = unsettled.tasks(minion?.description.incarnation);
     this.options.report({
-      fencingToken: this.fencingToken,
+      fencingToken,
       minion: minion?.description ?? null,
-      ...this.parts.polled.lists(),
-      refusals: this.parts.orders.refusals(),
+      ...polled.lists(),
+      refusals: orders.refusals(),
       gone: this.minion.departed(),
-      ...(unsettled.length > 0 ? { unsettled } : {}),
+      ...(tasks.length > 0 ? { unsettled: tasks } : {}),
     });
   }
 
@@ -225,26 +224,20 @@
     this.minion.recordFailure(minion, error, this.parts.lease.isExpired(now));
   }
 
-  /**
-   * Clears the state of an incarnation that has ended. The next one may carry out
-   * starts for it, until it has seen a later token than theirs.
-   */
-  private resetIncarnation(): void {
-    this.parts.lease.reset();
-    this.parts.polled.reset();
-    this.parts.orders.reset(this.fencingToken);
-    this.parts.throttler.reset();
-    const tasks = this.parts.unsettled.tasks(undefined);
-    this.fencedToken = tasks.length > 0 ? this.fencingToken : 0;
-    if (tasks.length > 0) {
-      this.options.logger.warn(
-        'The next minion may carry out earlier starts.',
-        {
-          tasks: tasks.slice(0, MAXIMUM_LOGGED_TASKS).join(' '),
-          count: tasks.length,
-        },
-      );
-      this.options.onTokenNeeded();
+  /** Clears the state of an incarnation; calls for it may be taken by the next one. */
+  private resetIncarnation({ identifier }: MinionIncarnation): void {
+    const { lease, polled, orders, throttler, unsettled } = this.parts;
+    lease.reset();
+    polled.reset();
+    orders.reset(this.tokens.current);
+    throttler.reset();
+    this.tokens.clearRefusal();
+    if (unsettled.hasPendingCalls(this.options.time.steady())) {
+      this.tokens.spend(identifier);
+      const tasks = unsettled.tasks(undefined);
+      const names = tasks.slice(0, MAXIMUM_LOGGED_TASKS).join(' ');
+      const fields = { identifier, tasks: names, count: tasks.length };
+      this.options.logger.warn('The next life may take earlier calls.', fields);
     }
   }
 }
--- a/packages/job-nodes/src/agent/minion-tracker.ts
+++ b/packages/job-nodes/src/agent/minion-tracker.ts
@@ -156,8 +156,9 @@
   /** Ends the present incarnation; the one that a heartbeat named follows. */
   private end(evidence: EndEvidence): void {
     if (this.present !== undefined) {
-      this.vitals.recordDeparture(this.present.description.incarnation);
-      this.options.onEnd();
+      const { incarnation } = this.present.description;
+      this.vitals.recordDeparture(incarnation, this.hasAnswered(incarnation));
+      this.options.onEnd(this.present);
       this.warn('A life of the minion is over.', this.present, {
         reason: evidence,
       });
--- a/packages/job-nodes/src/agent/minion-vitals.ts
+++ b/packages/job-nodes/src/agent/minion-vitals.ts
@@ -76,9 +76,15 @@
     return leaseExpired ? 'its last lease is over' : undefined;
   }
 
-  /** Records the end of an incarnation. */
-  public recordDeparture(incarnation: string): void {
+  /**
+   * Records the end of an incarnation. One that has not answered is not reported:
+   * it is not known what an earlier agent has sent to it.
+   */
+  public recordDeparture(incarnation: string, hasAnswered: boolean): void {
     this.leavingSince = undefined;
+    if (!hasAnswered) {
+      return;
+    }
     this.departedIncarnations.push(incarnation);
     if (this.departedIncarnations.length > MAXIMUM_REPORTED_DEPARTURES) {
       this.departedIncarnations.shift();
--- a/packages/job-nodes/src/agent/polled-runs.ts
+++ b/packages/job-nodes/src/agent/polled-runs.ts
@@ -35,6 +35,11 @@
     return this.lowestListed <= this.endsThrough ? this.endsThrough : 0;
   }
 
+  /** Whether the present incarnation has not been polled. */
+  public get isEmpty(): boolean {
+    return this.fencingToken === 0;
+  }
+
   /** Applies the result of a poll. */
   public apply(
     { running, ends, hasMoreEnds }: PollResult,
--- a/packages/job-nodes/src/agent/start-sender.ts
+++ b/packages/job-nodes/src/agent/start-sender.ts
@@ -46,7 +46,13 @@
       const { incarnation } = minion.description;
       const sentAt = this.options.time.steady();
       this.options.unsettled.add({ order, fencingToken, incarnation, sentAt });
-      const result = await this.call(minion, order, expiresAt, fencingToken);
+      const result = await this.call(
+        minion,
+        order,
+        expiresAt,
+        fencingToken,
+        sentAt,
+      );
       if (this.isKnown(result)) {
         this.options.unsettled.settle(order);
       }
@@ -59,6 +65,7 @@
     order: StartOrder,
     expiresAt: number,
     fencingToken: number,
+    sentAt: number,
   ): Promise<StartResult> {
     try {
       return await this.options.client.start(
@@ -70,6 +77,7 @@
     } catch (error) {
       const reason = reasonNotCarriedOut(error);
       if (reason === undefined) {
+        this.options.unsettled.recordUnanswered(sentAt);
         throw error;
       }
       return { kind: 'refused', reason };
--- a/packages/job-nodes/src/agent/unsettled-starts.ts
+++ b/packages/job-nodes/src/agent/unsettled-starts.ts
@@ -33,6 +33,13 @@
     return this.starts.size === 0;
   }
 
+  /** Whether a call under the present token may still be carried out, by any life. */
+  public hasPendingCalls(now: number): boolean {
+    const { longestCallDelayMilliseconds } = this.limits;
+    const isLate = now - this.unansweredAt <= longestCallDelayMilliseconds;
+    return isLate || !this.isEmpty;
+  }
+
   /** Records a start that is about to be sent. */
   public add(start: UnsettledStart): void {
     this.starts.set(keyOf(start.order), { ...start, refusedBy: undefined });
--- a/packages/job-nodes/tests/agent/lease-clock.test.ts
+++ b/packages/job-nodes/tests/agent/lease-clock.test.ts
@@ -31,3 +31,39 @@
   t.equal(lease.isExpired(1_000_000), false);
   t.end();
 });
+
+// Guards against runs that hold a lease which a call for the former life gave.
+t.test('a life that has just answered may hold the longest lease', t => {
+  const lease = new LeaseClock({ ...LIMITS, longestLeaseMilliseconds: 5000 });
+  lease.recordClock(0, 1000);
+  lease.expiryFor(2000, 1000);
+  lease.recordClock(500, 1500);
+  t.equal(lease.isExpired(6500), false);
+  t.equal(
+    lease.isExpired(6501),
+    true,
+    '5.1 s and 0.4 s after its first answer',
+  );
+  t.end();
+});
+
+t.test('the clock of an answer tells a life from the next one', t => {
+  const lease = new LeaseClock(LIMITS);
+  t.equal(lease.isSame(70_000, 1000), false, 'no clock has been read');
+  lease.recordClock(70_000, 1000);
+  t.equal(lease.isSame(70_300, 1290), true);
+  t.equal(lease.isSame(300, 1290), false);
+  lease.reset();
+  lease.recordClock(1500, 1000);
+  t.equal(lease.isSame(1600, 1100), false, 'too young to be told from another');
+  t.end();
+});
+
+// Guards against runs that are kept for ever, as their life fell silent at once.
+t.test('a life that got no lease of this agent is given up too', t => {
+  const lease = new LeaseClock(LIMITS);
+  lease.recordClock(0, 1000);
+  t.equal(lease.isExpired(2420), false);
+  t.equal(lease.isExpired(2421), true);
+  t.end();
+});
--- a/packages/job-nodes/tests/agent/start-queue.test.ts
+++ b/packages/job-nodes/tests/agent/start-queue.test.ts
@@ -32,11 +32,12 @@
 function createRunner(
   client: Partial<MinionClient>,
   expiry: () => number | undefined = () => 1000,
+  unsettled = new UnsettledStarts(MINION_LIMITS),
 ): OrderRunner {
   const runner = new OrderRunner({
     client: client as MinionClient,
     time: anchoredTime(),
-    unsettled: new UnsettledStarts(MINION_LIMITS),
+    unsettled,
     isSameClock: () => true,
     logger: quietLogger,
     expiry,
@@ -113,3 +114,28 @@
   t.ok(calls <= 6, `${calls} calls`);
   t.equal(runner.refusals().length, 50 - calls, 'the others never began');
 });
+
+// Guards against a run that a later start without an answer kept alive.
+t.test(
+  'a start without an answer may prolong what began before it',
+  async t => {
+    const unsettled = new UnsettledStarts(MINION_LIMITS);
+    const order = { task: 'j.0.0.9', run: 1 };
+    const before = performance.now() - 1000;
+    unsettled.add({ order, fencingToken: 7, incarnation: 'x', sentAt: before });
+    const runner = createRunner(
+      {
+        start: () =>
+          Promise.reject(new PeerUnreachableError('minion.start', 'm', 'none')),
+        stop: () => Promise.resolve(),
+      },
+      () => 1000,
+      unsettled,
+    );
+    runner.start(MINION, makeOrders(1));
+    await pause(20);
+    const longest = 1800 + 4000 * 1.02 + 400;
+    unsettled.expire(before + longest + 500);
+    t.ok(unsettled.tasks(undefined).includes(order.task));
+  },
+);
--- a/packages/job-nodes/tests/support/harness-agent.ts
+++ b/packages/job-nodes/tests/support/harness-agent.ts
@@ -2,6 +2,7 @@
 import { PassThrough } from 'node:stream';
 
 import type { AgentReport } from '@basilcourse/jobs/model/agent-report';
+import type { MinionDescription } from '@basilcourse/jobs/model/minion-description';
 
 import { AgentSession } from '../../src/leader/agent-session.js';
 import type { Leader } from '../../src/leader/leader.js';
@@ -34,19 +35,7 @@
   public report(fields: Partial<AgentReport>): void {
     this.leader.agentStreams.handleReport(this.session, {
       fencingToken: this.session.fencingToken,
-      minion: {
-        incarnation: `${this.session.agent}|minion|1`,
-        service: 'service',
-        zone: 'zone',
-        capacity: {
-          processorMillicores: 4000,
-          memoryMegabytes: 1000,
-          accelerators: 0,
-        },
-        labels: [],
-        draining: false,
-        remainingMilliseconds: 0,
-      },
+      minion: this.describe(`${this.session.agent}|minion|1`),
       running: [],
       ends: [],
       refusals: [],
@@ -55,6 +44,23 @@
     });
   }
 
+  /** Returns the description of an incarnation of the agent's minion. */
+  public describe(incarnation: string): MinionDescription {
+    return {
+      incarnation,
+      service: 'service',
+      zone: 'zone',
+      capacity: {
+        processorMillicores: 4000,
+        memoryMegabytes: 1000,
+        accelerators: 0,
+      },
+      labels: [],
+      draining: false,
+      remainingMilliseconds: 0,
+    };
+  }
+
   private createReader(): PassThrough {
     const reader = new PassThrough();
     reader.on('data', (chunk: Buffer) => {
--- a/packages/jobs/tests/reconcile/apply-report.test.ts
+++ b/packages/jobs/tests/reconcile/apply-report.test.ts
@@ -1,40 +1,18 @@
 import t from 'tap';
 
-import type { AgentReport } from '../../src/model/agent-report.js';
 import type { EndReason } from '../../src/model/end-reason.js';
-import type { RunEnd } from '../../src/model/run-end.js';
 import { CandidateMinion } from '../../src/plan/candidate-minion.js';
 import { applyReport } from '../../src/reconcile/apply-report.js';
 import { JobTable } from '../../src/state/job-table.js';
 import { addJob } from '../support/add-job.js';
 import { addMinion } from '../support/add-minion.js';
 import { firstTask } from '../support/first-task.js';
+import { makeEnd } from '../support/make-end.js';
+import { makeReport } from '../support/make-report.js';
+import { makeRunning } from '../support/make-running.js';
 import { makeStep } from '../support/make-step.js';
 import { startOn } from '../support/start-on.js';
 
-function makeReport(fields: Partial<AgentReport> = {}): AgentReport {
-  return {
-    fencingToken: 1,
-    minion: null,
-    running: [],
-    ends: [],
-    refusals: [],
-    gone: [],
-    ...fields,
-  };
-}
-
-function makeEnd(task: string, run: number, reason: EndReason): RunEnd {
-  return { number: 1, task, run, reason, checkpoint: 'kept' };
-}
-
-function makeRunning(
-  task: string,
-  run: number,
-): AgentReport['running'][number] {
-  return { task, run, checkpoint: '', percent: 5, gauge: 0 };
-}
-
 t.test('the end of a current run sets the phase of its task', t => {
   const cases: readonly [EndReason, string, number][] = [
     ['done', 'done', 0],
