--- a/packages/job-nodes/src/agent/polled-runs.ts
+++ b/packages/job-nodes/src/agent/polled-runs.ts
@@ -17,19 +17,36 @@
   public hasMoreEnds = false;
 
   /** The leader has stored ends up to this number. */
-  public endsThrough = 0;
+  private endsThrough = 0;
+
+  /** Lowest number of an end in the last lists; infinite if there was none. */
+  private lowestListed = Number.POSITIVE_INFINITY;
 
   /** Fencing token of the last poll; 0 before the first one. */
   public fencingToken = 0;
 
   private onEndsStored: () => void = () => undefined;
 
+  /**
+   * Ends up to this number can be dropped; 0 if the last lists had none of them.
+   * The next incarnation may take a poll, and has other ends under these numbers.
+   */
+  public get acknowledgedThrough(): number {
+    return this.lowestListed <= this.endsThrough ? this.endsThrough : 0;
+  }
+
+  /** Whether the present incarnation has not been polled. */
+  public get isEmpty(): boolean {
+    return this.fencingToken === 0;
+  }
+
   /** Applies the result of a poll. */
   public apply(
     { running, ends, hasMoreEnds }: PollResult,
     fencingToken: number,
   ): void {
     this.running = running;
+    this.lowestListed = Math.min(...ends.map(({ number }) => number));
     this.ends = ends.filter(({ number }) => number > this.endsThrough);
     this.hasMoreEnds = hasMoreEnds;
     this.fencingToken = fencingToken;
@@ -41,13 +58,6 @@
     return { running, ends, ...(hasMoreEnds ? { hasMoreEnds } : {}) };
   }
 
-  /** Returns `task/run` of each running task and of each end not stored yet. */
-  public listedRuns(): ReadonlySet<string> {
-    return new Set(
-      [...this.running, ...this.ends].map(({ task, run }) => `${task}/${run}`),
-    );
-  }
-
   /** Removes ends that the leader has stored. */
   public removeStoredEnds(endsThrough: number): void {
     this.endsThrough = Math.max(this.endsThrough, endsThrough);
@@ -77,6 +87,7 @@
     this.ends = [];
     this.hasMoreEnds = false;
     this.endsThrough = 0;
+    this.lowestListed = Number.POSITIVE_INFINITY;
     this.fencingToken = 0;
   }
 }
--- a/packages/job-nodes/tests/agent/start-queue.test.ts
+++ b/packages/job-nodes/tests/agent/start-queue.test.ts
@@ -5,9 +5,11 @@
 import type { MinionClient } from '../../src/agent/minion-client.js';
 import type { MinionIncarnation } from '../../src/agent/minion-incarnation.js';
 import { OrderRunner } from '../../src/agent/order-runner.js';
+import { UnsettledStarts } from '../../src/agent/unsettled-starts.js';
 import { anchoredTime } from '../../src/time/anchored-time.js';
 import { pause } from '../../src/time/pause.js';
 import { makeMinion } from '../support/make-minion.js';
+import { MINION_LIMITS } from '../support/minion-limits.js';
 import { quietLogger } from '../support/quiet-logger.js';
 
 const MINION = makeMinion('vm', 1, 1000);
@@ -30,10 +32,13 @@
 function createRunner(
   client: Partial<MinionClient>,
   expiry: () => number | undefined = () => 1000,
+  unsettled = new UnsettledStarts(MINION_LIMITS),
 ): OrderRunner {
   const runner = new OrderRunner({
     client: client as MinionClient,
     time: anchoredTime(),
+    unsettled,
+    isSameClock: () => true,
     logger: quietLogger,
     expiry,
     onRefusal: () => undefined,
@@ -109,3 +114,28 @@
   t.ok(calls <= 6, `${calls} calls`);
   t.equal(runner.refusals().length, 50 - calls, 'the others never began');
 });
+
+// Guards against a run that a later start without an answer kept alive.
+t.test(
+  'a start without an answer may prolong what began before it',
+  async t => {
+    const unsettled = new UnsettledStarts(MINION_LIMITS);
+    const order = { task: 'j.0.0.9', run: 1 };
+    const before = performance.now() - 1000;
+    unsettled.add({ order, fencingToken: 7, incarnation: 'x', sentAt: before });
+    const runner = createRunner(
+      {
+        start: () =>
+          Promise.reject(new PeerUnreachableError('minion.start', 'm', 'none')),
+        stop: () => Promise.resolve(),
+      },
+      () => 1000,
+      unsettled,
+    );
+    runner.start(MINION, makeOrders(1));
+    await pause(20);
+    const longest = 1800 + 4000 * 1.02 + 400;
+    unsettled.expire(before + longest + 500);
+    t.ok(unsettled.tasks(undefined).includes(order.task));
+  },
+);
