feat(job-nodes): the leader tells since when a ready task waits, and for what

The leader now writes 'A ready task waits.' for a step whose tasks have waited for 2 s, each 4 s, 8 lines a second at most, those told longest ago first: cause (room, store or agent, order in flight), counts of minions by what keeps the task off them, what it needs and the most that one minion has free. The planner and the line use the same tables of obstacles. Metric: longest_wait_seconds.

--- a/packages/job-nodes/src/entry/entry-process.ts
+++ b/packages/job-nodes/src/entry/entry-process.ts
@@ -19,6 +19,7 @@
   agents: 0,
   jobs: 0,
   waitingJobs: 0,
+  longestWaitMilliseconds: 0,
   pendingAppendMilliseconds: 0,
 };
 
--- a/packages/job-nodes/src/leader/leader.ts
+++ b/packages/job-nodes/src/leader/leader.ts
@@ -21,6 +21,7 @@
 import { loadTable } from './load-table.js';
 import { StartPlanner } from './start-planner.js';
 import { StoreWriter } from './store-writer.js';
+import { WaitReporter } from './wait-reporter.js';
 
 const TICK_INTERVAL_MILLISECONDS = 100;
 
@@ -42,6 +43,8 @@
 
   private readonly planner: StartPlanner;
 
+  private readonly waits: WaitReporter;
+
   private loaded = false;
 
   private closed = false;
@@ -69,6 +72,7 @@
       },
       onFenced: options.onFenced,
     });
+    this.waits = new WaitReporter(options.logger);
     const context = {
       options,
       state: this.state,
@@ -150,6 +154,7 @@
       agents: this.state.sessions.count,
       jobs: jobs.size,
       waitingJobs,
+      longestWaitMilliseconds: this.waits.longestMilliseconds,
       pendingAppendMilliseconds: this.writer.pendingMilliseconds(),
     };
   }
@@ -207,6 +212,7 @@
     this.moveThrottledTasks(now);
     this.stop(runsOfEndedJobs(table), 'the job is over');
     this.state.dropExpiredJobs(now);
+    this.waits.reportIfDue(this.state, now);
     this.planner.planSoon();
   }
 
--- a/packages/job-nodes/src/metrics/register-entry-gauges.ts
+++ b/packages/job-nodes/src/metrics/register-entry-gauges.ts
@@ -35,6 +35,12 @@
     help: 'Jobs of which no task has begun.',
     read: ({ waitingJobs }) => waitingJobs,
   },
+  {
+    name: 'longest_wait_seconds',
+    help: 'Time for which a ready task has waited; 0 up to 2 seconds.',
+    read: ({ longestWaitMilliseconds }) =>
+      longestWaitMilliseconds / MILLISECONDS_PER_SECOND,
+  },
   {
     name: 'store_answer_owed_seconds',
     help: 'Time for which the store has owed an answer to an append.',
--- a/packages/job-nodes/tests/metrics/register-entry-gauges.test.ts
+++ b/packages/job-nodes/tests/metrics/register-entry-gauges.test.ts
@@ -11,6 +11,7 @@
   agents: 3,
   jobs: 20,
   waitingJobs: 4,
+  longestWaitMilliseconds: 5000,
   pendingAppendMilliseconds: 250,
 };
 
@@ -27,6 +28,7 @@
     'basilcourse_agents_connected 3',
     'basilcourse_jobs_known 20',
     'basilcourse_jobs_waiting 4',
+    'basilcourse_longest_wait_seconds 5',
     'basilcourse_store_answer_owed_seconds 0.25',
   ]);
   const manual = readFileSync('docs/OPERATIONS.md', 'utf8');
--- a/packages/jobs/src/plan/minion-chooser.ts
+++ b/packages/jobs/src/plan/minion-chooser.ts
@@ -2,6 +2,8 @@
 import type { CandidateMinion } from './candidate-minion.js';
 import type { ChosenMinion } from './chosen-minion.js';
 import { countEndangeredBounds } from './count-endangered-bounds.js';
+import { findTaskObstacle } from './find-task-obstacle.js';
+import type { Obstacle } from './obstacle.js';
 import { scoreMinion } from './score-minion.js';
 import type { StepConditions } from './step-conditions.js';
 
@@ -65,19 +67,39 @@
     return best;
   }
 
+  /** Returns why a task cannot start on a minion; undefined if it can. */
+  public obstacleTo(
+    task: TaskEntry,
+    candidate: CandidateMinion,
+  ): Obstacle | undefined {
+    const { service, predictor } = this.conditions;
+    const obstacle = findTaskObstacle(task, service, candidate);
+    if (obstacle !== undefined) {
+      return obstacle;
+    }
+    const endangered = countEndangeredBounds(task, candidate, predictor);
+    return this.endangersTooMany(task, endangered)
+      ? 'endangered bounds'
+      : undefined;
+  }
+
+  private endangersTooMany(task: TaskEntry, endangered: number): boolean {
+    const { mayWait, maximumEndangeredBounds } = this.conditions;
+    const canWait = mayWait && task.specification.filling;
+    return canWait && endangered > maximumEndangeredBounds;
+  }
+
   /** Returns the candidate with its score; nothing if it is not suitable. */
   private rank(
     task: TaskEntry,
     candidate: CandidateMinion,
   ): readonly RankedMinion[] {
-    const { service, predictor, mayWait, maximumEndangeredBounds } =
-      this.conditions;
-    if (!fits(task, service, candidate)) {
+    const { service, predictor } = this.conditions;
+    if (findTaskObstacle(task, service, candidate) !== undefined) {
       return [];
     }
     const endangeredBounds = countEndangeredBounds(task, candidate, predictor);
-    const canWait = mayWait && task.specification.filling;
-    if (canWait && endangeredBounds > maximumEndangeredBounds) {
+    if (this.endangersTooMany(task, endangeredBounds)) {
       return [];
     }
     const score =
@@ -100,31 +122,3 @@
   });
   return best;
 }
-
-function fits(
-  task: TaskEntry,
-  service: string,
-  candidate: CandidateMinion,
-): boolean {
-  const { demand, specification } = task;
-  const { description } = candidate.minion;
-  const limit = specification.maximumPerMinion;
-  return (
-    description?.service === service &&
-    demand.processorMillicores <= candidate.processorMillicores &&
-    demand.memoryMegabytes <= candidate.memoryMegabytes &&
-    demand.accelerators <= candidate.accelerators &&
-    (specification.requiredLabel === '' ||
-      description.labels.includes(specification.requiredLabel)) &&
-    (limit === 0 || candidate.usage.countTasksOfStep(task) < limit) &&
-    (!specification.filling || hasIdleProcessorTime(task, candidate))
-  );
-}
-
-/** A batch task starts only where all the processor time it requests is idle. */
-function hasIdleProcessorTime(
-  task: TaskEntry,
-  candidate: CandidateMinion,
-): boolean {
-  return candidate.idleMillicores >= task.specification.processorMillicores;
-}
--- a/packages/jobs/src/plan/plan-starts.ts
+++ b/packages/jobs/src/plan/plan-starts.ts
@@ -2,7 +2,10 @@
 import type { JobTable } from '../state/job-table.js';
 import type { MinionEntry } from '../state/minion-entry.js';
 import type { TaskEntry } from '../state/task-entry.js';
+import { canWait } from './can-wait.js';
 import { CandidateMinion } from './candidate-minion.js';
+import { conditionsOfStep } from './conditions-of-step.js';
+import { findMinionObstacle } from './find-minion-obstacle.js';
 import type { InterferencePredictor } from './interference-predictor.js';
 import { MinionChooser } from './minion-chooser.js';
 import type { PlannedStart } from './planned-start.js';
@@ -10,15 +13,6 @@
 import type { Urgency } from './urgency.js';
 import { compareUrgency, urgencyOf } from './urgency.js';
 
-/** Maximum wait for less interference; users treat a task as lost after 3 s. */
-const MAXIMUM_WAIT_MILLISECONDS = 2500;
-
-/** Number of bounds that a batch task may endanger while it can still wait. */
-const MAXIMUM_ENDANGERED_BOUNDS_WHILE_WAITING = 0.8;
-
-/** Tasks of a job with less time left until its latest start do not wait. */
-const MINIMUM_SLACK_MILLISECONDS = 1000;
-
 /**
  * Plans a round of starts: the jobs in order of urgency, and as many tasks of
  * each as there is free capacity for. The members of a gang start together or
@@ -46,22 +40,6 @@
   return starts;
 }
 
-/**
- * A batch task may wait for a moment with less interference unless it has to
- * start now to be on time. Tasks of a late job may wait as well, since waiting
- * costs little once the job is late.
- */
-function canWait(
-  steps: WaitingJob['steps'],
-  { late, latestStart }: Urgency,
-  now: number,
-): boolean {
-  const isWaitingBriefly = (task: TaskEntry): boolean =>
-    now - task.waitingSince < MAXIMUM_WAIT_MILLISECONDS;
-  const hasTime = late || latestStart - now > MINIMUM_SLACK_MILLISECONDS;
-  return hasTime && steps.some(tasks => tasks.some(isWaitingBriefly));
-}
-
 interface WaitingJob {
   readonly job: JobEntry;
   readonly steps: readonly (readonly TaskEntry[])[];
@@ -83,13 +61,7 @@
 
 /** Whether tasks may be started on a minion now. */
 export function acceptsStarts(minion: MinionEntry, now: number): boolean {
-  return (
-    minion.connected &&
-    minion.description !== undefined &&
-    !minion.description.draining &&
-    minion.description.silent !== true &&
-    minion.backoffUntil <= now
-  );
+  return findMinionObstacle(minion, now) === undefined;
 }
 
 function planStep(
@@ -103,14 +75,10 @@
   const tentative = gang
     ? candidates.map(candidate => candidate.copy())
     : candidates;
-  const { service } = job.queue;
-  const chooser = new MinionChooser(tentative, {
-    service,
-    predictor,
-    mayWait,
-    taskCount: tasks.length,
-    maximumEndangeredBounds: MAXIMUM_ENDANGERED_BOUNDS_WHILE_WAITING,
-  });
+  const chooser = new MinionChooser(
+    tentative,
+    conditionsOfStep(job, tasks.length, predictor, mayWait),
+  );
   const starts: PlannedStart[] = [];
   for (const task of tasks) {
     const chosen = chooser.place(task, preferredRack(task, starts));
