fix(jobs): a ready task whose work stands still is not passed over for long

Cause: a batch task started only where all its processor time is idle by what others request; smaller ones took it as it became free. The same class: a plain task of a whole minion never starts beside a steady stream of small ones.

Change: of work that stands still, what has waited for 2 s (5 s while the service is full) starts beyond the idle time, one batch task an occurrence; and that which has waited longest gets one start of a service in eight ahead of urgency, with room reserved on one minion until it starts.

--- a/packages/job-nodes/src/leader/start-planner.ts
+++ b/packages/job-nodes/src/leader/start-planner.ts
@@ -1,3 +1,4 @@
+import { FirstCalls } from '@basilcourse/jobs/plan/first-calls';
 import { planStarts } from '@basilcourse/jobs/plan/plan-starts';
 import type { PlannedStart } from '@basilcourse/jobs/plan/planned-start';
 
@@ -17,6 +18,8 @@
   /** Starts that are stored but not sent yet. */
   private readonly unsentStarts: PlannedStart[] = [];
 
+  private readonly firstCalls = new FirstCalls();
+
   private timer: NodeJS.Timeout | undefined;
 
   private closed = false;
@@ -69,7 +72,10 @@
     if (!this.isStoreUnresponsive()) {
       const now = options.time.now();
       const predictor = state.interference.predictor(now);
-      this.assign(planStarts(state.table, predictor, now), now);
+      this.assign(
+        planStarts(state.table, predictor, now, this.firstCalls),
+        now,
+      );
     }
     writer.startStoring();
   }
--- a/packages/job-nodes/src/leader/wait-reporter.ts
+++ b/packages/job-nodes/src/leader/wait-reporter.ts
@@ -1,12 +1,17 @@
 import type { PartLogger } from '@basilcourse/foundation/logging/part-logger';
 import { canWait } from '@basilcourse/jobs/plan/can-wait';
+import { CandidateMinion } from '@basilcourse/jobs/plan/candidate-minion';
 import { conditionsOfStep } from '@basilcourse/jobs/plan/conditions-of-step';
 import type { WaitExplanation } from '@basilcourse/jobs/plan/explain-wait';
 import { explainWait } from '@basilcourse/jobs/plan/explain-wait';
 import { findLongWaits } from '@basilcourse/jobs/plan/find-long-waits';
+import { fullServices } from '@basilcourse/jobs/plan/full-services';
 import type { InterferencePredictor } from '@basilcourse/jobs/plan/interference-predictor';
 import type { LongWait } from '@basilcourse/jobs/plan/long-wait';
 import { MinionChooser } from '@basilcourse/jobs/plan/minion-chooser';
+import { patience } from '@basilcourse/jobs/plan/patience';
+import { acceptsStarts } from '@basilcourse/jobs/plan/plan-starts';
+import { standsStill } from '@basilcourse/jobs/plan/stands-still';
 import { startableSteps } from '@basilcourse/jobs/plan/startable-steps';
 import { urgencyOf } from '@basilcourse/jobs/plan/urgency';
 import type { JobTable } from '@basilcourse/jobs/state/job-table';
@@ -114,9 +119,25 @@
   predictor: InterferencePredictor,
   now: number,
 ): WaitExplanation {
-  const { job, count } = wait;
-  const steps = startableSteps(job, now);
+  const { job, task, count } = wait;
+  const mayOvercommit = isPassedOver(wait, table, now);
+  const steps = mayOvercommit ? [[task]] : startableSteps(job, now);
   const mayWait = canWait(steps, urgencyOf(job, now), now);
-  const conditions = conditionsOfStep(job, count, predictor, mayWait);
+  const mode = { mayWait, mayOvercommit };
+  const conditions = conditionsOfStep(job, count, predictor, mode);
   return explainWait(wait, table, new MinionChooser([], conditions), now);
 }
+
+function isPassedOver(
+  { job, task, since }: LongWait,
+  table: JobTable,
+  now: number,
+): boolean {
+  const candidates = [...table.minions.values()]
+    .filter(minion => acceptsStarts(minion, now))
+    .map(minion => new CandidateMinion(minion));
+  const isFull =
+    fullServices(candidates).has(job.queue.service) &&
+    !task.specification.longRunning;
+  return standsStill(table, task) && now - since >= patience(isFull);
+}
--- a/packages/jobs/src/plan/conditions-of-step.ts
+++ b/packages/jobs/src/plan/conditions-of-step.ts
@@ -10,13 +10,13 @@
   job: JobEntry,
   taskCount: number,
   predictor: InterferencePredictor,
-  mayWait: boolean,
+  mode: Pick<StepConditions, 'mayWait' | 'mayOvercommit'>,
 ): StepConditions {
   return {
     service: job.queue.service,
     taskCount,
     predictor,
-    mayWait,
+    ...mode,
     maximumEndangeredBounds: MAXIMUM_ENDANGERED_BOUNDS_WHILE_WAITING,
   };
 }
--- a/packages/jobs/src/plan/find-task-obstacle.ts
+++ b/packages/jobs/src/plan/find-task-obstacle.ts
@@ -1,17 +1,20 @@
 import type { TaskEntry } from '../state/task-entry.js';
 import type { CandidateMinion } from './candidate-minion.js';
 import type { Obstacle } from './obstacle.js';
+import type { StepConditions } from './step-conditions.js';
+
+type TaskConditions = Pick<StepConditions, 'service' | 'mayOvercommit'>;
 
 type TaskCheck = (
   task: TaskEntry,
   candidate: CandidateMinion,
-  service: string,
+  conditions: TaskConditions,
 ) => boolean;
 
 const CHECKS: readonly (readonly [Obstacle, TaskCheck])[] = [
   [
     'another service',
-    (_task, { minion }, service) => minion.description?.service !== service,
+    (_task, { minion }, { service }) => minion.description?.service !== service,
   ],
   [
     'no label',
@@ -47,20 +50,24 @@
   ],
   [
     'idle processor time',
-    ({ specification }, { idleMillicores }) =>
+    ({ specification }, { idleMillicores }, { mayOvercommit }) =>
       specification.filling &&
+      !mayOvercommit &&
       specification.processorMillicores > idleMillicores,
   ],
 ];
 
 /**
  * Returns why a minion that accepts starts has no room for a task; undefined if it
- * has. A batch task starts only where all the processor time it requests is idle.
+ * has. A batch task starts only where all the processor time it requests is idle,
+ * unless the conditions allow less.
  */
 export function findTaskObstacle(
   task: TaskEntry,
-  service: string,
+  conditions: TaskConditions,
   candidate: CandidateMinion,
 ): Obstacle | undefined {
-  return CHECKS.find(([, applies]) => applies(task, candidate, service))?.[0];
+  return CHECKS.find(([, applies]) =>
+    applies(task, candidate, conditions),
+  )?.[0];
 }
--- a/packages/jobs/src/plan/minion-chooser.ts
+++ b/packages/jobs/src/plan/minion-chooser.ts
@@ -72,8 +72,8 @@
     task: TaskEntry,
     candidate: CandidateMinion,
   ): Obstacle | undefined {
-    const { service, predictor } = this.conditions;
-    const obstacle = findTaskObstacle(task, service, candidate);
+    const { predictor } = this.conditions;
+    const obstacle = findTaskObstacle(task, this.conditions, candidate);
     if (obstacle !== undefined) {
       return obstacle;
     }
@@ -94,8 +94,8 @@
     task: TaskEntry,
     candidate: CandidateMinion,
   ): readonly RankedMinion[] {
-    const { service, predictor } = this.conditions;
-    if (findTaskObstacle(task, service, candidate) !== undefined) {
+    const { predictor } = this.conditions;
+    if (findTaskObstacle(task, this.conditions, candidate) !== undefined) {
       return [];
     }
     const endangeredBounds = countEndangeredBounds(task, candidate, predictor);
--- a/packages/jobs/src/plan/step-conditions.ts
+++ b/packages/jobs/src/plan/step-conditions.ts
@@ -8,6 +8,8 @@
   readonly predictor: InterferencePredictor;
   /** A batch task may wait for a moment with less interference. */
   readonly mayWait: boolean;
+  /** A batch task may start where its processor time is not idle. */
+  readonly mayOvercommit: boolean;
   /** Number of bounds that a batch task may endanger while it can wait. */
   readonly maximumEndangeredBounds: number;
 }
--- a/packages/jobs/src/reconcile/throttled-tasks-to-move.ts
+++ b/packages/jobs/src/reconcile/throttled-tasks-to-move.ts
@@ -48,6 +48,7 @@
       taskCount: tasks.length,
       predictor,
       mayWait: true,
+      mayOvercommit: false,
       maximumEndangeredBounds: MAXIMUM_ENDANGERED_BOUNDS,
     });
     for (const task of tasks) {
--- a/packages/jobs/tests/plan/explain-wait.test.ts
+++ b/packages/jobs/tests/plan/explain-wait.test.ts
@@ -27,7 +27,10 @@
     new LoadMonitor(),
     0,
   );
-  const conditions = conditionsOfStep(wait.job, 1, predictor, mayWait);
+  const conditions = conditionsOfStep(wait.job, 1, predictor, {
+    mayWait,
+    mayOvercommit: false,
+  });
   const chooser = new MinionChooser([], conditions);
   return Object.fromEntries(explainWait(wait, table, chooser, 3000).minions);
 }
