--- a/packages/job-nodes/src/leader/leader.ts
+++ b/packages/job-nodes/src/leader/leader.ts
@@ -1,6 +1,5 @@
 import { messageOf } from '@basilcourse/foundation/errors/message-of';
 import { addDueOccurrences } from '@basilcourse/jobs/plan/add-due-occurrences';
-import { expireMinions } from '@basilcourse/jobs/reconcile/expire-minions';
 import { findStuckRuns } from '@basilcourse/jobs/reconcile/find-stuck-runs';
 import { LeaseBounds } from '@basilcourse/jobs/reconcile/lease-bounds';
 import { runsOfEndedJobs } from '@basilcourse/jobs/reconcile/runs-of-ended-jobs';
@@ -20,9 +19,10 @@
 import type { LeaderStatistics } from './leader-statistics.js';
 import { loadEstimates } from './load-estimates.js';
 import { loadTable } from './load-table.js';
-import { nameTasks } from './name-tasks.js';
+import { releaseExpired } from './release-expired.js';
 import { StartPlanner } from './start-planner.js';
 import { StoreWriter } from './store-writer.js';
+import { WaitReporter } from './wait-reporter.js';
 
 const TICK_INTERVAL_MILLISECONDS = 100;
 
@@ -46,6 +46,8 @@
 
   private readonly planner: StartPlanner;
 
+  private readonly waits: WaitReporter;
+
   private loaded = false;
 
   private closed = false;
@@ -75,6 +77,7 @@
     });
     const { leaseMilliseconds, minionLimits } = options;
     this.bounds = new LeaseBounds(leaseMilliseconds, minionLimits);
+    this.waits = new WaitReporter(options.logger);
     const context = {
       options,
       state: this.state,
@@ -157,6 +160,7 @@
       agents: this.state.sessions.count,
       jobs: jobs.size,
       waitingJobs,
+      longestWaitMilliseconds: this.waits.longestMilliseconds,
       pendingAppendMilliseconds: this.writer.pendingMilliseconds(),
     };
   }
@@ -193,16 +197,7 @@
       Math.max(this.state.sessions.count, this.state.table.minions.size),
     );
     const { table } = this.state;
-    const { logger } = this.options;
-    for (const expired of expireMinions(table, this.bounds, now)) {
-      const { incarnation, releasedTasks, silentMilliseconds } = expired;
-      logger.warn('The lease of a silent minion is over.', {
-        incarnation,
-        freed: releasedTasks.length,
-        runs: nameTasks(releasedTasks),
-        silentMilliseconds: Math.round(silentMilliseconds),
-      });
-    }
+    releaseExpired(table, this.bounds, this.options.logger, now);
     this.state.sessions.closeUnresponsive(now);
     for (const job of table.jobs.values()) {
       table.dropDoneOccurrences(job);
@@ -213,6 +208,7 @@
     this.moveThrottledTasks(now);
     this.stop(runsOfEndedJobs(table), 'the job is over');
     this.state.dropExpiredJobs(now);
+    this.waits.reportIfDue(this.state, now);
     this.planner.planSoon();
   }
 
