fix(job-nodes, jobs): a start without an answer is not given away while it may be carried out late

Cause: a stop, or a token that a minion has seen, binds the life that answered. A start without an answer was revoked on one life and its task given away; the next life under the id took it late. One that some life has answered is settled by the lists under a later token. A long-running task is given away at once, as before: it has to run again within seconds, and ends no work twice. Also: without contact, runs that no report listed are kept for a lease longer, as the last call with a lease may leave that late.

--- a/packages/job-nodes/src/agent/order-runner.ts
+++ b/packages/job-nodes/src/agent/order-runner.ts
@@ -14,7 +14,7 @@
 const MAXIMUM_RETRY_DELAY_MILLISECONDS = 500;
 
 interface RevokedStart {
-  readonly order: StopOrder;
+  readonly order: StartOrder;
   readonly token: number;
   readonly revokedAt: number;
 }
@@ -62,7 +62,8 @@
   }
 
   /**
-   * Counts revoked starts as refused if a later poll does not list their runs.
+   * Counts revoked starts as refused once no incarnation can carry them out, if a
+   * later poll does not list their runs; those of long-running tasks at once.
    *
    * @param listed - `task/run` of each running task and ended run of a poll.
    * @param requestedAt - Time of the poll, in monotonic milliseconds.
@@ -72,9 +73,12 @@
     requestedAt: number,
   ): void {
     for (const [key, { order, token, revokedAt }] of this.revoked) {
-      if (revokedAt < requestedAt) {
+      const isListed = listed.has(key);
+      const isOver =
+        order.longRunning === true || !this.options.unsettled.has(order);
+      if (revokedAt < requestedAt && (isListed || isOver)) {
         this.revoked.delete(key);
-        if (!listed.has(key)) {
+        if (!isListed) {
           this.refuse(order, token, 'no answer, revoked');
         }
       }
--- a/packages/job-nodes/src/agent/start-sender.ts
+++ b/packages/job-nodes/src/agent/start-sender.ts
@@ -55,6 +55,8 @@
       );
       if (this.isKnown(result)) {
         this.options.unsettled.settle(order);
+      } else {
+        this.options.unsettled.recordAnswer(order);
       }
       return result;
     });
--- a/packages/job-nodes/src/agent/unsettled-starts.ts
+++ b/packages/job-nodes/src/agent/unsettled-starts.ts
@@ -6,6 +6,8 @@
 import type { UnsettledStart } from './unsettled-start.js';
 
 interface TrackedStart extends UnsettledStart {
+  /** Whether some incarnation has carried it out. */
+  readonly answered: boolean;
   /** Incarnation that refuses the start, as it has seen a later token. */
   readonly refusedBy: string | undefined;
 }
@@ -42,7 +44,11 @@
 
   /** Records a start that is about to be sent. */
   public add(start: UnsettledStart): void {
-    this.starts.set(keyOf(start.order), { ...start, refusedBy: undefined });
+    this.starts.set(keyOf(start.order), {
+      ...start,
+      answered: false,
+      refusedBy: undefined,
+    });
   }
 
   /** Records that a start was not carried out, or by the intended incarnation. */
@@ -50,6 +56,20 @@
     this.starts.delete(keyOf(order));
   }
 
+  /** Records that a start was carried out, by whichever incarnation. */
+  public recordAnswer(order: StopOrder): void {
+    const key = keyOf(order);
+    const start = this.starts.get(key);
+    if (start !== undefined) {
+      this.starts.set(key, { ...start, answered: true });
+    }
+  }
+
+  /** Whether a start is not settled. */
+  public has(order: StopOrder): boolean {
+    return this.starts.has(keyOf(order));
+  }
+
   /** Records that a call got no answer; it may prolong the lease of any incarnation. */
   public recordUnanswered(sentAt: number): void {
     this.unansweredAt = Math.max(this.unansweredAt, sentAt);
@@ -60,19 +80,28 @@
    * An incarnation refuses starts with a lower token than that of the poll.
    */
   public applyLists(polled: PolledLists): void {
-    const { longestCallDelayMilliseconds } = this.limits;
+    const { incarnation: refusedBy } = polled;
     for (const [key, start] of this.starts) {
-      const isTooLate =
-        start.sentAt + longestCallDelayMilliseconds < polled.requestedAt;
-      if (polled.listed.has(key) || (isTooLate && polled.complete)) {
+      const isRefused =
+        polled.complete && start.fencingToken < polled.fencingToken;
+      if (polled.listed.has(key) || this.isOver(start, isRefused, polled)) {
         this.starts.delete(key);
-      } else if (start.fencingToken < polled.fencingToken && polled.complete) {
-        const refusedBy = polled.incarnation;
+      } else if (isRefused) {
         this.starts.set(key, { ...start, refusedBy });
       }
     }
   }
 
+  /** Whether a start that is not listed was carried out earlier, or never will be. */
+  private isOver(
+    { answered, sentAt }: TrackedStart,
+    isRefused: boolean,
+    { complete, requestedAt }: PolledLists,
+  ): boolean {
+    const latestAt = sentAt + this.limits.longestCallDelayMilliseconds;
+    return (answered && isRefused) || (complete && latestAt < requestedAt);
+  }
+
   /**
    * Removes starts whose runs have ended by now, wherever they began, and returns
    * whether there were any.
@@ -91,15 +120,16 @@
 
   /**
    * Returns the tasks with a start that another incarnation than the present one
-   * may have carried out, or may carry out.
+   * may have carried out, or may carry out. A long-running task that the present
+   * one does not run is left out: it is to run again soon, though a late start may
+   * then run beside it on a later incarnation.
    */
   public tasks(present: string | undefined): readonly string[] {
     const tasks = [...this.starts.values()]
-      .filter(
-        ({ incarnation, refusedBy }) =>
-          present === undefined ||
-          (incarnation !== present && refusedBy !== present),
-      )
+      .filter(({ order, incarnation, refusedBy }) => {
+        const isKept = incarnation !== present && refusedBy !== present;
+        return isKept || present === undefined || order.longRunning !== true;
+      })
       .map(({ order }) => order.task);
     return [...new Set(tasks)];
   }
--- a/packages/job-nodes/src/leader/send-starts.ts
+++ b/packages/job-nodes/src/leader/send-starts.ts
@@ -18,7 +18,8 @@
 
 /**
  * Sends the orders for starts that are stored. A start whose job has since
- * ended is reverted, also one whose task has another run that a minion lists. A start whose agent has since opened another stream is not
+ * ended is reverted, also one whose task has another run that is or
+ * may be on a minion. A start whose agent has since opened another stream is not
  * sent; the agent's next report releases its task.
  *
  * @param onRoom - Called when an agent can be sent more of its starts.
@@ -131,6 +132,7 @@
     payload,
     checkpoint: task.checkpoint,
     traits: traitsOf(task.specification),
+    ...(task.specification.longRunning ? { longRunning: true } : {}),
   };
 }
 
--- a/packages/jobs/src/model/agent-report.ts
+++ b/packages/jobs/src/model/agent-report.ts
@@ -20,8 +20,8 @@
   /** Incarnations whose processes and runs have ended. */
   readonly gone: readonly string[];
   /**
-   * Tasks with a start that no list has shown, and that an incarnation which the
-   * agent has not met may have carried out, or may carry out; absent if none.
+   * Tasks with a start that no list has shown, and that any incarnation on the VM
+   * may have carried out, or may carry out late; absent if none.
    */
   readonly unsettled?: readonly string[];
 }
--- a/packages/jobs/src/model/start-order.ts
+++ b/packages/jobs/src/model/start-order.ts
@@ -7,4 +7,6 @@
   readonly payload: string;
   readonly checkpoint: string;
   readonly traits: TaskTraits;
+  /** Whether the task runs until its job is cancelled; absent if it ends. */
+  readonly longRunning?: boolean;
 }
--- a/packages/jobs/src/reconcile/apply-report.ts
+++ b/packages/jobs/src/reconcile/apply-report.ts
@@ -211,9 +211,11 @@
   const listed = new Set(
     report.running.map(({ task, run }) => `${task}/${run}`),
   );
+  const unsettled = new Set(report.unsettled);
   const neverBegan: string[] = [];
   for (const [key, { task, run }] of minion.runs) {
-    if (listed.has(key) || mayStillBegin(task, run, report)) {
+    const isUnsettled = unsettled.has(task.name);
+    if (listed.has(key) || isUnsettled || mayStillBegin(task, run, report)) {
       continue;
     }
     minion.removeRun(task.name, run);
--- a/packages/jobs/src/reconcile/lease-bounds.ts
+++ b/packages/jobs/src/reconcile/lease-bounds.ts
@@ -1,5 +1,4 @@
 import type { MinionLimits } from '../model/minion-limits.js';
-import { START_VALIDITY_MILLISECONDS } from '../model/start-validity.js';
 
 /** The clock of a minion may be slower than the leader's by this factor. */
 const CLOCK_DRIFT_FACTOR = 1.02;
@@ -19,8 +18,9 @@
   public readonly inheritedMilliseconds: number;
 
   /**
-   * After the last contact: runs that no report has listed. Their orders may be
-   * carried out late, by an incarnation that nobody has met.
+   * After the last contact: runs that no report has listed. Their orders, and the
+   * last calls that prolong their lease, may be carried out late, by an incarnation
+   * that nobody has met.
    */
   public readonly unlistedMilliseconds: number;
 
@@ -31,7 +31,7 @@
     this.grantedMilliseconds = onSlowClock(leaseMilliseconds);
     this.inheritedMilliseconds = onSlowClock(limits.longestLeaseMilliseconds);
     this.unlistedMilliseconds =
-      START_VALIDITY_MILLISECONDS +
+      leaseMilliseconds +
       limits.longestCallDelayMilliseconds +
       this.inheritedMilliseconds;
   }
