fix(jobs): a step that fits nowhere holds back no other of its occurrence

Cause: of an occurrence that stands still only the task that has waited longest counted as passed over. While that one found no room, a batch task of another ready step went on waiting for idle time.

Change: each step of the occurrence has its task; the first start ends the standstill.

--- a/packages/jobs/src/plan/find-passed-over.ts
+++ b/packages/jobs/src/plan/find-passed-over.ts
@@ -8,8 +8,8 @@
 
 /**
  * Returns the tasks that were passed over for long while their work stands still,
- * those that have waited longest first: each long-running task, and otherwise the
- * task or gang of an occurrence that has waited longest.
+ * those that have waited longest first: each long-running task, each gang, and of each
+ * other step the task that has waited longest.
  *
  * @param full - Services of which little capacity is left.
  */
@@ -33,39 +33,24 @@
     .sort((first, second) => first.since - second.since);
 }
 
-/** Returns what starts at once, of the ready tasks of a job. */
+/** Returns what may start first, of the ready tasks of each step. */
 function unitsOf(
   job: JobEntry,
   steps: readonly (readonly TaskEntry[])[],
 ): readonly (readonly TaskEntry[])[] {
-  const units: (readonly TaskEntry[])[] = [];
-  const longest = new Map<number, readonly TaskEntry[]>();
-  for (const tasks of steps) {
-    const [first] = tasks;
-    if (
-      first?.specification.longRunning === true &&
-      !first.specification.gang
-    ) {
-      units.push(...tasks.map(task => [task]));
-    } else if (first !== undefined && mayStartNow(job, tasks, first)) {
-      const unit = first.specification.gang ? tasks : [longestWaiting(tasks)];
-      const other = longest.get(first.occurrence);
-      if (other === undefined || sinceOf(unit) < sinceOf(other)) {
-        longest.set(first.occurrence, unit);
-      }
+  return steps.flatMap(tasks => {
+    const { gang = false, longRunning = false } = tasks[0]?.specification ?? {};
+    if (gang) {
+      return isWhole(job, tasks) ? [tasks] : [];
     }
-  }
-  return [...units, ...longest.values()];
+    return longRunning ? tasks.map(task => [task]) : [[longestWaiting(tasks)]];
+  });
 }
 
-/** Whether the ready tasks of a step may start; those of a gang once all are ready. */
-function mayStartNow(
-  job: JobEntry,
-  tasks: readonly TaskEntry[],
-  { specification, occurrence, step }: TaskEntry,
-): boolean {
-  const size = job.occurrences.get(occurrence)?.[step]?.length;
-  return !specification.gang || tasks.length === size;
+/** Whether all members of a gang are among the ready tasks of its step. */
+function isWhole(job: JobEntry, tasks: readonly TaskEntry[]): boolean {
+  const { occurrence = 0, step = 0 } = tasks[0] ?? {};
+  return tasks.length === job.occurrences.get(occurrence)?.[step]?.length;
 }
 
 function longestWaiting(tasks: readonly TaskEntry[]): TaskEntry {
--- a/packages/jobs/tests/plan/passed-over-bound.test.ts
+++ b/packages/jobs/tests/plan/passed-over-bound.test.ts
@@ -20,6 +20,8 @@
     stepCount: fc.integer({ min: 1, max: 3 }),
     filling: fc.boolean(),
     gang: fc.constantFrom(false, false, false, true),
+    parallel: fc.boolean(),
+    growth: fc.constantFrom(1, 1, 3),
   }),
   { minLength: 1, maxLength: 60 },
 );
@@ -53,12 +55,12 @@
           workMilliseconds: drawn.workMilliseconds,
           steps: Array.from({ length: stepCount }, (_, step) =>
             makeStep({
-              after: step === 0 ? [] : [step - 1],
+              after: step === 0 || drawn.parallel ? [] : [step - 1],
               taskCount: drawn.gang ? 2 : drawn.taskCount,
               gang: drawn.gang,
               filling: drawn.filling,
               processorMillicores: drawn.millicores,
-              memoryMegabytes: drawn.megabytes,
+              memoryMegabytes: drawn.megabytes * drawn.growth ** (2 - step),
               estimatedMilliseconds: drawn.workMilliseconds,
             }),
           ),
--- a/packages/jobs/tests/plan/passed-over.test.ts
+++ b/packages/jobs/tests/plan/passed-over.test.ts
@@ -59,6 +59,19 @@
   t.end();
 });
 
+t.test('a step that fits nowhere holds back no other of its job', t => {
+  const { table } = tableOfBusyMinions();
+  const fields = { ...BATCH, processorMillicores: 2000 };
+  addJob(table, 'j', [
+    makeStep({ ...fields, memoryMegabytes: 951 }),
+    makeStep(fields),
+    makeStep(fields),
+  ]);
+  plan(table, 1);
+  t.same(plan(table, 2001), ['j.0.1.0 on b'], 'a is reserved');
+  t.end();
+});
+
 t.test('each long-running batch task starts after 2 s', t => {
   const { table } = tableOfBusyMinions();
   const fields = { processorMillicores: 2000, longRunning: true, taskCount: 2 };
