feat(soak): minions that are back under their old ids, and orders that come late

Change: a path can hold bytes, and pass them on later, or drop them both ways without a reset. A minion can start again with its connections open; calls to its former life get no answer, and those on their way reach the next one.

--- a/packages/platform-stand-in/src/minion/minion-server.ts
+++ b/packages/platform-stand-in/src/minion/minion-server.ts
@@ -6,6 +6,7 @@
 
 import { readBody } from '../http/read-body.js';
 import { pause } from '../time/pause.js';
+import { LateCalls } from './late-calls.js';
 import type { MinionEvent } from './minion-event.js';
 import { MinionLife } from './minion-life.js';
 
@@ -40,6 +41,8 @@
   /** Whether orders get no answer; they are carried out. */
   public losesAnswers = false;
 
+  public readonly lateCalls = new LateCalls();
+
   /** Whether it tells its agent of itself. */
   public sendsHeartbeats = true;
 
@@ -76,11 +79,16 @@
 
   /** Loses all that runs, and begins a new life. */
   public restart(identifier: string): void {
-    this.life.crash();
     this.server.closeAllConnections();
-    this.bornAt = performance.now();
-    this.heartbeatCount = 0;
-    this.life = this.createLife(identifier);
+    this.beginLife(identifier);
+  }
+
+  /**
+   * Begins a new life under the same identifier. Connections stay open, and the
+   * next life gets the calls on them; calls to the former life get no answer.
+   */
+  public restartUnnoticed(): void {
+    this.beginLife(this.life.identifier);
   }
 
   /** Sends one heartbeat with some fields replaced, as another writer may. */
@@ -139,6 +147,13 @@
     }
   }
 
+  private beginLife(identifier: string): void {
+    this.life.crash();
+    this.bornAt = performance.now();
+    this.heartbeatCount = 0;
+    this.life = this.createLife(identifier);
+  }
+
   private createLife(identifier: string): MinionLife {
     const { name, onEvent } = this.options;
     return new MinionLife(name, identifier, Date.now(), onEvent);
@@ -153,25 +168,32 @@
     response: ServerResponse,
   ): Promise<void> {
     const received = await readBody(request);
-    const { life } = this;
-    const expected = request.headers['basilcourse-expected-instance'];
     const text = received.toString('utf8');
     const body = JSON.parse(text) as Readonly<Record<string, unknown>>;
-    let answer: Answer;
-    if (expected !== undefined && expected !== life.identifier) {
-      answer = [421, {}];
-    } else if (!life.acceptsToken(Number(body['fencing_token'] ?? 0))) {
-      answer = [409, { reason: 'fence' }];
-    } else {
-      answer = await this.carryOut(life, request.url ?? '', body);
-    }
-    if (this.losesAnswers && request.url !== '/-/hold') {
+    const lateness = this.lateCalls.nextDelay();
+    await pause(lateness);
+    const { life } = this;
+    const [status, fields] = await this.answerTo(life, request, body);
+    const isLost = this.losesAnswers && request.url !== '/-/hold';
+    if (lateness > 0 || isLost || life !== this.life) {
       return;
     }
-    const [status, fields] = answer;
     response.writeHead(status, { 'content-type': 'application/json' });
-    const times = { clock_ms: this.clock(), born: life.born };
-    response.end(JSON.stringify({ ...times, ...fields }));
+    response.end(JSON.stringify({ clock_ms: this.clock(), ...fields }));
+  }
+
+  private async answerTo(
+    life: MinionLife,
+    { headers, url }: IncomingMessage,
+    body: Readonly<Record<string, unknown>>,
+  ): Promise<Answer> {
+    const expected = headers['basilcourse-expected-instance'];
+    if (expected !== undefined && expected !== life.identifier) {
+      return [421, {}];
+    }
+    return life.acceptsToken(Number(body['fencing_token'] ?? 0))
+      ? this.carryOut(life, url ?? '', body)
+      : [409, { reason: 'fence' }];
   }
 
   private async carryOut(
@@ -214,6 +236,7 @@
     while (life.endsListed === 0 && performance.now() < until) {
       await pause(TICK_MILLISECONDS);
     }
-    return life.lists(this.clock());
+    // Only lists and heartbeats tell when the life began.
+    return { born: life.born, ...life.lists(this.clock()) };
   }
 }
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -12,6 +12,7 @@
     seconds: { type: 'string', default: '40' },
     entries: { type: 'string', default: '3' },
     agents: { type: 'string', default: '5' },
+    troubles: { type: 'string', default: '' },
     directory: { type: 'string' },
   },
 });
@@ -23,6 +24,7 @@
   seconds: Number(values.seconds),
   entries: Number(values.entries),
   agents: Number(values.agents),
+  troubles: values.troubles,
   directory,
 });
 const { jobs, starts, troubles, refusedAppends, breaches } = result;
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -119,7 +119,7 @@
 }
 
 async function causeTroubles(
-  { seed, agents, entries }: SoakOptions,
+  { seed, agents, entries, troubles = '' }: SoakOptions,
   deployment: SoakDeployment,
   record: (event: SoakEvent) => void,
   until: number,
@@ -127,8 +127,9 @@
   const random = seededRandom(seed + 1);
   const busy = new Set<string>();
   const pending: Promise<void>[] = [];
+  const names = Object.keys(TROUBLES).filter(name => name.includes(troubles));
   while (performance.now() < until) {
-    const name = pickOne(Object.keys(TROUBLES), random) ?? '';
+    const name = pickOne(names, random) ?? '';
     const trouble = TROUBLES[name];
     const milliseconds = Math.round(
       random.next() * MAXIMUM_TROUBLE_MILLISECONDS,
--- a/packages/soak/src/soak-options.ts
+++ b/packages/soak/src/soak-options.ts
@@ -6,6 +6,8 @@
   readonly seconds: number;
   readonly entries: number;
   readonly agents: number;
+  /** Troubles are those whose names contain this; all if it is empty. */
+  readonly troubles?: string;
   /** Directory for settings, logs, the trace and the report. */
   readonly directory: string;
 }
--- a/packages/soak/src/tcp-proxy.ts
+++ b/packages/soak/src/tcp-proxy.ts
@@ -6,7 +6,13 @@
 
 /** What a proxy does with the bytes that it gets. */
 export type ProxyMode =
-  'forwards' | 'delays' | 'drops-requests' | 'drops-answers' | 'resets';
+  | 'forwards'
+  | 'delays'
+  | 'drops-requests'
+  | 'drops-answers'
+  | 'drops-all'
+  | 'holds'
+  | 'resets';
 
 const DELAY_MILLISECONDS = 300;
 
@@ -18,6 +24,9 @@
 
   private readonly sockets = new Set<Socket>();
 
+  /** What waits until bytes are not held any more, in order. */
+  private held: (() => void)[] = [];
+
   private readonly server: Server;
 
   public constructor(targetAddress: string) {
@@ -32,13 +41,21 @@
     return listenOn(this.server, address);
   }
 
-  /** Changes what is done; `resets` also closes the open connections. */
+  /**
+   * Changes what is done; `resets` also closes the open connections. Bytes that
+   * were held are passed on, unless the connections are reset.
+   */
   public set mode(mode: ProxyMode) {
     this.currentMode = mode;
     if (mode === 'resets') {
+      this.held = [];
       for (const socket of this.sockets) {
         socket.resetAndDestroy();
       }
+    } else if (mode !== 'holds') {
+      for (const passOn of this.held.splice(0)) {
+        passOn();
+      }
     }
   }
 
@@ -63,7 +80,13 @@
   private join(from: Socket, to: Socket, dropMode: ProxyMode): void {
     this.sockets.add(from);
     from.on('data', (chunk: Buffer) => {
-      if (this.currentMode === dropMode) {
+      if (this.currentMode === dropMode || this.currentMode === 'drops-all') {
+        return;
+      }
+      if (this.currentMode === 'holds') {
+        this.held.push(() => {
+          to.write(chunk);
+        });
         return;
       }
       const delay = this.currentMode === 'delays' ? DELAY_MILLISECONDS : 0;
@@ -72,11 +95,22 @@
       }, delay);
     });
     from.on('error', () => {
-      to.destroy(); // The other side of a connection that was reset.
+      this.passCloseOn(to); // A connection that was reset.
     });
     from.on('close', () => {
       this.sockets.delete(from);
-      to.destroy();
+      this.passCloseOn(to);
     });
   }
+
+  /** Closes the other side, after the bytes that are held for it. */
+  private passCloseOn(to: Socket): void {
+    if (this.currentMode === 'holds') {
+      this.held.push(() => {
+        to.end();
+      });
+    } else if (this.currentMode !== 'drops-all') {
+      to.destroy();
+    }
+  }
 }
--- a/packages/soak/src/troubles.ts
+++ b/packages/soak/src/troubles.ts
@@ -1,8 +1,10 @@
 import type { StoreTrouble } from '@basilcourse/platform-stand-in/metadata-store/metadata-store-server';
 import { pause } from '@basilcourse/platform-stand-in/time/pause';
 
+import { disturbPath } from './disturb-path.js';
+import { REBORN_TROUBLES } from './reborn-troubles.js';
 import type { SoakDeployment } from './soak-deployment.js';
-import type { ProxyMode, TcpProxy } from './tcp-proxy.js';
+import type { ProxyMode } from './tcp-proxy.js';
 import type { Trouble } from './trouble.js';
 
 type SignalTarget = Extract<Trouble['target'], 'leader' | 'entry' | 'agent'>;
@@ -28,25 +30,11 @@
   };
 }
 
-async function disturb(
-  path: TcpProxy | undefined,
-  mode: ProxyMode,
-  milliseconds: number,
-): Promise<void> {
-  if (path !== undefined) {
-    path.mode = mode;
-    await pause(milliseconds);
-    // A connection that lost bytes does not work again.
-    path.mode = 'resets';
-    path.mode = 'forwards';
-  }
-}
-
 function storePath(target: 'entry' | 'agent', mode: ProxyMode): Trouble {
   return {
     target,
     cause: ({ storePaths }, number, milliseconds) =>
-      disturb(storePaths.get(`${target}-${number}`), mode, milliseconds),
+      disturbPath(storePaths.get(`${target}-${number}`), mode, milliseconds),
   };
 }
 
@@ -54,7 +42,7 @@
   return {
     target: 'minion',
     cause: ({ minionPaths }, number, milliseconds) =>
-      disturb(minionPaths[number], mode, milliseconds),
+      disturbPath(minionPaths[number], mode, milliseconds),
   };
 }
 
@@ -146,6 +134,7 @@
       return restart(deployment, number, milliseconds / 2, identifier);
     },
   },
+  ...REBORN_TROUBLES,
   'minion-answers-lost': {
     target: 'minion',
     cause: async ({ minions }, number, milliseconds) => {
--- a/packages/soak/tests/tcp-proxy.test.ts
+++ b/packages/soak/tests/tcp-proxy.test.ts
@@ -2,6 +2,7 @@
 
 import { callHttp } from '@basilcourse/foundation/http/call-http';
 import { listenOn } from '@basilcourse/foundation/net/listen-on';
+import { pause } from '@basilcourse/platform-stand-in/time/pause';
 import t from 'tap';
 
 import type { ProxyMode } from '../src/tcp-proxy.js';
@@ -34,6 +35,7 @@
     ['forwards', 'answered', 1],
     ['drops-requests', 'not answered', 1],
     ['drops-answers', 'not answered', 2],
+    ['drops-all', 'not answered', 2],
     ['resets', 'not answered', 2],
     ['forwards', 'answered', 3],
   ];
@@ -43,6 +45,12 @@
     t.equal(await call(), expected, mode);
     t.equal(received, count, mode);
   }
+  proxy.mode = 'holds';
+  t.equal(await call(), 'not answered', 'holds');
+  t.equal(received, 3, 'nothing is passed on');
+  proxy.mode = 'forwards';
+  await pause(100);
+  t.equal(received, 4, 'what was held arrives, though its caller has gone');
   proxy.mode = 'delays';
   const startedAt = performance.now();
   await call();
