fix(soak): an end counts as taken note of by the rule's own terms

Cause: the checker of the soak held a success as acknowledged whatever had become of the minion's lease, and saw no start between a success and its acknowledgement. The rule counts an end that acked_through reaches then or later, unless the lease of its minion was over between the two.

Change: a life tells such an acknowledgement apart (forgotten), and SuccessWatch also finds starts that come before the acknowledgement. Narrower by the first, stricter by the second.

--- a/packages/platform-stand-in/src/minion/minion-life.ts
+++ b/packages/platform-stand-in/src/minion/minion-life.ts
@@ -48,6 +48,9 @@
 
   private leaseUntil = 0;
 
+  /** Ends up to this number were listed as the lease expired last. */
+  private lapsedThrough = 0;
+
   private token = 0;
 
   public constructor(
@@ -121,7 +124,9 @@
   public acknowledge(endsThrough: number): void {
     for (const { number, task, run, reason } of this.ends) {
       if (number <= endsThrough) {
-        this.report('acknowledged', task, run, reason);
+        const kind =
+          number <= this.lapsedThrough ? 'forgotten' : 'acknowledged';
+        this.report(kind, task, run, reason);
       }
     }
     this.ends = this.ends.filter(({ number }) => number > endsThrough);
@@ -154,13 +159,17 @@
 
   /** Ends runs whose work is done, and all once the lease is over. */
   public advance(now: number): void {
+    const isLapsed = now > this.leaseUntil;
     for (const run of [...this.runs.values()]) {
-      if (now > this.leaseUntil) {
+      if (isLapsed) {
         this.end(run, 'lapsed', now);
       } else if (progressOf(run, now) >= workOf(run)) {
         this.end(run, 'done', now);
       }
     }
+    if (isLapsed) {
+      this.lapsedThrough = this.endCount;
+    }
   }
 
   /** Ends the life: what runs is lost, and nobody is told. */
--- a/packages/platform-stand-in/tests/minion-life.test.ts
+++ b/packages/platform-stand-in/tests/minion-life.test.ts
@@ -56,6 +56,24 @@
   t.end();
 });
 
+t.test('an end is not taken note of once the lease was over', t => {
+  const { life, events } = startLife();
+  life.start(ORDER, 5000, 0);
+  life.start({ ...ORDER, task: 'k.0.0.0', payload: 'lasting' }, 5000, 0);
+  life.advance(500);
+  life.advance(5001);
+  life.extendLease(9000, 5100);
+  life.start({ ...ORDER, task: 'l.0.0.0' }, 9000, 5100);
+  life.advance(5600);
+  life.acknowledge(3);
+  t.same(events.slice(-3), [
+    'forgotten j.0.0.0/2 done',
+    'forgotten k.0.0.0/2 lapsed',
+    'acknowledged l.0.0.0/2 done',
+  ]);
+  t.end();
+});
+
 t.test('tokens never fall, and checkpoints are resumed from', t => {
   const { life } = startLife();
   t.ok(life.acceptsToken(7));
--- a/packages/soak/src/lane-report.ts
+++ b/packages/soak/src/lane-report.ts
@@ -68,7 +68,7 @@
       const key = `${task}/${run}`;
       if (kind === 'started') {
         startedAt.set(key, at);
-      } else if (kind !== 'acknowledged') {
+      } else if (kind === 'ended' || kind === 'lost') {
         const from = startedAt.get(key) ?? at;
         const text = `${key} ${reason}`;
         marks.push({
--- a/packages/soak/src/promise-checker.ts
+++ b/packages/soak/src/promise-checker.ts
@@ -3,6 +3,7 @@
 import type { MinionEvent } from '@basilcourse/platform-stand-in/minion/minion-event';
 
 import type { SoakEvent } from './soak-event.js';
+import { SuccessWatch } from './success-watch.js';
 
 /** Room of each minion. */
 interface Room {
@@ -21,7 +22,7 @@
 /**
  * Checks what must hold, whatever is done to the system, from what callers and
  * minions see: no two runs of a task at once, none after a success that was
- * acknowledged, none beyond a minion's room, none out of order, none of a job that
+ * acknowledged then or later, none beyond a minion's room, none out of order, none of a job that
  * was refused; and at the end no accepted job that is lost.
  */
 export class PromiseChecker {
@@ -35,7 +36,7 @@
   /** Open runs by task, each with its minion. */
   private readonly open = new Map<string, Map<number, string>>();
 
-  private readonly successes = new Set<string>();
+  private readonly successes = new SuccessWatch();
 
   private readonly cancelled = new Set<string>();
 
@@ -51,11 +52,12 @@
     lost: event => {
       this.recordEnd(event);
     },
-    acknowledged: ({ task, reason }) => {
+    acknowledged: ({ task, run, reason }) => {
       if (reason === 'done') {
-        this.successes.add(task);
+        this.breaches.push(...this.successes.acknowledge(task, run));
       }
     },
+    forgotten: () => undefined,
   };
 
   /**
@@ -158,9 +160,7 @@
     for (const [other, place] of runs) {
       this.breaches.push(`${text} began while run ${other} is on ${place}`);
     }
-    if (this.successes.has(task)) {
-      this.breaches.push(`${text} began after a success was acknowledged`);
-    }
+    this.breaches.push(...this.successes.recordStart(task, text));
     runs.set(run, minion);
     this.open.set(task, runs);
     const [identifier = '', occurrence = '', step = ''] = task.split('.');
@@ -219,6 +219,7 @@
     if (reason === 'done') {
       const [identifier = '', ...place] = task.split('.');
       this.jobs.get(identifier)?.done.add(place.join('.'));
+      this.successes.recordSuccess(task, run);
     }
   }
 
