feat(scripts): reborn-under-old-id also finds successes that are taken note of for another life

Cause: a hold that is meant for the former life carries acked_through; the next life takes it and forgets as many of its own ends, which nobody has read.

Change: a job of 40 short tasks ends first; a success counts if acknowledged then or later without the lease being over in between; one more case, polls-before-heartbeats.

Conclusion: an end number stands for a life, too, and must not be acknowledged to another.

--- a/scripts/reproduce/pathed-deployment.mjs
+++ b/scripts/reproduce/pathed-deployment.mjs
@@ -20,6 +20,16 @@
     response.end(text);
   }
 
+  /** Reports when the lease is over, which also ends what is to be noted. */
+  tick() {
+    const isOver = this.clock() > this.leaseUntil;
+    if (isOver && !this.leaseIsOver) {
+      this.report('lease-over', '', 0, {});
+    }
+    this.leaseIsOver = isOver;
+    super.tick();
+  }
+
   stopHeartbeats() {
     clearInterval(this.beats);
   }
--- a/scripts/reproduce/reborn-under-old-id.mjs
+++ b/scripts/reproduce/reborn-under-old-id.mjs
@@ -37,9 +37,17 @@
   steps: [{ ...STEP, estimated_ms: 20_000 }],
 };
 
+const SHORT_WORK_MILLISECONDS = 3000;
+
 const SHORT_JOB = {
-  specification: 'work_ms=3000',
-  steps: [{ ...STEP, estimated_ms: 3000 }],
+  specification: `work_ms=${SHORT_WORK_MILLISECONDS}`,
+  steps: [{ ...STEP, estimated_ms: SHORT_WORK_MILLISECONDS }],
+};
+
+/** Its ends are acknowledged before anything is disturbed. */
+const EARLIER_JOB = {
+  specification: 'work_ms=300',
+  steps: [{ ...STEP, count: 40, cpu: 100, estimated_ms: 300 }],
 };
 
 const isStart = ({ url }) => url === '/-/run-start';
@@ -207,6 +215,16 @@
     await pause(300);
     await cut(SHORT_CUT_MILLISECONDS);
   },
+  /** Polls for the former lives reach the next ones before a heartbeat comes. */
+  'polls-before-heartbeats': async () => {
+    setFates(call => (isHold(call) ? 'lost' : 'answered'));
+    await startAgain();
+    await handIn();
+    await pause(SHORT_WORK_MILLISECONDS + 500);
+    setFates(() => 'answered');
+    await pause(1000);
+    beat();
+  },
   'no-contact': async () => {
     await startUnnoticed('unanswered');
     await cut(LONG_CUT_MILLISECONDS);
@@ -277,20 +295,42 @@
   },
 };
 
-/** Ends that were `done` and acknowledged, and whose tasks began again later. */
+/**
+ * Starts after an end `done` that was taken note of then or later: acknowledged,
+ * without the lease of its minion being over in between.
+ */
 function startsAfterSuccess() {
-  const acknowledged = new Map();
-  const found = [];
-  for (const { at, event, how, task, run, minion } of deployment.events) {
-    if (event === 'acked' && how === 'done') {
-      acknowledged.set(task, `run ${run} on ${minion}, ${at} ms`);
-    } else if (event === 'start' && acknowledged.has(task)) {
-      found.push(
-        `${task} run ${run} began on ${minion} at ${at} ms, done and acknowledged before: ${acknowledged.get(task)}`,
-      );
-    }
-  }
-  return found;
+  const { events } = deployment;
+  return events
+    .filter(({ event }) => event === 'done')
+    .flatMap(end => {
+      const noted = firstOf(end, 'acked', ({ task, run }) => {
+        return task === end.task && run === end.run;
+      });
+      const lapsed = firstOf(end, 'lease-over', () => true);
+      return noted === undefined || lapsed?.at <= noted.at
+        ? []
+        : events
+            .filter(({ event, task, at }) => {
+              return event === 'start' && task === end.task && at > end.at;
+            })
+            .map(({ run, minion, at }) => {
+              return `${end.task}: ${minion}/${run} began at ${at} ms, after ${end.minion}/${end.run} was done at ${end.at} ms, noted at ${noted.at} ms`;
+            });
+    });
+}
+
+/** First event of a kind on the minion of an end, from that end on. */
+function firstOf(end, kind, matches) {
+  const { events } = deployment;
+  return events
+    .slice(events.indexOf(end))
+    .find(
+      candidate =>
+        candidate.event === kind &&
+        candidate.minion === end.minion &&
+        matches(candidate),
+    );
 }
 
 const disturb = CASES[name];
@@ -299,6 +339,8 @@
   process.exit(2);
 }
 await deployment.start();
+await deployment.submit('0'.repeat(16), EARLIER_JOB);
+await pause(2000);
 deployment.note(`disturbance: ${name}`);
 await disturb();
 await pause(WATCH_MILLISECONDS);
@@ -311,7 +353,7 @@
 const after = elsewhere === undefined ? '-' : `${elsewhere.at - rebornAt} ms`;
 process.stdout.write(
   [
-    `${name}: ${overlaps.length} pairs of runs at once, ${again.length} starts after an acknowledged success, first start elsewhere after ${after}; record ${deployment.options.record}`,
+    `${name}: ${overlaps.length} pairs of runs at once, ${again.length} starts after a success that was noted, first start elsewhere after ${after}; record ${deployment.options.record}`,
     ...[...overlaps.slice(0, PAIRS_SHOWN), ...again.slice(0, PAIRS_SHOWN)].map(
       text => `  ${text}`,
     ),
