fix(soak): a cancellation that got no answer may not have been done

Cause: the checker took a cancel without an answer for done, and counted runs of that job at the end as broken.

Change: such a job is neither expected to run nor to have stopped; a cancel that was acknowledged is checked as before. The test's new case fails without the change.

--- a/packages/soak/src/promise-checker.ts
+++ b/packages/soak/src/promise-checker.ts
@@ -40,6 +40,9 @@
 
   private readonly cancelled = new Set<string>();
 
+  /** Jobs whose caller was not told whether they are cancelled. */
+  private readonly perhapsCancelled = new Set<string>();
+
   private readonly handlers: Readonly<
     Record<MinionEvent['kind'], (event: MinionEvent) => void>
   > = {
@@ -72,7 +75,11 @@
     return [...this.jobs.values()]
       .filter(({ results }) => results.has('done'))
       .map(({ request }) => request)
-      .filter(({ identifier }) => !this.cancelled.has(identifier));
+      .filter(
+        ({ identifier }) =>
+          !this.cancelled.has(identifier) &&
+          !this.perhapsCancelled.has(identifier),
+      );
   }
 
   /** Applies an event; an event that breaks a promise adds a breach. */
@@ -135,8 +142,10 @@
       const job = this.jobs.get(identifier);
       job?.results.add(result);
       this.checkRefusal(job, result);
-    } else if (result === 'done' || result === 'unknown') {
+    } else if (result === 'done') {
       this.cancelled.add(identifier);
+    } else if (result === 'unknown') {
+      this.perhapsCancelled.add(identifier);
     }
   }
 
--- a/packages/soak/tests/promise-checker.test.ts
+++ b/packages/soak/tests/promise-checker.test.ts
@@ -152,5 +152,12 @@
   story.checker.checkUnwanted();
   t.match(story.checker.breaches[0], 'was cancelled, and 1 run');
   t.same(story.checker.accepted(), []);
+  const untold = new Story(lasting);
+  untold.tell('started j.0.0.0 1 m');
+  const lost = { identifier: 'j', result: 'unknown' } as const;
+  untold.checker.apply({ kind: 'answered', call: 'cancel', ...lost });
+  untold.checker.checkUnwanted();
+  t.same(untold.checker.breaches, [], 'a cancellation that got no answer');
+  t.same(untold.checker.accepted(), []);
   t.end();
 });
