--- a/scripts/reproduce/reborn-under-old-id.mjs
+++ b/scripts/reproduce/reborn-under-old-id.mjs
@@ -280,6 +280,16 @@
     await beRebornAmidLateOrders();
     await cut(CUT_MILLISECONDS);
   },
+  /** Starts get no answer, are revoked by stops, and reach the next lives. */
+  'revoked-start-carried-out-late': async () => {
+    setFates(call => (isStart(call) ? 4000 : 'answered'));
+    await handIn();
+    await pause(1000);
+    setFates(() => 'answered');
+    await pause(2000);
+    await startAgain();
+    beat();
+  },
   'poll-carried-out-late': async () => {
     await beRebornBeforePolls();
     killLeader();
