--- a/packages/soak/src/promise-checker.ts
+++ b/packages/soak/src/promise-checker.ts
@@ -3,6 +3,7 @@
 import type { MinionEvent } from '@basilcourse/platform-stand-in/minion/minion-event';
 
 import type { SoakEvent } from './soak-event.js';
+import { SuccessWatch } from './success-watch.js';
 
 /** Room of each minion. */
 interface Room {
@@ -21,7 +22,7 @@
 /**
  * Checks what must hold, whatever is done to the system, from what callers and
  * minions see: no two runs of a task at once, none after a success that was
- * acknowledged, none beyond a minion's room, none out of order, none of a job that
+ * acknowledged then or later, none beyond a minion's room, none out of order, none of a job that
  * was refused; and at the end no accepted job that is lost.
  */
 export class PromiseChecker {
@@ -35,10 +36,13 @@
   /** Open runs by task, each with its minion. */
   private readonly open = new Map<string, Map<number, string>>();
 
-  private readonly successes = new Set<string>();
+  private readonly successes = new SuccessWatch();
 
   private readonly cancelled = new Set<string>();
 
+  /** Jobs whose caller was not told whether they are cancelled. */
+  private readonly perhapsCancelled = new Set<string>();
+
   private readonly handlers: Readonly<
     Record<MinionEvent['kind'], (event: MinionEvent) => void>
   > = {
@@ -51,11 +55,12 @@
     lost: event => {
       this.recordEnd(event);
     },
-    acknowledged: ({ task, reason }) => {
+    acknowledged: ({ task, run, reason }) => {
       if (reason === 'done') {
-        this.successes.add(task);
+        this.breaches.push(...this.successes.acknowledge(task, run));
       }
     },
+    forgotten: () => undefined,
   };
 
   /**
@@ -70,7 +75,11 @@
     return [...this.jobs.values()]
       .filter(({ results }) => results.has('done'))
       .map(({ request }) => request)
-      .filter(({ identifier }) => !this.cancelled.has(identifier));
+      .filter(
+        ({ identifier }) =>
+          !this.cancelled.has(identifier) &&
+          !this.perhapsCancelled.has(identifier),
+      );
   }
 
   /** Applies an event; an event that breaks a promise adds a breach. */
@@ -133,8 +142,10 @@
       const job = this.jobs.get(identifier);
       job?.results.add(result);
       this.checkRefusal(job, result);
-    } else if (result === 'done' || result === 'unknown') {
+    } else if (result === 'done') {
       this.cancelled.add(identifier);
+    } else if (result === 'unknown') {
+      this.perhapsCancelled.add(identifier);
     }
   }
 
@@ -158,9 +169,7 @@
     for (const [other, place] of runs) {
       this.breaches.push(`${text} began while run ${other} is on ${place}`);
     }
-    if (this.successes.has(task)) {
-      this.breaches.push(`${text} began after a success was acknowledged`);
-    }
+    this.breaches.push(...this.successes.recordStart(task, text));
     runs.set(run, minion);
     this.open.set(task, runs);
     const [identifier = '', occurrence = '', step = ''] = task.split('.');
@@ -219,6 +228,7 @@
     if (reason === 'done') {
       const [identifier = '', ...place] = task.split('.');
       this.jobs.get(identifier)?.done.add(place.join('.'));
+      this.successes.recordSuccess(task, run);
     }
   }
 
