refactor(job-nodes, jobs): one factor for slow clocks of minions

Cause: the agent and the leader each had a constant of 1.02. Change: one of them, in jobs. No behaviour changes; the tests of both bounds hold.

--- a/packages/job-nodes/src/agent/lease-clock.ts
+++ b/packages/job-nodes/src/agent/lease-clock.ts
@@ -1,6 +1,6 @@
+import { CLOCK_DRIFT_FACTOR } from '@basilcourse/jobs/model/clock-drift-factor';
 import type { MinionLimits } from '@basilcourse/jobs/model/minion-limits';
 
-import { CLOCK_DRIFT_FACTOR } from './clock-drift-factor.js';
 import { KILL_MARGIN_MILLISECONDS } from './kill-margin.js';
 import { longestHold } from './longest-hold.js';
 
--- a/packages/jobs/src/reconcile/lease-bounds.ts
+++ b/packages/jobs/src/reconcile/lease-bounds.ts
@@ -1,8 +1,6 @@
+import { CLOCK_DRIFT_FACTOR } from '../model/clock-drift-factor.js';
 import type { MinionLimits } from '../model/minion-limits.js';
 
-/** The clock of a minion may be slower than the leader's by this factor. */
-const CLOCK_DRIFT_FACTOR = 1.02;
-
 /** Covers the transit time of a lease grant and the late stop of a run. */
 const EXPIRY_MARGIN_MILLISECONDS = 500;
 
