--- a/packages/job-nodes/tests/leader/send-starts.test.ts
+++ b/packages/job-nodes/tests/leader/send-starts.test.ts
@@ -13,6 +13,9 @@
 import { makeSpecification, makeStep } from '../support/make-specification.js';
 import { QUEUE_SETTINGS } from '../support/queue-settings.js';
 
+/** The tests are about what arrives, not about when. */
+const START_TIMEOUT_MILLISECONDS = 10_000;
+
 const TASKS = 300;
 
 /** The starts of all tasks come to 2.4 MB, as quotes are escaped in JSON. */
@@ -56,7 +59,7 @@
     queue: QUEUE_SETTINGS,
   });
   harness.report({});
-  await pause(600);
+  await waitForStarts(() => harness.startedTasks(), 64);
   t.equal(harness.startedTasks().length, 64);
   const longest = Math.max(
     ...harness.messages.map(message => JSON.stringify(message).length),
@@ -64,6 +67,17 @@
   t.ok(longest < LONGEST_LINE / 4, `a line of ${longest} characters`);
 });
 
+/** Waits until as many starts have reached the agent, and fails after a long time. */
+async function waitForStarts(
+  startedTasks: () => readonly string[],
+  count: number,
+): Promise<void> {
+  const until = performance.now() + START_TIMEOUT_MILLISECONDS;
+  while (startedTasks().length < count && performance.now() < until) {
+    await pause(20);
+  }
+}
+
 /** An agent's end of a stream, which reads only while it is told to. */
 class SlowReader extends Writable {
   public reads = false;
@@ -116,7 +130,8 @@
     `${reader.writableLength} bytes are unsent`,
   );
   reader.readAll();
-  await pause(400);
+  await waitForStarts(() => reader.startedTasks(), TASKS);
+  await pause(200);
   t.equal(new Set(reader.startedTasks()).size, TASKS);
   t.equal(reader.startedTasks().length, TASKS, 'each is sent once');
 });
